--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,37 @@
+// Bundles each program into one CommonJS file under dist/, for tests, the demo and the binary.
+import { existsSync, mkdirSync, writeFileSync, renameSync } from 'node:fs'
+import { build } from 'esbuild'
+
+const ENTRY_POINTS = {
+  medlarcove: 'src/cli/main.ts',
+  'stand-in-log': 'stand-ins/log-main.ts',
+  'stand-in-host-list': 'stand-ins/host-list-main.ts',
+  'stand-in-target': 'stand-ins/target-main.ts',
+  replay: 'replay/main.ts',
+  demo: 'replay/demo-main.ts',
+  bench: 'bench/main.ts'
+}
+// Optional native parts that the libraries load when present; each has a fallback in JavaScript.
+const OPTIONAL_PACKAGES = ['dtrace-provider', 'source-map-support', 'mv', 'cbor-extract', 'safe-json-stringify']
+
+const present = Object.entries(ENTRY_POINTS).filter(([, file]) => existsSync(file))
+const result = await build({
+  entryPoints: Object.fromEntries(present),
+  outdir: 'dist',
+  outExtension: { '.js': '.cjs' },
+  bundle: true,
+  platform: 'node',
+  format: 'cjs',
+  target: 'node20',
+  mainFields: ['module', 'main'],
+  external: OPTIONAL_PACKAGES,
+  write: false,
+  logLevel: 'warning'
+})
+mkdirSync('dist', { recursive: true })
+for (const file of result.outputFiles) {
+  // Renamed into place, so that a process that starts meanwhile never reads half a file.
+  const temporary = `${file.path}.${process.pid}.tmp`
+  writeFileSync(temporary, file.contents)
+  renameSync(temporary, file.path)
+}
--- /dev/null
+++ b/src/clock.ts
@@ -0,0 +1,95 @@
+/**
+ * The one clock of the project, in milliseconds.
+ */
+import type { Cancel } from './types.ts'
+
+/** Tells the time and waits. Tests pass one that they move by hand. */
+export interface Clock {
+  /** Milliseconds since an arbitrary instant; never goes back. */
+  monotonicMs(): number
+  /** Milliseconds since 1970; may jump. */
+  wallMs(): number
+  /** Runs `action` once after `delayMs`; the returned function cancels it. */
+  startTimer(delayMs: number, action: () => void): Cancel
+  /** Resolves after `delayMs`, or at once when `signal` aborts. */
+  wait(delayMs: number, signal?: AbortSignal): Promise<void>
+}
+
+/** Resolves by a timer of `startTimer`, or at once when `signal` aborts. */
+function waitByTimer (startTimer: Clock['startTimer'], delayMs: number, signal?: AbortSignal): Promise<void> {
+  if (signal?.aborted) return Promise.resolve()
+  return new Promise((resolve) => {
+    const cancel = startTimer(delayMs, () => {
+      signal?.removeEventListener('abort', stopEarly)
+      resolve()
+    })
+    const stopEarly = () => {
+      cancel()
+      resolve()
+    }
+    signal?.addEventListener('abort', stopEarly, { once: true })
+  })
+}
+
+/** Creates the clock of the host. */
+export function createHostClock (): Clock {
+  const startTimer = (delayMs: number, action: () => void): Cancel => {
+    const timer = setTimeout(action, delayMs)
+    return () => clearTimeout(timer)
+  }
+  return {
+    monotonicMs: () => performance.now(),
+    wallMs: () => Date.now(),
+    startTimer,
+    wait: (delayMs, signal) => waitByTimer(startTimer, delayMs, signal)
+  }
+}
+
+/** A clock that stands still until a test moves it. */
+export interface TestClock extends Clock {
+  /** Moves the time on by `ms`, running due timers in order and letting promises settle between them. */
+  advance(ms: number): Promise<void>
+}
+
+interface PendingTimer { dueMs: number, sequence: number, action: () => void }
+
+/** Lets pending promise callbacks and immediates run. */
+async function waitForCallbacks (): Promise<void> {
+  const ROUNDS = 5
+  for (let round = 0; round < ROUNDS; round++) await new Promise<void>((resolve) => setImmediate(resolve))
+}
+
+/** Creates a clock that a test moves by hand; `startWallMs` is the wall time at its start. */
+export function createTestClock (startWallMs = 1_800_000_000_000): TestClock {
+  let nowMs = 0
+  let sequence = 0
+  const pending = new Set<PendingTimer>()
+  const startTimer = (delayMs: number, action: () => void): Cancel => {
+    const timer = { dueMs: nowMs + Math.max(0, delayMs), sequence: sequence++, action }
+    pending.add(timer)
+    return () => pending.delete(timer)
+  }
+  const takeDueTimer = (untilMs: number): PendingTimer | undefined => {
+    const due = [...pending].filter((timer) => timer.dueMs <= untilMs)
+    const first = due.sort((a, b) => a.dueMs - b.dueMs || a.sequence - b.sequence)[0]
+    if (first) pending.delete(first)
+    return first
+  }
+  const advance = async (ms: number): Promise<void> => {
+    const untilMs = nowMs + ms
+    await waitForCallbacks()
+    for (let timer = takeDueTimer(untilMs); timer; timer = takeDueTimer(untilMs)) {
+      nowMs = Math.max(nowMs, timer.dueMs)
+      timer.action()
+      await waitForCallbacks()
+    }
+    nowMs = untilMs
+  }
+  return {
+    monotonicMs: () => nowMs,
+    wallMs: () => startWallMs + nowMs,
+    startTimer,
+    wait: (delayMs, signal) => waitByTimer(startTimer, delayMs, signal),
+    advance
+  }
+}
--- /dev/null
+++ b/src/errors.ts
@@ -0,0 +1,90 @@
+/**
+ * The closed list of error kinds and the one table from kind to answer.
+ */
+import type { Fate } from './types.ts'
+
+/** How an error is answered to a caller. */
+export interface ErrorAnswer {
+  /** HTTP status. */
+  status: number
+  /** What the system knows about the request. */
+  fate: Exclude<Fate, 'ran'>
+  /** Seconds to wait before another attempt; left out when waiting does not help. */
+  retryAfterS?: number
+  /** What the caller can do, in one sentence. */
+  advice: string
+}
+
+/** Every error kind with its answer. A kind is only used where its fate is true. */
+export const ERROR_ANSWERS = {
+  // The request itself cannot be served.
+  'malformed-request': { status: 400, fate: 'not-run', advice: 'Correct the request and send it again.' },
+  'unknown-customer': { status: 404, fate: 'not-run', advice: 'Check the customer in the path: /{customer}/{service}/...' },
+  'unknown-service': { status: 404, fate: 'not-run', advice: 'Check the service in the path: /{customer}/{service}/...' },
+  'unknown-operation': { status: 404, fate: 'not-run', advice: 'Use a path that the contract lists.' },
+  'method-not-allowed': { status: 405, fate: 'not-run', advice: 'Use a method that the contract lists for this path.' },
+  'key-missing': { status: 400, fate: 'not-run', advice: 'Send the key where the contract says: header, path part or field.' },
+  'key-reused': { status: 422, fate: 'not-run', advice: 'This key belongs to a different request; use a new key.' },
+  'body-too-large': { status: 413, fate: 'not-run', advice: 'Send a smaller body; the contract states the limit.' },
+  'request-timeout': { status: 408, fate: 'not-run', retryAfterS: 1, advice: 'Send the whole request without long pauses.' },
+  // The system will not take the request now.
+  'no-contract': { status: 503, fate: 'not-run', retryAfterS: 2, advice: 'No contract is known here yet; try another entry.' },
+  'over-rate': { status: 429, fate: 'not-run', retryAfterS: 1, advice: 'The contract\'s rate is used up; wait and try again.' },
+  'over-concurrency': { status: 429, fate: 'not-run', retryAfterS: 1, advice: 'Too many requests at once; wait for answers first.' },
+  'queue-full': { status: 503, fate: 'not-run', retryAfterS: 1, advice: 'All targets are busy; wait and try again.' },
+  'queue-timeout': { status: 503, fate: 'not-run', retryAfterS: 1, advice: 'No target became free in time; try again.' },
+  'no-target': { status: 503, fate: 'not-run', retryAfterS: 2, advice: 'No target of this service can take work; try again later.' },
+  'deadline-passed': { status: 504, fate: 'not-run', retryAfterS: 1, advice: 'The deadline passed before the request was sent; try again.' },
+  'platform-down': { status: 503, fate: 'not-run', retryAfterS: 5, advice: 'The platform cannot record this request now; try again later.' },
+  'entry-stopping': { status: 503, fate: 'not-run', retryAfterS: 1, advice: 'This entry is stopping; ask for addresses and use another.' },
+  // The target was tried.
+  'target-unreachable': { status: 502, fate: 'not-run', retryAfterS: 1, advice: 'No byte reached a target; try again.' },
+  'target-shed': { status: 503, fate: 'not-run', retryAfterS: 1, advice: 'The target refused the work unstarted; try again.' },
+  'target-broken': { status: 502, fate: 'unknown', advice: 'The connection to the target broke; ask for the state before trying again.' },
+  'target-timeout': { status: 504, fate: 'unknown', advice: 'The target did not answer in time; ask for the state before trying again.' },
+  'answer-mismatched': { status: 502, fate: 'unknown', advice: 'The target answered another request; ask for the state before trying again.' },
+  'answer-truncated': { status: 502, fate: 'unknown', advice: 'The answer was cut short; ask for the state before trying again.' },
+  'claim-elsewhere': { status: 409, fate: 'unknown', advice: 'Another attempt with this key was admitted; ask for its state.' },
+  // Outside a caller's request.
+  'settings-invalid': { status: 500, fate: 'unknown', advice: 'Correct the settings file.' },
+  'contract-invalid': { status: 400, fate: 'not-run', advice: 'Correct the contract file.' },
+  'contract-rejected': { status: 409, fate: 'not-run', advice: 'Read the current contract, put the change on top of it and publish again.' },
+  'log-unavailable': { status: 503, fate: 'not-run', retryAfterS: 5, advice: 'The log took nothing; try again later.' },
+  'log-unknown': { status: 503, fate: 'unknown', advice: 'The log may have taken the record; read it back.' },
+  'log-gap': { status: 500, fate: 'unknown', advice: 'Records have aged out; start again from the newest checkpoint.' },
+  'host-list-unavailable': { status: 503, fate: 'unknown', retryAfterS: 5, advice: 'The host list cannot be read; the last known one stays.' },
+  'record-malformed': { status: 500, fate: 'unknown', advice: 'The record was skipped.' },
+  'peer-unreachable': { status: 503, fate: 'not-run', advice: 'No byte reached the peer.' },
+  'peer-broken': { status: 503, fate: 'unknown', advice: 'The link to the peer broke.' },
+  'peer-refused': { status: 403, fate: 'not-run', advice: 'Check that all entries share the same peer key.' },
+  'frame-malformed': { status: 400, fate: 'not-run', advice: 'The frame was dropped with its connection.' },
+  usage: { status: 400, fate: 'not-run', advice: 'See --help.' },
+  internal: { status: 500, fate: 'unknown', advice: 'Ask for the state before trying again, and report this.' }
+} as const satisfies Record<string, ErrorAnswer>
+
+/** The name of an error; the list is closed. */
+export type ErrorKind = keyof typeof ERROR_ANSWERS
+
+/** An error as a value. */
+export interface AppError {
+  kind: ErrorKind
+  /** What happened, in one sentence. */
+  message: string
+  /** The error underneath, for logs only. */
+  cause?: unknown
+}
+
+/** Creates an error of a kind. */
+export function createError (kind: ErrorKind, message: string, cause?: unknown): AppError {
+  return cause === undefined ? { kind, message } : { kind, message, cause }
+}
+
+/** Returns the answer that belongs to a kind. */
+export function getErrorAnswer (kind: ErrorKind): ErrorAnswer {
+  return ERROR_ANSWERS[kind]
+}
+
+/** Describes an unknown thrown value in one line. */
+export function describeCause (cause: unknown): string {
+  return cause instanceof Error ? cause.message : String(cause)
+}
