--- a/src/types.ts
+++ b/src/types.ts
@@ -33,7 +33,7 @@
 export type StreamName = Brand<string, 'StreamName'>
 
 /** Casts a plain value to a branded type, at the places where outside input has been checked. */
-export function toBrand<B extends Brand<unknown, string>> (value: B extends Brand<infer T, string> ? T : never): B {
+export function toBrand<B extends Brand<string | number, string>> (value: B extends string ? string : number): B {
   return value as unknown as B
 }
 
--- a/src/version/jsonc.ts
+++ b/src/version/jsonc.ts
@@ -26,7 +26,8 @@
 /** Returns the place of the nearest part of `path` that stands in the text. */
 function findPosition (text: string, path: readonly PropertyKey[]): { line: number, column: number } {
   const tree = parseTree(text)
-  for (let length = path.length; tree && length > 0; length--) {
+  if (!tree) return { line: 1, column: 1 }
+  for (let length = path.length; length > 0; length--) {
     const node = findNodeAtLocation(tree, path.slice(0, length).map((part) => typeof part === 'symbol' ? String(part) : part))
     if (node) return toPosition(text, node.parent?.type === 'property' ? node.parent.offset : node.offset)
   }
