--- /dev/null
+++ b/src/cli/contract.ts
@@ -0,0 +1,184 @@
+/**
+ * `medlarcove contract`: checks, publishes and shows contracts.
+ */
+import { readFileSync } from 'node:fs'
+import { userInfo } from 'node:os'
+import { parseArgs } from 'node:util'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createHostClock } from '../clock.ts'
+import { createError, describeCause } from '../errors.ts'
+import type { AppError } from '../errors.ts'
+import { publishContract } from '../process/contracts/publish-contract.ts'
+import { readContractStream } from '../process/contracts/read-contracts.ts'
+import { toBrand } from '../types.ts'
+import type { CustomerId, Nonce } from '../types.ts'
+import { checkContractText } from '../version/contract-check.ts'
+import { findVersionInForce } from '../version/contract-fold.ts'
+import type { AcceptedVersion, Schedule } from '../version/contract-fold.ts'
+import { formatFaults } from '../version/jsonc.ts'
+import { EXIT_CODES, EXIT_CODES_HELP, printFailure, printLine, runWithLog } from './contract-io.ts'
+import type { CommandIo } from './contract-io.ts'
+
+const HELP = `Usage: medlarcove contract <command> [options]
+
+Commands:
+  check FILE                 Check a contract and list its faults as file:line:column
+  publish FILE               Publish a contract and wait until the log shows what became of it
+  show [CUSTOMER]            Show the accepted contracts and which version is in force
+  history [CUSTOMER]         List the changes that the log still keeps, with reasons of rejection
+
+Options:
+  --log URL                  Address of the log
+  --settings FILE            Take the address of the log from an entry's settings
+  --operator NAME            Who publishes (default: the name of the user)
+  --nonce TEXT               Name of this change; publishing the same nonce again is one change
+  --timeout-ms NUMBER        How long publish waits for its result (default 15000)
+  --json                     Print one JSON value
+  --help                     Print this help
+
+${EXIT_CODES_HELP}`
+
+const OPTIONS = {
+  log: { type: 'string' },
+  settings: { type: 'string' },
+  operator: { type: 'string' },
+  nonce: { type: 'string' },
+  'timeout-ms': { type: 'string' },
+  json: { type: 'boolean', default: false },
+  help: { type: 'boolean', default: false }
+} as const
+
+function parseContractArgs (args: string[]) {
+  return parseArgs({ args, options: OPTIONS, allowPositionals: true })
+}
+
+type Parsed = ReturnType<typeof parseContractArgs>
+type Values = Parsed['values']
+
+function readText (file: string | undefined): Result<{ file: string, text: string }, AppError> {
+  if (file === undefined) return err(createError('usage', 'Name the contract file.'))
+  try {
+    return ok({ file, text: readFileSync(file, 'utf8') })
+  } catch (cause) {
+    return err(createError('usage', `${file} cannot be read: ${describeCause(cause)}.`, cause))
+  }
+}
+
+/** Prints the faults of a contract, if it has any, and returns whether it is valid. */
+function printFaults (source: { file: string, text: string }, values: Values, io: CommandIo): boolean {
+  const checked = checkContractText(source.text)
+  if (checked.isOk()) return true
+  if (values.json) printLine(io, JSON.stringify({ valid: false, file: source.file, faults: checked.error }))
+  else io.stderr(`${formatFaults(source.file, checked.error)}\n`)
+  return false
+}
+
+function runCheck (file: string | undefined, values: Values, io: CommandIo): number {
+  const source = readText(file)
+  if (source.isErr()) return printFailure(io, source.error, values.json)
+  if (!printFaults(source.value, values, io)) return EXIT_CODES.invalidFile
+  const { customer, version, effectiveAt } = checkContractText(source.value.text)._unsafeUnwrap()
+  if (values.json) printLine(io, JSON.stringify({ valid: true, file, customer, version, effectiveAt }))
+  else printLine(io, `${file}: valid: ${customer} version ${version}, in force from ${effectiveAt}`)
+  return EXIT_CODES.ok
+}
+
+function getTimeoutMs (values: Values): number | undefined {
+  const timeoutMs = Number(values['timeout-ms'])
+  return Number.isFinite(timeoutMs) && timeoutMs > 0 ? timeoutMs : undefined
+}
+
+async function runPublish (file: string | undefined, values: Values, io: CommandIo): Promise<number> {
+  const source = readText(file)
+  if (source.isErr()) return printFailure(io, source.error, values.json)
+  if (!printFaults(source.value, values, io)) return EXIT_CODES.invalidFile
+  return runWithLog(values, io, async (log) => {
+    const published = await publishContract({
+      log,
+      clock: createHostClock(),
+      text: source.value.text,
+      operator: values.operator ?? userInfo().username,
+      nonce: values.nonce === undefined ? undefined : toBrand<Nonce>(values.nonce),
+      timeoutMs: getTimeoutMs(values)
+    })
+    if (published.isErr()) return printFailure(io, published.error, values.json)
+    const { customer, version, offset, isRepeated } = published.value
+    if (values.json) printLine(io, JSON.stringify(published.value))
+    else printLine(io, `${customer} version ${version} is accepted at offset ${offset}${isRepeated ? '; it was accepted before, nothing was written' : ''}`)
+    return EXIT_CODES.ok
+  })
+}
+
+function describeSchedule (schedule: Schedule, nowMs: number) {
+  const inForce = findVersionInForce(schedule, nowMs)
+  return schedule.map((version: AcceptedVersion) => ({
+    customer: version.contract.customer,
+    version: version.contract.version,
+    effectiveAt: version.contract.effectiveAt,
+    state: version === inForce ? 'in force' : version.effectiveAtMs > nowMs ? 'scheduled' : 'replaced',
+    operator: version.operator,
+    offset: version.offset,
+    nonce: version.nonce,
+    text: version.text
+  }))
+}
+
+async function runShow (customer: string | undefined, values: Values, io: CommandIo): Promise<number> {
+  return runWithLog(values, io, async (log) => {
+    const read = await readContractStream(log)
+    if (read.isErr()) return printFailure(io, read.error, values.json)
+    const { state } = read.value
+    if (customer !== undefined && !state.has(toBrand<CustomerId>(customer))) {
+      return printFailure(io, createError('unknown-customer', `The log holds no contract of ${customer}.`), values.json)
+    }
+    const nowMs = createHostClock().wallMs()
+    const chosen = customer === undefined ? [...state.values()] : [state.get(toBrand<CustomerId>(customer)) ?? []]
+    const versions = chosen.flatMap((schedule) => describeSchedule(schedule, nowMs))
+    if (values.json) printLine(io, JSON.stringify(versions))
+    else for (const line of versions) printLine(io, `${line.customer} version ${line.version}: ${line.state}, from ${line.effectiveAt}, by ${line.operator}, offset ${line.offset}`)
+    if (!values.json && customer !== undefined) printLine(io, versions.at(-1)?.text ?? '')
+    return EXIT_CODES.ok
+  })
+}
+
+async function runHistory (customer: string | undefined, values: Values, io: CommandIo): Promise<number> {
+  return runWithLog(values, io, async (log) => {
+    const changes: object[] = []
+    const read = await readContractStream(log, (record, verdict, { offset }) => {
+      const about = verdict.kind === 'rejected' ? verdict.customer : verdict.version.contract.customer
+      if (customer !== undefined && about !== customer) return
+      const base = { offset, customer: about, operator: record.operator, publishedAt: new Date(record.publishedAtMs).toISOString(), verdict: verdict.kind }
+      const change = verdict.kind === 'rejected' ? { ...base, reason: verdict.reason } : { ...base, version: verdict.version.contract.version }
+      changes.push(change)
+      if (values.json) return
+      const result = verdict.kind === 'rejected' ? `rejected: ${verdict.reason}` : `version ${verdict.version.contract.version} ${verdict.kind}`
+      printLine(io, `${base.publishedAt} offset ${offset} ${about} by ${record.operator}: ${result}`)
+    })
+    if (read.isErr()) return printFailure(io, read.error, values.json)
+    if (values.json) printLine(io, JSON.stringify(changes))
+    return EXIT_CODES.ok
+  })
+}
+
+/** Runs `medlarcove contract` with the arguments after that word; returns the exit code. */
+export async function runContract (args: string[], io: CommandIo): Promise<number> {
+  let parsed: Parsed
+  try {
+    parsed = parseContractArgs(args)
+  } catch (cause) {
+    return printFailure(io, createError('usage', describeCause(cause)), false)
+  }
+  const { values, positionals: [command, name] } = parsed
+  if (values.help) {
+    io.stdout(HELP)
+    return EXIT_CODES.ok
+  }
+  switch (command) {
+    case 'check': return runCheck(name, values, io)
+    case 'publish': return runPublish(name, values, io)
+    case 'show': return runShow(name, values, io)
+    case 'history': return runHistory(name, values, io)
+    default: return printFailure(io, createError('usage', command === undefined ? 'Name a command.' : `There is no command "${command}".`), values.json)
+  }
+}
--- /dev/null
+++ b/src/process/contracts/publish-contract.ts
@@ -0,0 +1,148 @@
+/**
+ * Publishes a contract and learns from the stream itself what became of it.
+ */
+import { randomUUID } from 'node:crypto'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Clock } from '../../clock.ts'
+import { createError } from '../../errors.ts'
+import type { AppError } from '../../errors.ts'
+import { toBrand } from '../../types.ts'
+import type { ContractVersion, CustomerId, Nonce, Offset } from '../../types.ts'
+import { checkContractText } from '../../version/contract-check.ts'
+import { foldPublish } from '../../version/contract-fold.ts'
+import type { AcceptedVersion } from '../../version/contract-fold.ts'
+import { LARGEST_RECORD_BYTES, decodeStreamRecord, encodeStreamRecord } from '../../version/contract-record.ts'
+import type { PublishRecord } from '../../version/contract-record.ts'
+import type { Contract } from '../../version/contract.ts'
+import type { LogClient, LogRecord } from '../log-client.ts'
+import { CONTRACT_STREAM } from './contract-book.ts'
+import { readContractStream } from './read-contracts.ts'
+import type { StreamPosition } from './read-contracts.ts'
+
+/** What publishing needs. */
+export interface PublishOptions {
+  log: LogClient
+  clock: Clock
+  /** The contract, JSON with comments. */
+  text: string
+  /** Who publishes. */
+  operator: string
+  /** Names this change; the same nonce again is the same change. Default: a new one. */
+  nonce?: Nonce
+  /** How long to go on trying to learn the result, in ms. */
+  timeoutMs?: number
+}
+
+/** A change that was accepted. */
+export interface PublishedContract {
+  customer: CustomerId
+  version: ContractVersion
+  offset: Offset
+  nonce: Nonce
+  /** The same text had been accepted before; nothing was written. */
+  isRepeated: boolean
+}
+
+const DEFAULT_TIMEOUT_MS = 15_000
+const RETRY_MS = 200
+
+/** What the stream says about a change so far. */
+type Settlement =
+  | { kind: 'accepted', offset: Offset }
+  | { kind: 'rejected', reason: string }
+  /** Not decided yet; `mayBeWritten` is false when no append can have taken effect. */
+  | { kind: 'open', mayBeWritten: boolean }
+
+function toPublished (version: AcceptedVersion, isRepeated: boolean): PublishedContract {
+  const { contract, offset, nonce } = version
+  return { customer: contract.customer, version: contract.version, offset, nonce, isRepeated }
+}
+
+/** Folds further records and looks for the change with this nonce among them. */
+function findSettlement (position: StreamPosition, records: readonly LogRecord[], nonce: Nonce): Settlement {
+  let found: Settlement = { kind: 'open', mayBeWritten: true }
+  for (const { offset, data } of records) {
+    if (offset < position.nextOffset) continue
+    position.nextOffset = toBrand<Offset>(offset + 1)
+    const decoded = decodeStreamRecord(data)
+    if (decoded.isErr() || decoded.value.type !== 'contract') continue
+    const verdict = foldPublish(position.state, decoded.value, offset)
+    if (decoded.value.nonce !== nonce) continue
+    if (verdict.kind === 'rejected') found = found.kind === 'open' ? { kind: 'rejected', reason: verdict.reason } : found
+    else found = { kind: 'accepted', offset: verdict.version.offset }
+  }
+  return found
+}
+
+function checkAgainstHead (contract: Contract, text: string, head: AcceptedVersion | undefined): Result<PublishedContract | undefined, AppError> {
+  const headVersion = head?.contract.version ?? 0
+  if (head && head.text === text) return ok(toPublished(head, true))
+  if (contract.basedOn === headVersion) return ok(undefined)
+  const known = head ? `version ${headVersion} by ${head.operator} is the accepted one` : 'no version is accepted yet'
+  return err(createError('contract-rejected', `The contract is based on version ${contract.basedOn}, but ${known}.`))
+}
+
+/** Appends until the stream shows what became of the change or the time is up. */
+async function settlePublish (options: PublishOptions, position: StreamPosition, record: PublishRecord): Promise<Settlement> {
+  const { log, clock } = options
+  const deadlineMs = clock.monotonicMs() + (options.timeoutMs ?? DEFAULT_TIMEOUT_MS)
+  const data = encodeStreamRecord(record)
+  let isAppended = false
+  let mayBeWritten = false
+  while (clock.monotonicMs() < deadlineMs) {
+    // Appending twice is harmless: the fold takes one nonce once.
+    if (!isAppended) {
+      const appended = await log.append(CONTRACT_STREAM, data)
+      isAppended = appended.isOk()
+      mayBeWritten ||= appended.isOk() || appended.error.kind !== 'log-unavailable'
+    }
+    const page = await log.read(CONTRACT_STREAM, position.nextOffset)
+    const records = page.isOk() ? page.value.records : []
+    const settlement = findSettlement(position, records, record.nonce)
+    if (settlement.kind !== 'open') return settlement
+    if (records.length === 0) await clock.wait(RETRY_MS)
+  }
+  return { kind: 'open', mayBeWritten }
+}
+
+function toResult (settlement: Settlement, contract: Contract, nonce: Nonce): Result<PublishedContract, AppError> {
+  switch (settlement.kind) {
+    case 'accepted': return ok({ customer: contract.customer, version: contract.version, offset: settlement.offset, nonce, isRepeated: false })
+    case 'rejected': return err(createError('contract-rejected', `Rejected: ${settlement.reason}.`))
+    case 'open': return err(!settlement.mayBeWritten
+      ? createError('log-unavailable', 'The log took nothing.')
+      : createError('log-unknown', 'The log did not show in time whether it took the contract; publish the same file again to learn it.'))
+  }
+}
+
+/**
+ * Publishes a contract. Errors: `contract-invalid`, `contract-rejected` when another change was accepted first,
+ * `log-unavailable` when nothing was written, `log-unknown` when the change may still be accepted.
+ */
+export async function publishContract (options: PublishOptions): Promise<Result<PublishedContract, AppError>> {
+  const checked = checkContractText(options.text)
+  if (checked.isErr()) return err(createError('contract-invalid', checked.error[0]?.message ?? 'The contract is not valid.'))
+  const contract = checked.value
+  const read = await readContractStream(options.log)
+  if (read.isErr()) return err(createError('log-unavailable', `Nothing was written: ${read.error.message}`, read.error))
+  const position = read.value
+  const head = position.state.get(contract.customer)?.at(-1)
+  const early = checkAgainstHead(contract, options.text, head)
+  if (early.isErr()) return err(early.error)
+  if (early.value) return ok(early.value)
+  const nonce = options.nonce ?? toBrand<Nonce>(randomUUID())
+  const record: PublishRecord = {
+    type: 'contract',
+    v: 1,
+    nonce,
+    basedOnNonce: head?.nonce ?? '',
+    operator: options.operator,
+    publishedAtMs: options.clock.wallMs(),
+    text: options.text
+  }
+  if (encodeStreamRecord(record).length > LARGEST_RECORD_BYTES) {
+    return err(createError('contract-invalid', `The contract is larger than ${LARGEST_RECORD_BYTES} bytes when compressed; list fewer targets.`))
+  }
+  return toResult(await settlePublish(options, position, record), contract, nonce)
+}
--- /dev/null
+++ b/src/version/contract-check.ts
@@ -0,0 +1,87 @@
+/**
+ * Checks the text of a contract: its shape by the schema, then the rules that span several fields.
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { contractSchema } from './contract.ts'
+import type { Contract, Operation } from './contract.ts'
+import { parseJsonc } from './jsonc.ts'
+import type { TextFault } from './jsonc.ts'
+import type { z } from 'zod'
+
+type ParsedContract = z.infer<typeof contractSchema>
+type ParsedService = ParsedContract['services'][string]
+type CheckContext = z.core.$RefinementCtx
+type Path = (string | number)[]
+
+/** Methods that a target may see twice without harm, by the HTTP standard. */
+const SAFE_METHODS: readonly string[] = ['GET', 'HEAD']
+
+function addFault (context: CheckContext, path: Path, message: string): void {
+  context.addIssue({ code: 'custom', path, message })
+}
+
+function checkUnique (context: CheckContext, values: readonly string[], toPath: (index: number) => Path, what: string): void {
+  const seen = new Set<string>()
+  values.forEach((value, index) => {
+    if (seen.has(value)) addFault(context, toPath(index), `${what} "${value}" stands twice; give each its own`)
+    seen.add(value)
+  })
+}
+
+function checkKey (context: CheckContext, path: Path, operation: Operation): void {
+  if (operation.repeatable) return
+  if (SAFE_METHODS.includes(operation.method)) {
+    addFault(context, [...path, 'repeatable'], `${operation.method} is always repeatable; set repeatable to true or use another method`)
+  }
+  const key = operation.key
+  if (key.from === 'path' && !operation.path.split('/').includes(`:${key.name}`)) {
+    addFault(context, [...path, 'key', 'name'], `the path has no part ":${key.name}"; add it to the path or name another part`)
+  }
+}
+
+function checkOperation (context: CheckContext, path: Path, operation: Operation): void {
+  checkKey(context, path, operation)
+  if (operation.longestMs < operation.deadlineMs) {
+    addFault(context, [...path, 'longestMs'], `longestMs is below deadlineMs (${operation.deadlineMs}); raise it`)
+  }
+  if (operation.path.includes('?') || operation.path.includes('#')) {
+    addFault(context, [...path, 'path'], 'leave query and fragment out of the path')
+  }
+}
+
+/** Names a route so that two patterns that match the same paths get the same name. */
+function formatRoute (operation: Operation): string {
+  const parts = operation.path.split('/').map((part) => part.startsWith(':') ? ':' : part)
+  return `${operation.method} ${parts.join('/')}`
+}
+
+function checkService (context: CheckContext, path: Path, service: ParsedService, entryCount: number): void {
+  const targets = service.targets
+  checkUnique(context, targets.map((target) => target.id), (index) => [...path, 'targets', index, 'id'], 'target id')
+  checkUnique(context, targets.map((target) => `${target.address}:${target.port}`), (index) => [...path, 'targets', index, 'address'], 'target address')
+  checkUnique(context, service.operations.map((operation) => operation.name), (index) => [...path, 'operations', index, 'name'], 'operation name')
+  checkUnique(context, service.operations.map(formatRoute), (index) => [...path, 'operations', index, 'path'], 'route')
+  service.operations.forEach((operation, index) => checkOperation(context, [...path, 'operations', index], operation))
+  if (service.connectionsPerTarget < entryCount) {
+    addFault(context, [...path, 'connectionsPerTarget'], `leaves no connection for each of the ${entryCount} entries; raise it or lower entries.largestCount`)
+  }
+}
+
+function checkAcrossFields (contract: ParsedContract, context: CheckContext): void {
+  if (contract.version !== contract.basedOn + 1) {
+    addFault(context, ['version'], `must be basedOn + 1, here ${contract.basedOn + 1}`)
+  }
+  for (const [name, service] of Object.entries(contract.services)) {
+    checkService(context, ['services', name], service, contract.entries.largestCount)
+  }
+}
+
+const checkedSchema = contractSchema.superRefine(checkAcrossFields)
+
+/** Parses and checks a contract. Returns it with defaults filled in, or every fault with line and column. */
+export function checkContractText (text: string): Result<Contract, TextFault[]> {
+  const parsed = parseJsonc(text, checkedSchema)
+  // Ids are branded only here, after their pattern has been checked.
+  return parsed.isOk() ? ok(parsed.value as unknown as Contract) : err(parsed.error)
+}
