--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -24,6 +24,8 @@
   body: Uint8Array | undefined
   /** How long the first byte of the answer may take, in ms. */
   firstByteTimeoutMs: number
+  /** Asked right before the first byte is handed over; false ends the attempt unsent. */
+  canSend(): boolean
 }
 
 /** Status and headers of an answer. */
@@ -106,7 +108,7 @@
       controller = started
       // The library may start a request again on a new connection; that would be a second run.
       if (hasBegun) fail(createError('target-broken', 'The connection to the target closed while sending.'))
-      else if (isOver) started.abort(new Error('The exchange was ended.'))
+      else if (isOver || !request.canSend()) started.abort(new Error('The exchange was ended before it was sent.'))
       else hasBegun = true
     },
     onResponseStart (_, status, headers) {
--- /dev/null
+++ b/src/request/forward-answer.ts
@@ -0,0 +1,92 @@
+/**
+ * Sends an answer of a target on to the caller: whole, or with a broken connection, never with a false end.
+ */
+import type { ServerResponse } from 'node:http'
+import type { AppError } from '../errors.ts'
+import type { Clock } from '../clock.ts'
+import type { Cancel, Fate } from '../types.ts'
+import type { Attempt } from './attempt.ts'
+import type { Call } from './call.ts'
+import { resumeDownload, findResumePoint } from './download-resume.ts'
+import type { AnswerHead } from './exchange.ts'
+import { filterAnswerHeaders } from './headers.ts'
+import type { BegunAnswer } from './idempotent-request.ts'
+
+const FIRST_SERVER_ERROR_STATUS = 500
+/** The longest that a caller may take to accept what was sent, in ms. */
+const CALLER_STALL_MS = 30_000
+
+/** What became of an answer at the caller. */
+export type RelayEnd = 'whole' | 'broken' | 'caller-gone'
+
+/** The fate of a relayed answer: a server error proves nothing. */
+export function getRelayedFate (status: number): Fate {
+  return status >= FIRST_SERVER_ERROR_STATUS ? 'unknown' : 'ran'
+}
+
+/** Watches a caller that accepts nothing; `stop` ends the watch. */
+function watchStall (clock: Clock, action: () => void): { start: () => void, stop: () => void } {
+  let cancel: Cancel = () => undefined
+  return {
+    start () { cancel = clock.startTimer(CALLER_STALL_MS, action) },
+    stop () { cancel() }
+  }
+}
+
+/** Relays a begun answer; resolves when it has ended one way or the other. */
+export function forwardAnswer (call: Call, begun: BegunAnswer, outgoing: ServerResponse): Promise<RelayEnd> {
+  const { clock } = call
+  return new Promise((resolve) => {
+    let { attempt } = begun
+    let receivedBytes = 0
+    let isOver = false
+    const resumePoint = findResumePoint(call, begun.head)
+    const finish = (end: RelayEnd): void => {
+      if (isOver) return
+      isOver = true
+      stall.stop()
+      cancelLongest()
+      if (end !== 'whole') attempt.cancel()
+      if (end === 'broken') outgoing.destroy()
+      resolve(end)
+    }
+    const stall = watchStall(clock, () => finish('broken'))
+    const cancelLongest = clock.startTimer(call.operation.longestMs, () => finish('broken'))
+    const handleFailure = async (error: AppError): Promise<void> => {
+      const next = resumePoint && !isOver ? await resumeDownload(call, resumePoint, receivedBytes) : undefined
+      if (!next || isOver) {
+        next?.cancel()
+        call.noteBrokenAnswer(error)
+        finish('broken')
+        return
+      }
+      attempt = next
+      forwardBody(next)
+    }
+    const forwardBody = (source: Attempt): void => source.pipe({
+      write (chunk) {
+        receivedBytes += chunk.byteLength
+        const canGoOn = outgoing.write(chunk)
+        if (!canGoOn) stall.start()
+        return canGoOn
+      },
+      end () {
+        outgoing.end()
+        finish('whole')
+      },
+      fail (error) { handleFailure(error).catch(() => finish('broken')) }
+    })
+    outgoing.on('drain', () => {
+      stall.stop()
+      attempt.resume()
+    })
+    outgoing.on('close', () => finish('caller-gone'))
+    sendHead(call, begun.head, outgoing)
+    forwardBody(attempt)
+  })
+}
+
+function sendHead (call: Call, head: AnswerHead, outgoing: ServerResponse): void {
+  const headers = filterAnswerHeaders(head.headers, getRelayedFate(head.status), call.contract.version)
+  outgoing.writeHead(head.status, headers)
+}
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -9,6 +9,8 @@
 export const REQUEST_ID_HEADER = 'x-request-id'
 export const ATTEMPT_HEADER = 'x-medlarcove-attempt'
 export const DEADLINE_HEADER = 'x-medlarcove-deadline-ms'
+/** Set on the kept answer that a repeated attempt gets. */
+export const REPEATED_HEADER = 'x-medlarcove-repeated'
 export const LEAVING_HEADER = 'x-target-leaving'
 
 /** Headers that concern one connection only, and those that the entry sets itself. */
--- /dev/null
+++ b/src/request/idempotent-request.ts
@@ -0,0 +1,144 @@
+/**
+ * Serves a request that may be repeated: with retries and a late hedge within the budgets of the contract.
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createError, getErrorAnswer } from '../errors.ts'
+import type { AppError } from '../errors.ts'
+import { isShed, startAttempt } from './attempt.ts'
+import type { Attempt } from './attempt.ts'
+import type { Call } from './call.ts'
+import type { AnswerHead } from './exchange.ts'
+
+const FIRST_SERVER_ERROR_STATUS = 500
+
+/** An answer whose body has not begun to flow. */
+export interface BegunAnswer { attempt: Attempt, head: AnswerHead }
+
+/** How one attempt ended its first part. */
+type Ending =
+  | { kind: 'answered', answer: BegunAnswer }
+  | { kind: 'failed', attempt: Attempt, error: AppError }
+  | { kind: 'hedge-due' }
+
+/** Whether an answer is worth another attempt. */
+function isBad (head: AnswerHead): boolean {
+  return head.status >= FIRST_SERVER_ERROR_STATUS
+}
+
+/** Chooses the error to answer; once a target may have run the request, only one whose fate is unknown is true. */
+function chooseError (errors: readonly AppError[], mayHaveRun: boolean): AppError {
+  const last = errors.at(-1) ?? createError('internal', 'No attempt was made.')
+  if (!mayHaveRun) return last
+  const honest = errors.findLast((error) => getErrorAnswer(error.kind).fate === 'unknown')
+  return honest ?? createError('target-broken', last.message)
+}
+
+/** Waits for the head of an attempt. */
+async function waitForHead (attempt: Attempt): Promise<Ending> {
+  const head = await attempt.head
+  return head.isOk() ? { kind: 'answered', answer: { attempt, head: head.value } } : { kind: 'failed', attempt, error: head.error }
+}
+
+/** Waits until the hedge is due; never settles once `stop` has aborted. */
+async function waitForHedge (call: Call, stop: AbortSignal): Promise<Ending> {
+  await call.clock.wait(call.service.hedging.afterMs, stop)
+  return stop.aborted ? new Promise<Ending>(() => undefined) : { kind: 'hedge-due' }
+}
+
+/** The attempts of one call. */
+interface Race {
+  running: Map<Attempt, Promise<Ending>>
+  errors: AppError[]
+  /** A bad answer kept in case nothing better comes. */
+  spare: BegunAnswer | undefined
+  attempts: number
+  /** Whether an attempt may have run on its target. */
+  mayHaveRun: boolean
+}
+
+async function addAttempt (call: Call, race: Race, mayWait: boolean): Promise<boolean> {
+  const started = await startAttempt(call, { number: call.firstAttempt + race.attempts, mayWait, needsProof: false })
+  if (started.isErr()) {
+    race.errors.push(started.error)
+    return false
+  }
+  race.attempts += 1
+  race.running.set(started.value, waitForHead(started.value))
+  return true
+}
+
+function canRetry (call: Call, race: Race): boolean {
+  if (call.gone.aborted || race.running.size > 0) return false
+  if (call.firstAttempt + race.attempts > call.service.retries.largestAttempts) return false
+  if (call.clock.monotonicMs() >= call.deadlineMs) return false
+  return call.links.targets.takeRetry()
+}
+
+function cancelOthers (race: Race, winner: Attempt | undefined): void {
+  for (const attempt of race.running.keys()) {
+    if (attempt !== winner) attempt.cancel()
+  }
+  if (race.spare && race.spare.attempt !== winner) race.spare.attempt.cancelAfterAnswer()
+}
+
+/** Keeps the newest bad answer, ending the one before it. */
+function setSpare (race: Race, answer: BegunAnswer): void {
+  race.spare?.attempt.cancelAfterAnswer()
+  race.spare = answer
+}
+
+/** Notes the ending of an attempt; returns the answer when it is good. */
+function recordEnding (call: Call, race: Race, ending: Exclude<Ending, { kind: 'hedge-due' }>): BegunAnswer | undefined {
+  const attempt = ending.kind === 'answered' ? ending.answer.attempt : ending.attempt
+  race.running.delete(attempt)
+  if (ending.kind === 'failed') {
+    race.mayHaveRun ||= attempt.wasSent()
+    race.errors.push(ending.error)
+    return undefined
+  }
+  if (isShed(call, ending.answer.head)) {
+    attempt.cancelAfterAnswer()
+    race.errors.push(createError('target-shed', 'The target refused the work.'))
+    return undefined
+  }
+  race.mayHaveRun = true
+  if (!isBad(ending.answer.head)) return ending.answer
+  setSpare(race, ending.answer)
+  return undefined
+}
+
+/** Runs attempts until one gives a good answer or no more may be made. */
+async function runRace (call: Call, race: Race, hedgeDue: Promise<Ending>): Promise<BegunAnswer | undefined> {
+  let pendingHedge: Promise<Ending>[] = [hedgeDue]
+  if (!await addAttempt(call, race, true)) return undefined
+  while (race.running.size > 0) {
+    const ending = await Promise.race([...race.running.values(), ...pendingHedge])
+    if (ending.kind === 'hedge-due') {
+      pendingHedge = []
+      if (call.links.targets.takeHedge()) await addAttempt(call, race, false)
+      continue
+    }
+    const answer = recordEnding(call, race, ending)
+    if (answer) return answer
+    if (canRetry(call, race)) await addAttempt(call, race, false)
+  }
+  return undefined
+}
+
+/**
+ * Gets the beginning of an answer from the targets.
+ * Errors: those of attempts; one with the fate `not-run` only when no byte was handed over.
+ */
+export async function fetchAnswer (call: Call): Promise<Result<BegunAnswer, AppError>> {
+  const race: Race = { running: new Map(), errors: [], spare: undefined, attempts: 0, mayHaveRun: false }
+  const stopHedge = new AbortController()
+  const cancelAll = () => cancelOthers(race, undefined)
+  call.gone.addEventListener('abort', cancelAll)
+  const good = await runRace(call, race, waitForHedge(call, stopHedge.signal))
+  call.gone.removeEventListener('abort', cancelAll)
+  stopHedge.abort()
+  const answer = good ?? race.spare
+  cancelOthers(race, answer?.attempt)
+  return answer ? ok(answer) : err(chooseError(race.errors, race.mayHaveRun))
+}
