--- /dev/null
+++ b/src/cli/command.ts
@@ -0,0 +1,60 @@
+/**
+ * What every command of the command line shares: its output, exit codes and the way it reports errors.
+ */
+import { getErrorAnswer } from '../errors.ts'
+import type { AppError, ErrorKind } from '../errors.ts'
+
+/** Where a command writes. */
+export interface CommandIo {
+  stdout(text: string): void
+  stderr(text: string): void
+}
+
+/** The stated exit codes. */
+export const EXIT_CODES = {
+  ok: 0,
+  /** The command ran and the answer is no: refused, rejected or failed. */
+  refused: 1,
+  /** The command line itself is wrong. */
+  usage: 2,
+  /** A settings or contract file is wrong. */
+  invalidFile: 3,
+  /** The log or an entry cannot be reached; nothing was done. */
+  unreachable: 4,
+  /** It is not known whether the change was made. */
+  unknown: 5
+} as const
+
+/** Returns the exit code for an error. */
+export function getExitCode (kind: ErrorKind): number {
+  switch (kind) {
+    case 'usage': return EXIT_CODES.usage
+    case 'settings-invalid':
+    case 'contract-invalid': return EXIT_CODES.invalidFile
+    case 'log-unavailable':
+    case 'host-list-unavailable':
+    case 'platform-down':
+    case 'peer-unreachable': return EXIT_CODES.unreachable
+    case 'log-unknown':
+    case 'peer-broken': return EXIT_CODES.unknown
+    default: return EXIT_CODES.refused
+  }
+}
+
+/** Prints an error, as a sentence with advice or as JSON, and returns the exit code for it. */
+export function reportError (error: AppError, io: CommandIo, isJson: boolean): number {
+  const { advice } = getErrorAnswer(error.kind)
+  if (isJson) io.stderr(`${JSON.stringify({ error: error.kind, message: error.message, advice })}\n`)
+  else io.stderr(`medlarcove: ${error.kind}: ${error.message}\n${advice}\n`)
+  return getExitCode(error.kind)
+}
+
+/** The lines on exit codes at the end of each help text. */
+export const EXIT_CODES_HELP = `Exit codes:
+  0  done
+  1  refused, rejected or failed
+  2  wrong command line
+  3  wrong settings or contract file; file, line and column are printed
+  4  the log or the entry cannot be reached; nothing was done
+  5  it is not known whether the change was made
+`
--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,44 @@
+/**
+ * The command line as a function: chooses a command and returns its exit code.
+ */
+import packageJson from '../../package.json' with { type: 'json' }
+import { createError } from '../errors.ts'
+import { runAddresses } from './addresses.ts'
+import { EXIT_CODES, EXIT_CODES_HELP, reportError } from './command.ts'
+import type { CommandIo } from './command.ts'
+import { runEntry } from './entry.ts'
+import { runStatus } from './status.ts'
+
+const HELP = `Usage: medlarcove COMMAND [options]
+
+Commands:
+  entry      run the daemon of one entry host
+  contract   check, publish, show or list versions of a contract
+  audit      print the audit trail of changes
+  status     print what an entry knows: contracts, peers, targets, budgets
+  addresses  ask an entry which addresses a caller should use
+
+Each command prints its own help with --help, and JSON with --json.
+  --version  print the version
+
+${EXIT_CODES_HELP}`
+
+/** Runs the command line and returns the exit code. */
+export async function runCommandLine (args: string[], io: CommandIo): Promise<number> {
+  const [command, ...rest] = args
+  switch (command) {
+    case 'entry': return runEntry(rest, io)
+    case 'status': return runStatus(rest, io)
+    case 'addresses': return runAddresses(rest, io)
+    case '--version':
+      io.stdout(`${packageJson.version}\n`)
+      return EXIT_CODES.ok
+    case '--help':
+    case '-h':
+    case 'help':
+      io.stdout(HELP)
+      return EXIT_CODES.ok
+    case undefined: return reportError(createError('usage', 'Name a command: entry, contract, audit, status or addresses.'), io, false)
+    default: return reportError(createError('usage', `There is no command "${command}".`), io, args.includes('--json'))
+  }
+}
--- /dev/null
+++ b/src/process/settings.ts
@@ -0,0 +1,113 @@
+/**
+ * Settings of one entry process: JSON with comments, checked, unknown keys refused.
+ */
+import { readFile } from 'node:fs/promises'
+import { err } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { z } from 'zod'
+import { createError, describeCause } from '../errors.ts'
+import type { AppError } from '../errors.ts'
+import type { EntryId, ZoneId } from '../types.ts'
+import { formatFaults, parseJsonc } from '../version/jsonc.ts'
+
+const LARGEST_PORT = 65_535
+const SHORTEST_PEER_KEY = 16
+const LARGEST_CLAIM_PARTITIONS = 4096
+const ID_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/
+
+/** Levels of the log, from most to least. */
+export const LOG_LEVELS = ['trace', 'debug', 'info', 'warn', 'error', 'fatal'] as const
+/** How much is logged. */
+export type LogLevel = typeof LOG_LEVELS[number]
+
+/** Every default of the settings. docs/operators-running.md shows the same table. */
+export const SETTINGS_DEFAULTS = {
+  /** How long an idle connection of a caller is kept open, in ms; advertised to callers. */
+  keepAliveMs: 15_000,
+  /** Added to the address lifetime before a stopping entry closes connections, in ms. */
+  stopSlackMs: 2_000,
+  /** Streams over which keys of operations that may not be repeated are spread; the same on every entry, for ever. */
+  claimPartitions: 64,
+  logLevel: 'info' as LogLevel,
+  callers: {
+    /** The largest header of a request, in bytes. */
+    largestHeaderBytes: 16_384,
+    /** How long a caller may take to send its header, in ms. */
+    headerTimeoutMs: 10_000,
+    /** How long a caller may pause while it sends a body or reads an answer, in ms. */
+    pauseTimeoutMs: 30_000,
+    /** Connections of callers held at once; more are refused. */
+    largestConnections: 10_000
+  }
+}
+
+const defaults = SETTINGS_DEFAULTS
+const idText = z.string().regex(ID_PATTERN, 'use lower-case letters, digits and hyphens, at most 63')
+const port = z.number().int().min(1).max(LARGEST_PORT)
+const positiveInt = z.number().int().positive()
+const httpUrl = z.url({ protocol: /^https?$/, error: 'give a URL such as http://127.0.0.1:7000' })
+
+const settingsSchema = z.strictObject({
+  entry: z.strictObject({
+    id: idText,
+    zone: idText,
+    address: z.ipv4('give an IPv4 address'),
+    callerPort: port,
+    operatorPort: port,
+    peerPort: port
+  }),
+  log: z.strictObject({ url: httpUrl }),
+  hostList: z.strictObject({ url: httpUrl }),
+  peerKey: z.string().min(SHORTEST_PEER_KEY, `give at least ${SHORTEST_PEER_KEY} characters, the same on every entry`),
+  keepAliveMs: positiveInt.default(defaults.keepAliveMs),
+  stopSlackMs: z.number().int().nonnegative().default(defaults.stopSlackMs),
+  claimPartitions: positiveInt.max(LARGEST_CLAIM_PARTITIONS).default(defaults.claimPartitions),
+  logLevel: z.enum(LOG_LEVELS).default(defaults.logLevel),
+  callers: z.strictObject({
+    largestHeaderBytes: positiveInt.default(defaults.callers.largestHeaderBytes),
+    headerTimeoutMs: positiveInt.default(defaults.callers.headerTimeoutMs),
+    pauseTimeoutMs: positiveInt.default(defaults.callers.pauseTimeoutMs),
+    largestConnections: positiveInt.default(defaults.callers.largestConnections)
+  }).default(defaults.callers)
+}).superRefine((settings, context) => {
+  const { callerPort, operatorPort, peerPort } = settings.entry
+  if (new Set([callerPort, operatorPort, peerPort]).size === 3) return
+  context.addIssue({ code: 'custom', path: ['entry', 'operatorPort'], message: 'give callerPort, operatorPort and peerPort three different values' })
+})
+
+type ParsedSettings = z.infer<typeof settingsSchema>
+
+/** The place of one entry process. */
+export interface EntrySettings {
+  id: EntryId
+  zone: ZoneId
+  /** The IP address on which it listens and which is handed to callers and peers. */
+  address: string
+  callerPort: number
+  operatorPort: number
+  peerPort: number
+}
+
+/** Settings of one entry process, checked and with defaults filled in. */
+export type Settings = Omit<ParsedSettings, 'entry'> & { entry: EntrySettings }
+
+/** Parses a settings text; `file` names it in faults. Errors: `settings-invalid`, one line for each fault. */
+export function parseSettings (text: string, file: string): Result<Settings, AppError> {
+  return parseJsonc(text, settingsSchema)
+    .map((settings) => settings as unknown as Settings)
+    .mapErr((faults) => createError('settings-invalid', formatFaults(file, faults)))
+}
+
+/** Reads and checks a settings file. Errors: `settings-invalid`. */
+export async function readSettings (file: string): Promise<Result<Settings, AppError>> {
+  try {
+    return parseSettings(await readFile(file, 'utf8'), file)
+  } catch (cause) {
+    return err(createError('settings-invalid', `${file}: the file cannot be read (${describeCause(cause)}); check the path and its rights`, cause))
+  }
+}
+
+/** Returns settings for tests and tools: defaults for all that is not given. */
+export function createSettings (given: Pick<Settings, 'entry' | 'log' | 'hostList' | 'peerKey'> & Partial<Settings>): Settings {
+  return { ...SETTINGS_DEFAULTS, ...given }
+}
--- /dev/null
+++ b/test/command-line.test.ts
@@ -0,0 +1,52 @@
+import { expect, test } from 'vitest'
+import { EXIT_CODES } from '../src/cli/command.ts'
+import { runCommandLine } from '../src/cli/commands.ts'
+
+async function runCaptured (...args: string[]) {
+  const result = { exitCode: -1, stdout: '', stderr: '' }
+  result.exitCode = await runCommandLine(args, {
+    stdout: (text) => { result.stdout += text },
+    stderr: (text) => { result.stderr += text }
+  })
+  return result
+}
+
+test.each(['entry', 'status', 'addresses'])('%s prints its help', async (command) => {
+  const result = await runCaptured(command, '--help')
+  expect(result.exitCode).toBe(EXIT_CODES.ok)
+  expect(result.stdout).toMatch(new RegExp(`^Usage: medlarcove ${command} `))
+  expect(result.stdout).toContain('Exit codes:')
+})
+
+test('help lists every command', async () => {
+  const { stdout } = await runCaptured('--help')
+  for (const command of ['entry', 'contract', 'audit', 'status', 'addresses']) expect(stdout).toMatch(new RegExp(`^  ${command} `, 'm'))
+})
+
+test('the version is that of the package', async () => {
+  expect((await runCaptured('--version')).stdout).toMatch(/^\d+\.\d+\.\d+\n$/)
+})
+
+test.each([[[]], [['run']], [['entry']], [['entry', '--setting', 'x']], [['status']], [['addresses', '--entry', '127.0.0.1:1']]])('a wrong command line %j ends with the exit code for usage', async (args) => {
+  const result = await runCaptured(...args)
+  expect(result.exitCode).toBe(EXIT_CODES.usage)
+  expect(result.stderr).toMatch(/^medlarcove: usage: /)
+  expect(result.stdout).toBe('')
+})
+
+test('a wrong settings file ends with its own exit code, as JSON when asked', async () => {
+  const result = await runCaptured('entry', '--settings', 'samples/kyushu/contract.jsonc', '--json')
+  expect(result.exitCode).toBe(EXIT_CODES.invalidFile)
+  expect(JSON.parse(result.stderr)).toMatchObject({ error: 'settings-invalid', advice: 'Correct the settings file.' })
+})
+
+test('correct settings are told so without a start', async () => {
+  const result = await runCaptured('entry', '--settings', 'samples/kyushu/host.jsonc', '--check')
+  expect(result).toMatchObject({ exitCode: EXIT_CODES.ok, stdout: 'samples/kyushu/host.jsonc is correct.\n' })
+})
+
+test.each([['status', '--entry', '127.0.0.1:1'], ['addresses', '--entry', '127.0.0.1:1', '--customer', 'kyushu']])('%s tells when no entry answers', async (...args) => {
+  const result = await runCaptured(...args)
+  expect(result.exitCode).toBe(EXIT_CODES.unreachable)
+  expect(result.stderr).toContain('check the address and that the entry runs')
+})
