--- a/src/cli/entry.ts
+++ b/src/cli/entry.ts
@@ -1,7 +1,8 @@
 /**
  * The command `entry`: runs the daemon of one entry host until it is told to stop.
  */
-import { createError } from '../errors.ts'
+import { createError, describeCause } from '../errors.ts'
+import { startEntry } from '../process/entry.ts'
 import { readSettings } from '../process/settings.ts'
 import type { Settings } from '../process/settings.ts'
 import { parseArguments } from './arguments.ts'
@@ -19,9 +20,22 @@
 
 ${EXIT_CODES_HELP}`
 
-/** Starts the daemon; the placeholder stands until the daemon does. */
-async function startEntry (settings: Settings): Promise<number> {
-  return reportError(createError('internal', `Entry ${settings.entry.id} has no daemon yet.`), { stdout: () => {}, stderr: (text) => process.stderr.write(text) }, false)
+/** Runs the daemon until it has stopped as planned; a second signal changes nothing. */
+async function runDaemon (settings: Settings, io: CommandIo, isJson: boolean): Promise<number> {
+  let askedToStop: NodeJS.Signals | undefined
+  let stop: (reason: string) => void = (reason) => { askedToStop = reason as NodeJS.Signals }
+  process.on('SIGTERM', (signal) => stop(signal))
+  process.on('SIGINT', (signal) => stop(signal))
+  try {
+    const entry = await startEntry(settings)
+    await new Promise<void>((resolve, reject) => {
+      stop = (reason) => { entry.stop(reason).then(resolve, reject) }
+      if (askedToStop) stop(askedToStop)
+    })
+    return EXIT_CODES.ok
+  } catch (cause) {
+    return reportError(createError('internal', `The entry ended: ${describeCause(cause)}.`, cause), io, isJson)
+  }
 }
 
 /** Runs the command and returns its exit code. */
@@ -46,5 +60,5 @@
     io.stdout(isJson ? `${JSON.stringify({ ok: true, entry: settings.value.entry.id })}\n` : `${values.settings} is correct.\n`)
     return EXIT_CODES.ok
   }
-  return startEntry(settings.value)
+  return runDaemon(settings.value, io, isJson)
 }
--- /dev/null
+++ b/src/process/caller-server.ts
@@ -0,0 +1,118 @@
+/**
+ * The HTTP server for callers: addresses by hono, everything else straight to the targets.
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Duplex } from 'node:stream'
+import { getRequestListener } from '@hono/node-server'
+import { Hono } from 'hono'
+import { createError, getErrorAnswer } from '../errors.ts'
+import { buildErrorAnswer } from '../request/error-answer.ts'
+import { toBrand } from '../types.ts'
+import type { CustomerId, ZoneId } from '../types.ts'
+import type { ContractState } from './contracts/contract-state.ts'
+import { orderAddresses } from './membership/address-order.ts'
+import type { PeerMesh } from './membership/peer-mesh.ts'
+import type { RequestService } from './request-service.ts'
+import type { Settings } from './settings.ts'
+
+/** Paths below this prefix are answered by the entry itself. */
+const OWN_PREFIX = '/.medlarcove/'
+const HEADER_OVERFLOW_STATUS = 431
+
+/** What the server needs. */
+export interface CallerServerOptions {
+  settings: Settings
+  contracts: ContractState
+  mesh: PeerMesh
+  requests: RequestService
+}
+
+/** The server for callers. */
+export interface CallerServer {
+  /** Begins to listen; rejects when the address cannot be used. */
+  start(): Promise<void>
+  /** From now on each answer asks the caller to close its connection. */
+  closeAfterAnswers(): void
+  /** Stops listening and closes idle connections. Resolves when no connection is left. */
+  close(): Promise<void>
+  countConnections(): Promise<number>
+}
+
+function createOwnPaths (options: CallerServerOptions): Hono {
+  const app = new Hono()
+  app.get(`${OWN_PREFIX}addresses`, (context) => {
+    const { customer, caller, zone } = context.req.query()
+    if (!customer) return sendOwnError(createError('malformed-request', 'Name the customer: ?customer=...'))
+    const contract = options.contracts.getContract(toBrand<CustomerId>(customer))
+    if (contract.isErr()) return sendOwnError(contract.error)
+    const answer = orderAddresses({
+      entries: options.mesh.listPeers(),
+      callerZone: zone ? toBrand<ZoneId>(zone) : options.settings.entry.zone,
+      callerId: caller ?? '',
+      lifetimeMs: contract.value.entries.addressLifetimeMs
+    })
+    return context.json({ ...answer, version: contract.value.version })
+  })
+  app.notFound(() => sendOwnError(createError('unknown-operation', 'No such path; try /.medlarcove/addresses?customer=...')))
+  return app
+}
+
+function sendOwnError (error: ReturnType<typeof createError>): Response {
+  const { status, headers, body } = buildErrorAnswer(error)
+  return new Response(Buffer.from(body), { status, headers })
+}
+
+/** Answers a request that cannot be parsed, then closes the connection. */
+function refuseMalformed (cause: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable || cause.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const isTimeout = cause.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+  const kind = isTimeout ? 'request-timeout' : 'malformed-request'
+  const { headers, body } = buildErrorAnswer(createError(kind, 'The request could not be read as HTTP.'))
+  const status = cause.code === 'HPE_HEADER_OVERFLOW' ? HEADER_OVERFLOW_STATUS : getErrorAnswer(kind).status
+  const lines = Object.entries({ ...headers, connection: 'close', 'content-length': String(body.byteLength) })
+  const head = lines.map(([name, value]) => `${name}: ${value}\r\n`).join('')
+  socket.end(Buffer.concat([Buffer.from(`HTTP/1.1 ${status} Refused\r\n${head}\r\n`), body]))
+}
+
+function startListening (server: Server, port: number, address: string): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, address, () => {
+      server.off('error', reject)
+      resolve()
+    })
+  })
+}
+
+/** Creates the server for callers. */
+export function createCallerServer (options: CallerServerOptions): CallerServer {
+  const { settings, requests } = options
+  const ownListener = getRequestListener(createOwnPaths(options).fetch)
+  let isClosing = false
+
+  const handle = async (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> => {
+    if (isClosing) outgoing.setHeader('connection', 'close')
+    if (incoming.url?.startsWith(OWN_PREFIX)) await ownListener(incoming, outgoing)
+    else await requests.handleRequest(incoming, outgoing)
+  }
+  const server = createServer({
+    maxHeaderSize: settings.callers.largestHeaderBytes,
+    headersTimeout: settings.callers.headerTimeoutMs,
+    requestTimeout: 0,
+    keepAliveTimeout: settings.keepAliveMs,
+    noDelay: true
+  }, (incoming, outgoing) => { handle(incoming, outgoing).catch(() => outgoing.destroy()) })
+  server.maxConnections = settings.callers.largestConnections
+  server.on('clientError', refuseMalformed)
+
+  return {
+    start: () => startListening(server, settings.entry.callerPort, settings.entry.address),
+    closeAfterAnswers () { isClosing = true },
+    close: () => new Promise((resolve) => { server.close(() => resolve()) }),
+    countConnections: () => new Promise((resolve) => { server.getConnections((_, count) => resolve(count)) })
+  }
+}
--- /dev/null
+++ b/src/process/entry.ts
@@ -0,0 +1,145 @@
+/**
+ * The daemon of one entry host: it puts the parts together, runs them and stops them in order.
+ */
+import { randomBytes } from 'node:crypto'
+import { createHostClock } from '../clock.ts'
+import type { Clock } from '../clock.ts'
+import { toBrand } from '../types.ts'
+import type { EntryId, Incarnation, KeyHash } from '../types.ts'
+import { createAuditLog } from './audit/audit-log.ts'
+import { createCallerServer } from './caller-server.ts'
+import { computePartition } from './claims/claim-keys.ts'
+import { createLogClaimBook } from './claims/log-claim-book.ts'
+import { rankEntries } from './claims/rendezvous.ts'
+import { startContractPassing } from './contract-passing.ts'
+import { createContractFollower } from './contracts/contract-follower.ts'
+import { createHostListHttpClient } from './host-list-http-client.ts'
+import type { HostListClient } from './host-list-client.ts'
+import { createCustomerLimiter } from './limits/local-customer-limiter.ts'
+import { createHttpLogClient } from './log-http-client.ts'
+import { createLogger } from './logger.ts'
+import { createPeerMesh } from './membership/tcp-peer-mesh.ts'
+import { createMetrics } from './metrics.ts'
+import { startOperatorServer } from './operator-server.ts'
+import { createRequestService } from './request-service.ts'
+import { createServiceDirectory } from './service-links.ts'
+import type { ServiceDirectory } from './service-links.ts'
+import type { Settings } from './settings.ts'
+import { readEntryStatus } from './status.ts'
+import { runStopSequence } from './stop-sequence.ts'
+
+const HOST_LIST_INTERVAL_MS = 1_000
+const INCARNATION_DIGITS = 10
+const RANDOM_BYTES = 4
+const HEX_RADIX = 36
+
+/** A running entry. */
+export interface Entry {
+  /** Stops as planned, cutting no request; calling it again returns the same promise. */
+  stop(reason: string): Promise<void>
+}
+
+/** Returns a value that is greater for a later start of the same host, and unique. */
+function createIncarnation (clock: Clock): Incarnation {
+  const started = clock.wallMs().toString(HEX_RADIX).padStart(INCARNATION_DIGITS, '0')
+  return toBrand<Incarnation>(`${started}-${randomBytes(RANDOM_BYTES).toString('hex')}`)
+}
+
+/** Applies the platform's list to the targets again and again. */
+async function watchHosts (clock: Clock, hostList: HostListClient, services: ServiceDirectory, stop: AbortSignal): Promise<void> {
+  while (!stop.aborted) {
+    const hosts = await hostList.readHosts()
+    if (hosts.isOk()) services.updateHosts(hosts.value)
+    await clock.wait(HOST_LIST_INTERVAL_MS, stop)
+  }
+}
+
+/** Creates all parts of an entry. */
+function createParts (settings: Settings) {
+  const clock = createHostClock()
+  const self = settings.entry.id
+  const incarnation = createIncarnation(clock)
+  const logger = createLogger({ entry: self, level: settings.logLevel })
+  const metrics = createMetrics()
+  const log = createHttpLogClient({ url: settings.log.url, clock })
+  const hostList = createHostListHttpClient({ url: settings.hostList.url, clock })
+  const audit = createAuditLog({ log, clock, entry: self })
+  const contracts = createContractFollower({ log, clock, audit })
+  const mesh = createPeerMesh({ self: { ...settings.entry, port: settings.entry.callerPort, incarnation }, peerKey: settings.peerKey, hostList, clock })
+  const limiter = createCustomerLimiter({ clock })
+  const claims = createLogClaimBook({ log, clock, entry: self, incarnation, partitions: settings.claimPartitions })
+  const services = createServiceDirectory({ self, clock, audit, listLiveEntries: () => mesh.listLiveEntries() })
+  const findOwner = (key: KeyHash): EntryId => {
+    const partition = computePartition(key, settings.claimPartitions)
+    return rankEntries(`claims-${partition}`, mesh.listLiveEntries())[0] ?? self
+  }
+  const requests = createRequestService({
+    self, idPrefix: `${self}-${incarnation}`, clock, contracts, services, limiter, claims, mesh, metrics, findOwner, log: logger.forPart('request')
+  })
+  const callers = createCallerServer({ settings, contracts, mesh, requests })
+  return { settings, clock, self, incarnation, logger, metrics, log, hostList, audit, contracts, mesh, limiter, claims, services, requests, callers }
+}
+
+/** All parts of an entry. */
+export type EntryParts = ReturnType<typeof createParts>
+
+/** Lets the parts hear of each other's changes. */
+function connectParts (parts: EntryParts): void {
+  const { contracts, services, mesh, requests } = parts
+  contracts.watchContracts((contract) => services.updateContract(contract))
+  mesh.watchEntries((live) => services.updateEntries(live))
+  mesh.handleForwards((request) => requests.handleForward(request))
+  mesh.watchMessages((_, message) => {
+    if (message.type === 'target-leaving') services.markLeaving(message.customer, message.service, message.target, 'peer')
+  })
+}
+
+/** Starts an entry; rejects when an address cannot be used. */
+export async function startEntry (settings: Settings): Promise<Entry> {
+  const parts = createParts(settings)
+  const { clock, audit, contracts, mesh, callers, services, metrics, incarnation } = parts
+  const log = parts.logger.forPart('entry')
+  const stopSignal = new AbortController()
+  connectParts(parts)
+  audit.record({ type: 'entry-started', incarnation })
+  audit.start()
+  await mesh.start()
+  contracts.start()
+  const stopPassing = startContractPassing({ clock, contracts, mesh })
+  const watching = watchHosts(clock, parts.hostList, services, stopSignal.signal)
+  const { address, operatorPort } = settings.entry
+  const operators = await startOperatorServer({ address, port: operatorPort, metrics, readStatus: () => readEntryStatus(parts) })
+  await callers.start()
+  log.info('Serving.', { address, callerPort: settings.entry.callerPort, incarnation })
+
+  const runStop = async (reason: string): Promise<void> => {
+    log.info('Stopping.', { reason })
+    audit.record({ type: 'entry-stopping', incarnation, reason })
+    await runStopSequence({
+      ...parts, log, keepAliveMs: settings.keepAliveMs, slackMs: settings.stopSlackMs
+    })
+    stopSignal.abort()
+    await watching
+    stopPassing()
+    await closeParts(parts)
+    await operators.close()
+    log.info('Stopped.')
+  }
+  let stopping: Promise<void> | undefined
+  return {
+    stop (reason) {
+      stopping ??= runStop(reason)
+      return stopping
+    }
+  }
+}
+
+async function closeParts (parts: EntryParts): Promise<void> {
+  parts.services.close()
+  parts.limiter.close()
+  await parts.mesh.close()
+  await parts.contracts.close()
+  await parts.claims.close()
+  await parts.audit.close()
+  await parts.log.close()
+}
--- /dev/null
+++ b/src/process/status.ts
@@ -0,0 +1,34 @@
+/**
+ * What the status page shows.
+ */
+import type { EntryParts } from './entry.ts'
+
+/** Reads the state of all parts. */
+export async function readEntryStatus (parts: EntryParts): Promise<object> {
+  const { contracts, mesh, services, limiter, claims, audit, callers, requests, settings, incarnation } = parts
+  return {
+    entry: settings.entry,
+    incarnation,
+    contracts: contracts.listContracts().map(({ newest, versionInForce }) => ({
+      customer: newest.contract.customer,
+      accepted: newest.contract.version,
+      inForce: versionInForce,
+      effectiveAt: newest.contract.effectiveAt,
+      offset: newest.offset,
+      operator: newest.operator
+    })),
+    contractOffset: contracts.getNextOffset(),
+    peers: mesh.listPeers(),
+    services: services.listServices().map((service) => ({
+      customer: service.customer,
+      service: service.serviceId,
+      targets: service.targets.listTargets(),
+      budgets: service.targets.report(),
+      connections: service.listPools().reduce((sum, pool) => sum + pool.countConnections().open, 0)
+    })),
+    limits: limiter.report(),
+    claims: claims.report(),
+    audit: audit.report(),
+    callers: { connections: await callers.countConnections(), inProgress: requests.countInProgress() }
+  }
+}
