--- /dev/null
+++ b/src/request/balancing/rendezvous.ts
@@ -0,0 +1,38 @@
+/**
+ * Rendezvous hashing: every process that knows the same ids computes the same ranking without messages.
+ */
+
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+const MIX_FIRST = 0x85ebca6b
+const MIX_SECOND = 0xc2b2ae35
+
+/** Spreads the bits of a 32-bit number, so that near inputs give unrelated outputs. */
+function computeMix (value: number): number {
+  let mixed = value
+  mixed = Math.imul(mixed ^ (mixed >>> 16), MIX_FIRST)
+  mixed = Math.imul(mixed ^ (mixed >>> 13), MIX_SECOND)
+  return (mixed ^ (mixed >>> 16)) >>> 0
+}
+
+/** Computes a 32-bit hash of a text: FNV-1a with a final mix. */
+export function computeHash (text: string): number {
+  let hash = FNV_OFFSET
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
+  }
+  return computeMix(hash)
+}
+
+/** Computes the weight of a pair from the hashes of its two ids. */
+export function computePairWeight (first: number, second: number): number {
+  return computeMix(Math.imul(first, FNV_PRIME) ^ second)
+}
+
+/** Sorts candidates by their weight for a key, the first choice first. */
+export function sortByRendezvous<T extends string> (key: string, candidates: readonly T[]): T[] {
+  const keyHash = computeHash(key)
+  const weighed = candidates.map((id) => ({ id, weight: computePairWeight(keyHash, computeHash(id)) }))
+  weighed.sort((a, b) => b.weight - a.weight || (a.id < b.id ? -1 : 1))
+  return weighed.map((entry) => entry.id)
+}
