--- /dev/null
+++ b/test/support/data-path.ts
@@ -0,0 +1,91 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, RequestListener, Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { createHostClock } from '../../src/clock.ts'
+import { createTargetPool } from '../../src/connection/target-pool.ts'
+import type { TargetPool } from '../../src/connection/target-pool.ts'
+import { createTargetSet } from '../../src/process/targets/local-target-set.ts'
+import type { Call } from '../../src/request/call.ts'
+import { sendError } from '../../src/request/error-answer.ts'
+import { forwardAnswer } from '../../src/request/forward-answer.ts'
+import { filterCallerHeaders } from '../../src/request/headers.ts'
+import { fetchAnswer } from '../../src/request/idempotent-request.ts'
+import { toBrand } from '../../src/types.ts'
+import type { ContractVersion, CustomerId, EntryId, RequestId, ServiceId, TargetId, ZoneId } from '../../src/types.ts'
+import type { Contract, ContractTarget, ServiceContract } from '../../src/version/contract.ts'
+import { buildService } from './target-service.ts'
+
+const HOST = '127.0.0.1'
+
+async function startServer (listener: RequestListener): Promise<{ server: Server, port: number }> {
+  const server = createServer(listener)
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
+  return { server, port: (server.address() as AddressInfo).port }
+}
+
+/** Starts targets that answer as their listeners say, and an entry's data path in front of them. */
+export async function startDataPath (listeners: RequestListener[], changes: Partial<ServiceContract> = {}) {
+  const clock = createHostClock()
+  const servers = await Promise.all(listeners.map(startServer))
+  const targets: ContractTarget[] = servers.map(({ port }, index) => ({
+    id: toBrand<TargetId>(`t${index}`), address: HOST, port, zone: toBrand<ZoneId>('zone-0')
+  }))
+  const service = buildService(1, { targets, retries: { budgetShare: 1, largestAttempts: 3 }, ...changes })
+  const contract = { version: toBrand<ContractVersion>(7), services: {} } as unknown as Contract
+  const set = createTargetSet({
+    customer: toBrand<CustomerId>('kyushu'),
+    serviceId: toBrand<ServiceId>('booking'),
+    service,
+    self: toBrand<EntryId>('e0'),
+    entries: [toBrand<EntryId>('e0')],
+    clock,
+    audit: { record: () => undefined },
+    random: () => 0
+  })
+  const pools = new Map<TargetId, TargetPool>(targets.map((target) => [target.id, createTargetPool({ target, largestConnections: 20, clock })]))
+  const broken: string[] = []
+  let sequence = 0
+  const buildCall = (incoming: IncomingMessage, gone: AbortSignal): Call => ({
+    id: toBrand<RequestId>(`r${sequence++}`),
+    customer: toBrand<CustomerId>('kyushu'),
+    serviceId: toBrand<ServiceId>('booking'),
+    contract,
+    service,
+    operation: service.operations[0]!,
+    links: { targets: set, getPool: (target) => pools.get(target.id)! },
+    method: incoming.method ?? 'GET',
+    path: incoming.url ?? '/',
+    headers: filterCallerHeaders(incoming.headers),
+    body: undefined,
+    firstAttempt: 1,
+    deadlineMs: clock.monotonicMs() + service.operations[0]!.deadlineMs,
+    gone,
+    clock,
+    tried: new Set(),
+    noteBrokenAnswer: (error) => broken.push(error.kind)
+  })
+  const entry = await startServer((incoming, outgoing) => {
+    const gone = new AbortController()
+    outgoing.on('close', () => { if (!outgoing.writableFinished) gone.abort() })
+    const call = buildCall(incoming, gone.signal)
+    fetchAnswer(call).then(async (begun) => {
+      if (begun.isErr()) sendError(outgoing, begun.error)
+      else await forwardAnswer(call, begun.value, outgoing)
+    }).catch(() => outgoing.destroy())
+  })
+  return {
+    url: `http://${HOST}:${entry.port}`,
+    set,
+    pools,
+    broken,
+    buildCall,
+    close () {
+      set.close()
+      for (const pool of pools.values()) pool.close()
+      for (const { server } of [...servers, entry]) {
+        server.closeAllConnections()
+        server.close()
+      }
+    }
+  }
+}
--- /dev/null
+++ b/test/whole-answers.test.ts
@@ -0,0 +1,180 @@
+import { createHash, randomBytes } from 'node:crypto'
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
+import { request } from 'undici'
+import { afterEach, expect, test } from 'vitest'
+import { startDataPath } from './support/data-path.ts'
+
+const stops: (() => void)[] = []
+
+afterEach(() => { for (const stop of stops.splice(0)) stop() })
+
+async function setup (listeners: RequestListener[], changes: Parameters<typeof startDataPath>[1] = {}) {
+  const path = await startDataPath(listeners, changes)
+  stops.push(path.close)
+  return path
+}
+
+function answerText (text: string): RequestListener {
+  return (incoming, outgoing) => { outgoing.writeHead(200, { 'x-request-id': String(incoming.headers['x-request-id']) }).end(text) }
+}
+
+/** Sends `size` bytes of a file but breaks off after `breakAfter`; honours ranges. */
+function serveFile (file: Buffer, etag: string, breakAfter = Infinity): RequestListener {
+  return (incoming: IncomingMessage, outgoing: ServerResponse) => {
+    const start = Number(/bytes=(\d+)-/.exec(incoming.headers.range ?? '')?.[1] ?? 0)
+    const isPartial = incoming.headers.range !== undefined && incoming.headers['if-range'] === etag
+    const body = isPartial ? file.subarray(start) : file
+    const range = isPartial ? { 'content-range': `bytes ${start}-${file.length - 1}/${file.length}` } : {}
+    outgoing.writeHead(isPartial ? 206 : 200, { etag, 'content-length': String(body.length), ...range })
+    if (breakAfter >= body.length) {
+      outgoing.end(body)
+      return
+    }
+    outgoing.write(body.subarray(0, breakAfter), () => outgoing.destroy())
+  }
+}
+
+test('an answer carries the fate and the contract version', async () => {
+  const path = await setup([answerText('hello')])
+  const answer = await request(`${path.url}/slots/1`)
+  expect(await answer.body.text()).toBe('hello')
+  expect(answer.headers).toMatchObject({ 'x-medlarcove-fate': 'ran', 'x-medlarcove-version': '7' })
+  expect(answer.headers['x-request-id']).toBeUndefined()
+})
+
+test('a truncated answer breaks the caller\'s connection and is never a clean end', async () => {
+  const file = randomBytes(200_000)
+  const path = await setup([serveFile(file, 'W/"weak"', 100_000)])
+  const answer = await request(`${path.url}/slots/1`)
+  await expect(answer.body.arrayBuffer()).rejects.toThrow()
+  expect(path.broken).toEqual(['answer-truncated'])
+})
+
+test('a truncated answer without a length breaks the caller\'s connection too', async () => {
+  const path = await setup([(_, outgoing) => {
+    outgoing.writeHead(200)
+    outgoing.write('part', () => outgoing.destroy())
+  }])
+  const answer = await request(`${path.url}/slots/1`)
+  await expect(answer.body.text()).rejects.toThrow()
+})
+
+test('a broken download with a strong tag goes on at another target and is whole', async () => {
+  const file = randomBytes(500_000)
+  const path = await setup([serveFile(file, '"v1"', 123_456), serveFile(file, '"v1"', 123_456), serveFile(file, '"v1"')])
+  const answer = await request(`${path.url}/slots/1`)
+  const body = Buffer.from(await answer.body.arrayBuffer())
+  expect(createHash('sha256').update(body).digest('hex')).toBe(createHash('sha256').update(file).digest('hex'))
+})
+
+test('a download is not continued with bytes of another version', async () => {
+  const path = await setup([serveFile(randomBytes(500_000), '"v1"', 123_456), serveFile(randomBytes(500_000), '"v2"')])
+  const answers = await Promise.allSettled([1, 2].map(async () => {
+    const answer = await request(`${path.url}/slots/1`)
+    return { tag: answer.headers.etag, size: (await answer.body.arrayBuffer()).byteLength }
+  }))
+  for (const answer of answers) {
+    if (answer.status === 'fulfilled') expect(answer.value).toEqual({ tag: '"v2"', size: 500_000 })
+  }
+})
+
+test('an answer to another request is dropped with its connection', async () => {
+  const connections = new Set<unknown>()
+  let crossedSocket: unknown
+  const answerCrossedFirst: RequestListener = (incoming, outgoing) => {
+    const isFirst = crossedSocket === undefined
+    if (isFirst) crossedSocket = incoming.socket
+    else connections.add(incoming.socket)
+    const id = isFirst ? 'another' : String(incoming.headers['x-request-id'])
+    outgoing.writeHead(200, { 'x-request-id': id }).end(isFirst ? 'not yours' : 'yours')
+  }
+  const path = await setup([answerCrossedFirst, answerCrossedFirst])
+  for (let round = 0; round < 8; round++) {
+    const answer = await request(`${path.url}/slots/1`)
+    expect(await answer.body.text()).toBe('yours')
+  }
+  expect(connections.has(crossedSocket)).toBe(false)
+})
+
+test('only crossed answers leave the fate unknown', async () => {
+  const path = await setup([(_, outgoing) => { outgoing.writeHead(200, { 'x-request-id': 'another' }).end('not yours') }])
+  const answer = await request(`${path.url}/slots/1`)
+  expect(answer.statusCode).toBe(502)
+  expect(answer.headers['x-medlarcove-fate']).toBe('unknown')
+  expect(await answer.body.json()).toMatchObject({ kind: 'answer-mismatched' })
+})
+
+test('when no target can be reached the fate is not-run', async () => {
+  const path = await setup([])
+  expect(path.url).toBeTruthy()
+  const gone = await setup([answerText('never')])
+  for (const pool of gone.pools.values()) pool.close()
+  const call = gone.buildCall({ headers: {}, method: 'GET', url: '/slots/1' } as IncomingMessage, new AbortController().signal)
+  call.links.getPool = () => ({ takeConnection: () => undefined, dropIdle: () => undefined, countConnections: () => ({ open: 0, idle: 0 }), close: () => undefined })
+  const { fetchAnswer } = await import('../src/request/idempotent-request.ts')
+  const result = await fetchAnswer(call)
+  expect(result._unsafeUnwrapErr().kind).toBe('target-unreachable')
+})
+
+test('a shed answer is tried elsewhere and, when all shed, told as not-run', async () => {
+  const refuse: RequestListener = (_, outgoing) => { outgoing.writeHead(503, { 'x-shed': '1' }).end() }
+  const mixed = await setup([refuse, answerText('fine')])
+  expect(await (await request(`${mixed.url}/slots/1`)).body.text()).toBe('fine')
+  const all = await setup([refuse, refuse])
+  const answer = await request(`${all.url}/slots/1`)
+  expect(answer.statusCode).toBe(503)
+  expect(answer.headers['x-medlarcove-fate']).toBe('not-run')
+  expect(await answer.body.json()).toMatchObject({ kind: 'target-shed' })
+})
+
+test('a plain server error proves nothing about the fate', async () => {
+  const path = await setup([(_, outgoing) => { outgoing.writeHead(500).end('oops') }])
+  const answer = await request(`${path.url}/slots/1`)
+  expect(answer.statusCode).toBe(500)
+  expect(answer.headers['x-medlarcove-fate']).toBe('unknown')
+  expect(await answer.body.text()).toBe('oops')
+})
+
+test('a slow first answer is hedged to another target and the loser is cancelled', async () => {
+  let cancelled = 0
+  const watchSlow: RequestListener = (incoming, outgoing) => { outgoing.on('close', () => { if (!outgoing.writableFinished) cancelled += 1 }) }
+  const path = await setup([watchSlow, answerText('fast')], { hedging: { afterMs: 20, budgetShare: 1 } })
+  const answers = await Promise.all([1, 2, 3, 4].map(async () => (await request(`${path.url}/slots/1`)).body.text()))
+  expect(answers).toEqual(['fast', 'fast', 'fast', 'fast'])
+  expect(path.set.listTargets().map((target) => target.inFlight)).toEqual([0, 0])
+  await expect.poll(() => cancelled).toBe(path.set.report().hedges)
+})
+
+test('a caller that leaves frees the slot and closes the connection to the target', async () => {
+  let closed = 0
+  const path = await setup([(_, outgoing) => { outgoing.on('close', () => { closed += 1 }) }])
+  const stop = new AbortController()
+  const asking = request(`${path.url}/slots/1`, { signal: stop.signal }).catch(() => 'left')
+  await expect.poll(() => path.set.listTargets()[0]!.inFlight).toBe(1)
+  stop.abort()
+  expect(await asking).toBe('left')
+  await expect.poll(() => path.set.listTargets()[0]!.inFlight).toBe(0)
+  await expect.poll(() => closed).toBe(1)
+})
+
+test('a slow reader holds the target back instead of filling memory', async () => {
+  let sentBytes = 0
+  const chunk = Buffer.alloc(65_536)
+  const path = await setup([(_, outgoing) => {
+    const write = (): void => {
+      while (sentBytes < 200_000_000 && outgoing.write(chunk)) sentBytes += chunk.length
+    }
+    outgoing.on('drain', write)
+    write()
+  }])
+  const answer = await request(`${path.url}/slots/1`)
+  answer.body.once('readable', () => undefined)
+  let previous = -1
+  await expect.poll(() => {
+    const isStill = previous === sentBytes
+    previous = sentBytes
+    return isStill
+  }, { interval: 200, timeout: 20_000 }).toBe(true)
+  expect(sentBytes).toBeLessThan(50_000_000)
+  answer.body.destroy()
+})
