Replace connections to a target that went silent

Cause: open connections can go dead without a sign while new ones work; each would cost one request its whole deadline. Ruled out: a probe on a fresh connection for each silence (6 ms of server time), and dropping at the first silence, which a merely slow target would trigger with every hedge. Change: two silent exchanges in a row on reused connections drop the idle ones, and a time-out on a reused connection does not count against the target. Test: 4 idle connections go silent. Without the drop it failed ('expected 3 to be less than or equal to 2'), with it 14 of 14 tests of the file passed.

--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -9,6 +9,8 @@
 const IDLE_TIMEOUT_MS = 30_000
 /** A connection that answered within this time may carry a request that must not be repeated. */
 const PROOF_OF_LIFE_MS = 1_000
+/** After so many silent exchanges in a row on reused connections, the idle ones are taken to be dead too. */
+const SILENT_EXCHANGES_BEFORE_DROP = 2
 
 /** One connection, taken from the pool for one exchange. */
 export interface TargetConnection {
@@ -17,8 +19,8 @@
   readonly isFresh: boolean
   /** Returns it to the pool after a whole answer. */
   release(): void
-  /** Closes it; it is never used again. */
-  destroy(): void
+  /** Closes it; it is never used again. `isSilent` tells that a request was sent and no byte came back. */
+  destroy(isSilent: boolean): void
 }
 
 /** What a request needs of its connection. */
@@ -52,6 +54,7 @@
   const { target, clock } = options
   const idle: PooledClient[] = []
   let openCount = 0
+  let silentInRow = 0
   let isClosed = false
 
   const destroyClient = (pooled: PooledClient): void => {
@@ -78,6 +81,16 @@
     openCount += 1
     return pooled
   }
+  const dropIdle = (): void => {
+    for (const pooled of idle.splice(0)) destroyClient(pooled)
+  }
+  // A target that is only slow loses a few connections by this; one whose connections are dead gets fresh ones.
+  const recordSilence = (): void => {
+    silentInRow += 1
+    if (silentInRow < SILENT_EXCHANGES_BEFORE_DROP) return
+    silentInRow = 0
+    dropIdle()
+  }
   const takeIdle = (need: ConnectionNeed): PooledClient | undefined => {
     const newest = idle.at(-1)
     if (!newest) return undefined
@@ -103,18 +116,18 @@
       isFresh,
       release () {
         if (!leave()) return
+        if (!isFresh) silentInRow = 0
         pooled.lastAnswerMs = clock.monotonicMs()
         if (isClosed || pooled.client.destroyed) destroyClient(pooled)
         else idle.push(pooled)
       },
-      destroy () {
-        if (leave()) destroyClient(pooled)
+      destroy (isSilent) {
+        if (!leave()) return
+        destroyClient(pooled)
+        if (isSilent && !isFresh) recordSilence()
       }
     }
   }
-  const dropIdle = (): void => {
-    for (const pooled of idle.splice(0)) destroyClient(pooled)
-  }
   return {
     takeConnection (need) {
       const reused = takeIdle(need)
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -46,15 +46,15 @@
   return head.status === status && head.headers[header.toLowerCase()] !== undefined
 }
 
-/** Maps the error that ended an exchange to what it says about the target. */
-function toOutcome (error: AppError): ExchangeOutcome {
+/** Maps the error that ended an exchange to what it says about the target; an old connection may be what is at fault. */
+function toOutcome (error: AppError, isFresh: boolean): ExchangeOutcome {
   if (error.kind === 'target-unreachable') return { kind: 'unreachable' }
-  if (error.kind === 'target-timeout') return { kind: 'timed-out' }
+  if (error.kind === 'target-timeout') return isFresh ? { kind: 'timed-out' } : { kind: 'cancelled' }
   return { kind: 'broken' }
 }
 
 /** Builds the attempt around a slot and an exchange, releasing the slot exactly once. */
-function createAttempt (call: Call, slot: TargetSlot, exchange: Exchange, number: number): Attempt {
+function createAttempt (call: Call, slot: TargetSlot, exchange: Exchange, isFresh: boolean, number: number): Attempt {
   let isReleased = false
   const release = (outcome: ExchangeOutcome): void => {
     if (isReleased) return
@@ -64,7 +64,7 @@
   let answered: ExchangeOutcome = { kind: 'cancelled' }
   const head = exchange.head.then((result) => {
     if (result.isErr()) {
-      release(toOutcome(result.error))
+      release(toOutcome(result.error, isFresh))
       return result
     }
     const { status, headers, firstByteMs } = result.value
@@ -132,5 +132,5 @@
     firstByteTimeoutMs: remainingMs,
     canSend: () => !call.gone.aborted && call.clock.monotonicMs() < call.deadlineMs && (options.canSend?.() ?? true)
   }, call.clock)
-  return ok(createAttempt(call, slot.value, exchange, options.number))
+  return ok(createAttempt(call, slot.value, exchange, connection.isFresh, options.number))
 }
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -79,13 +79,13 @@
     cancelTimer()
     return !wasOver
   }
-  const stopConnection = (): void => {
+  const stopConnection = (isSilent: boolean): void => {
     controller?.abort(new Error('The exchange was ended.'))
-    connection.destroy()
+    connection.destroy(isSilent)
   }
   const fail = (error: AppError): void => {
     if (!finish()) return
-    stopConnection()
+    stopConnection(error.kind === 'target-timeout')
     if (isHeadSettled) sink?.fail(error)
     else settleHead(err(error))
     isHeadSettled = true
@@ -159,7 +159,7 @@
     },
     cancel () {
       if (!finish()) return
-      stopConnection()
+      stopConnection(hasBegun && !isHeadSettled)
       if (!isHeadSettled) settleHead(err(createError('target-broken', 'The exchange was ended.')))
       isHeadSettled = true
     },
--- a/test/whole-answers.test.ts
+++ b/test/whole-answers.test.ts
@@ -3,6 +3,7 @@
 import { request } from 'undici'
 import { afterEach, expect, test } from 'vitest'
 import { startDataPath } from './support/data-path.ts'
+import { buildService } from './support/target-service.ts'
 
 const stops: (() => void)[] = []
 
@@ -178,3 +179,20 @@
   expect(sentBytes).toBeLessThan(50_000_000)
   answer.body.destroy()
 })
+
+test('connections that went silent are replaced, and the target is not blamed', async () => {
+  const silent = new Set<unknown>()
+  const seen = new Set<unknown>()
+  const path = await setup([(incoming, outgoing) => {
+    seen.add(incoming.socket)
+    if (silent.has(incoming.socket)) return
+    outgoing.end('fine')
+  }], { operations: [{ ...buildService(1).operations[0]!, deadlineMs: 100 }], hedging: { afterMs: 10_000, budgetShare: 0 } })
+  const send = async () => (await request(`${path.url}/slots/1`)).statusCode
+  expect(await Promise.all([send(), send(), send(), send()])).toEqual([200, 200, 200, 200])
+  for (const socket of seen) silent.add(socket)
+  const codes = [await send(), await send(), await send(), await send()]
+  expect(codes.filter((code) => code !== 200).length).toBeLessThanOrEqual(2)
+  expect(codes.at(-1)).toBe(200)
+  expect(path.set.listTargets()[0]!.state).toBe('serving')
+})
