Admit each key at most once by the order of the claim streams

Cause: requests that may not be repeated need one authority that survives paused processes, lost answers and late appends; the log's offset order is the only one. Change: a claim book over the log client. A claim is decided at its own place in the stream by a fold that every reader computes alike; group commit, voids, outcomes, checkpoints for the once-window, blank start and reload after a gap. Ruled out: 'first unvoided claim by offset' judged at reading time: a loser's claim would become the winner when an earlier one is voided later, and block the key.

--- a/src/process/claims/claim-book.ts
+++ b/src/process/claims/claim-book.ts
@@ -28,6 +28,11 @@
 
 /** The right to send the request once. */
 export interface Claim {
+  /**
+   * Whether the request may still be sent: the deadline has not passed and the claim is not void.
+   * Ask right before the first byte is handed over, without waiting for anything in between.
+   */
+  canSend?(): boolean
   /** Tells that the request will not be sent and never was; the key becomes free. Resolves once noted in memory. */
   voidClaim(): void
   /** Keeps the answer for repeated attempts; written to the log in batches. */
--- /dev/null
+++ b/src/process/claims/claim-loader.ts
@@ -0,0 +1,93 @@
+/**
+ * Brings the state of a claim stream together for a process that starts blank or has met a gap.
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { AppError } from '../../errors.ts'
+import { toBrand } from '../../types.ts'
+import type { Offset, StreamName } from '../../types.ts'
+import type { LogClient } from '../log-client.ts'
+import { createClaimIndex } from './claim-index.ts'
+import type { ClaimIndex } from './claim-index.ts'
+import { decodeClaimRecord } from './claim-record.ts'
+import type { CheckpointRecord } from './claim-record.ts'
+
+/** Offset of the first record that a stream ever holds. */
+const FIRST_OFFSET = toBrand<Offset>(0)
+const PAGE_LIMIT = 200
+
+/** State from which reading goes on. */
+export interface LoadedState {
+  index: ClaimIndex
+  position: Offset
+}
+
+/** `unproven`: records have aged out and no checkpoint covers them, so that keys in their window may be missing. */
+export type LoadResult = { kind: 'loaded', state: LoadedState } | { kind: 'unproven' }
+
+/** Collects the parts of checkpoints and keeps the newest whole one. */
+export interface CheckpointCollector {
+  /** Adds a part; returns true when it made a checkpoint whole. */
+  addPart(part: CheckpointRecord): boolean
+  getNewest(): CheckpointRecord[] | undefined
+}
+
+/** Creates a collector without parts. */
+export function createCheckpointCollector (): CheckpointCollector {
+  const partial = new Map<string, Map<number, CheckpointRecord>>()
+  let newest: CheckpointRecord[] | undefined
+  return {
+    addPart (part) {
+      const parts = partial.get(part.id) ?? new Map<number, CheckpointRecord>()
+      const [first] = parts.values()
+      const isConsistent = !first || (first.parts === part.parts && first.covers === part.covers && first.streamMs === part.streamMs)
+      if (!isConsistent || part.part >= part.parts) return false
+      parts.set(part.part, part)
+      partial.set(part.id, parts)
+      if (parts.size < part.parts) return false
+      partial.delete(part.id)
+      if (!newest || part.covers >= newest[0]!.covers) newest = [...parts.values()]
+      return true
+    },
+    getNewest: () => newest
+  }
+}
+
+function buildStateFrom (parts: CheckpointRecord[]): LoadedState {
+  const covers = toBrand<Offset>(parts[0]!.covers)
+  const claims = parts.flatMap((part) => part.claims)
+  const voids = parts.flatMap((part) => part.voids)
+  return { index: createClaimIndex({ covers, streamMs: parts[0]!.streamMs, claims, voids }), position: covers }
+}
+
+/** Reads all that a stream holds and returns the newest whole checkpoint in it. */
+async function findCheckpoint (log: LogClient, stream: StreamName, from: Offset): Promise<Result<CheckpointRecord[] | undefined, AppError>> {
+  const collector = createCheckpointCollector()
+  let position = from
+  for (;;) {
+    const page = await log.read(stream, position, { limit: PAGE_LIMIT })
+    if (page.isErr()) return err(page.error)
+    for (const { data } of page.value.records) {
+      const record = decodeClaimRecord(data)
+      if (record?.type === 'checkpoint') collector.addPart(record)
+    }
+    position = page.value.nextOffset
+    if (page.value.records.length === 0 || position >= page.value.bounds.next) return ok(collector.getNewest())
+  }
+}
+
+/**
+ * Loads the state of a stream: from its first record, or from a checkpoint that covers every record that is gone.
+ * Errors: `log-unavailable`, `log-gap` (try again).
+ */
+export async function loadClaimState (log: LogClient, stream: StreamName): Promise<Result<LoadResult, AppError>> {
+  const bounds = await log.readBounds(stream)
+  if (bounds.isErr()) return err(bounds.error)
+  const { earliest } = bounds.value
+  if (earliest === FIRST_OFFSET) return ok({ kind: 'loaded', state: { index: createClaimIndex(), position: FIRST_OFFSET } })
+  const found = await findCheckpoint(log, stream, earliest)
+  if (found.isErr()) return err(found.error)
+  const parts = found.value
+  if (!parts || parts[0]!.covers < earliest) return ok({ kind: 'unproven' })
+  return ok({ kind: 'loaded', state: buildStateFrom(parts) })
+}
--- /dev/null
+++ b/src/process/claims/claim-partition.ts
@@ -0,0 +1,123 @@
+/**
+ * One claim stream as one process works with it: its reader, its queue, its checkpoints and its waiting attempts.
+ */
+import type { Result } from 'neverthrow'
+import type { AppError } from '../../errors.ts'
+import type { Offset } from '../../types.ts'
+import { buildLostVerdict, createWaitingAttempts, refuseAttempt } from './claim-attempts.ts'
+import type { ClaimAttempt, ClaimVerdict } from './claim-book.ts'
+import { createCheckpointWriter } from './claim-checkpoint.ts'
+import { createClaimQueue } from './claim-queue.ts'
+import { createClaimReader } from './claim-reader.ts'
+import type { ClaimReader, ReaderState } from './claim-reader.ts'
+import type { ClaimStreamOptions } from './claim-stream.ts'
+
+const FAILURES_TO_REFUSE = 3
+
+/** Options of a partition. */
+export interface ClaimPartitionOptions extends ClaimStreamOptions {
+  /** The longest that an attempt waits for its verdict, in ms. */
+  claimWaitMs: number
+  /** How long a read waits for new records, in ms. */
+  pollMs: number
+  /** How long voids and outcomes wait for company, in ms. */
+  noticeLingerMs: number
+  /** Entries that one append may hold. */
+  largestBatch: number
+  /** Keys that this stream may hold before claims are refused. */
+  largestKeyCount: number
+  /** How often the state is written again, in ms. */
+  checkpointIntervalMs: number
+  /** Tells of a record that all readers skip. */
+  handleSkipped: (offset: Offset) => void
+}
+
+/** Figures of a partition. */
+export interface ClaimPartitionReport {
+  keys: number
+  appends: number
+  /** Claims whose append had no answer. */
+  unsettled: number
+  /** Voids and outcomes that wait to be appended. */
+  notices: number
+  lostNotices: number
+  skipped: number
+  checkpoints: number
+}
+
+/** One claim stream. */
+export interface ClaimPartition {
+  claimKey(attempt: ClaimAttempt): Promise<Result<ClaimVerdict, AppError>>
+  getState(): ReaderState
+  waitUntilReady(): Promise<void>
+  waitForNotices(): Promise<void>
+  report(): ClaimPartitionReport
+  close(): Promise<void>
+}
+
+/** Says why the stream takes no claims now; undefined when it does. */
+function describeRefusal (reader: ClaimReader, largestKeyCount: number): string | undefined {
+  const index = reader.getIndex()
+  if (reader.getState() === 'unproven') return 'Claims have aged out unread; the once-window cannot be proved yet.'
+  if (reader.getState() === 'loading' || !index) return 'The claims are still being read.'
+  if (reader.countFailures() >= FAILURES_TO_REFUSE) return 'The log cannot be read.'
+  if (index.countKeys() >= largestKeyCount) return 'No more keys can be remembered; raise the bound or shorten the once-window.'
+  return undefined
+}
+
+/** Creates a partition and starts reading. */
+export function createClaimPartition (options: ClaimPartitionOptions): ClaimPartition {
+  const { clock, writer, largestKeyCount } = options
+  let unsettled = 0
+  let isClosed = false
+
+  const queue = createClaimQueue({
+    ...options,
+    handleRefused: (seqs, error) => attempts.refuseUntaken(seqs, error.message),
+    handleUnknown: (seqs) => { unsettled += seqs.length }
+  })
+  const attempts = createWaitingAttempts({ ...options, queue })
+  const checkpoints = createCheckpointWriter({ ...options, takeSnapshot: () => reader.buildSnapshot() })
+  const reader = createClaimReader({
+    ...options,
+    handleRecord (record, decisions) {
+      if (record.type !== 'claims') checkpoints.handleRecord(record)
+      if (record.writer === writer) for (const decision of decisions) attempts.handleDecision(decision)
+    },
+    // A later claim could otherwise be judged without records that are gone.
+    handleGap: () => attempts.refuseAll('The claims are being read anew.'),
+    waitForCheckpoint: (signal) => checkpoints.requestCheckpoint(signal)
+  })
+  const checkAdmission = (attempt: ClaimAttempt): Result<ClaimVerdict, AppError> | undefined => {
+    if (isClosed) return refuseAttempt('platform-down', 'This process is stopping.')
+    if (clock.monotonicMs() >= attempt.deadlineMs) return refuseAttempt('deadline-passed', 'The deadline has passed.')
+    const holder = reader.getIndex()?.findHolder(attempt.keyHash)
+    if (holder && holder.untilMs > clock.wallMs()) return buildLostVerdict(attempt, holder)
+    const refusal = describeRefusal(reader, largestKeyCount)
+    if (refusal) return refuseAttempt('platform-down', refusal)
+    if (!queue.canTryClaim()) return refuseAttempt('platform-down', 'The log takes no records.')
+    return undefined
+  }
+  return {
+    claimKey: async (attempt) => checkAdmission(attempt) ?? await attempts.claimKey(attempt),
+    getState: () => reader.getState(),
+    waitUntilReady: () => reader.waitUntilReady(),
+    waitForNotices: () => queue.waitForNotices(),
+    report: () => ({
+      keys: reader.getIndex()?.countKeys() ?? 0,
+      appends: queue.countAppends(),
+      unsettled,
+      notices: queue.countNotices(),
+      lostNotices: queue.countLostNotices(),
+      skipped: reader.countSkipped(),
+      checkpoints: checkpoints.countWritten()
+    }),
+    async close () {
+      isClosed = true
+      attempts.refuseAll('This process is stopping.')
+      queue.close()
+      checkpoints.close()
+      await reader.close()
+    }
+  }
+}
