--- a/replay/programs.ts
+++ b/replay/programs.ts
@@ -2,6 +2,7 @@
  * Starts, watches and ends the processes of a replay, the demo or a bench.
  */
 import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { createInterface } from 'node:readline'
 
@@ -9,6 +10,10 @@
 const ASK_AGAIN_MS = 50
 const END_TIMEOUT_MS = 60_000
 
+/** Children that must not outlive this process. */
+const running = new Set<ChildProcess>()
+process.once('exit', () => { for (const child of running) child.kill('SIGKILL') })
+
 /** What to run. */
 export interface ProgramOptions {
   /** Names the process in messages. */
@@ -41,9 +46,8 @@
 export async function startProgram (options: ProgramOptions): Promise<Program> {
   // In a process group of its own, so that ctrl-C at the terminal reaches only this process, which ends the others in order.
   const child = spawn(options.file, options.args, { cwd: options.cwd, stdio: ['ignore', 'pipe', 'pipe'], detached: true })
-  const killOnExit = () => { child.kill('SIGKILL') }
-  process.once('exit', killOnExit)
-  child.once('close', () => process.off('exit', killOnExit))
+  running.add(child)
+  child.once('close', () => running.delete(child))
   const lastLines: string[] = []
   const ended = new Promise<number | null>((resolve) => {
     child.once('close', resolve)
