Make the number of claim streams a constant and the log's retention a setting

Cause: entries that disagreed about the number of claim streams could run a key twice, and the claim book needs the platform's retention to write state again in time.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -28,6 +28,8 @@
 import { readEntryStatus } from './status.ts'
 import { runStopSequence } from './stop-sequence.ts'
 
+/** Streams of claims. Entries that disagreed about it could run a key twice, so it is no setting. */
+const CLAIM_PARTITIONS = 16
 const HOST_LIST_INTERVAL_MS = 1_000
 const INCARNATION_DIGITS = 10
 const RANDOM_BYTES = 4
@@ -67,10 +69,10 @@
   const contracts = createContractFollower({ log, clock, audit })
   const mesh = createPeerMesh({ self: { ...settings.entry, port: settings.entry.callerPort, incarnation }, peerKey: settings.peerKey, hostList, clock })
   const limiter = createCustomerLimiter({ clock })
-  const claims = createLogClaimBook({ log, clock, entry: self, incarnation, partitions: settings.claimPartitions })
+  const claims = createLogClaimBook({ log, clock, entry: self, incarnation, partitions: CLAIM_PARTITIONS, retentionMs: settings.log.retentionMs })
   const services = createServiceDirectory({ self, clock, audit, listLiveEntries: () => mesh.listLiveEntries() })
   const findOwner = (key: KeyHash): EntryId => {
-    const partition = computePartition(key, settings.claimPartitions)
+    const partition = computePartition(key, CLAIM_PARTITIONS)
     return rankEntries(`claims-${partition}`, mesh.listLiveEntries())[0] ?? self
   }
   const requests = createRequestService({
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -12,7 +12,6 @@
 
 const LARGEST_PORT = 65_535
 const SHORTEST_PEER_KEY = 16
-const LARGEST_CLAIM_PARTITIONS = 4096
 const ID_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/
 
 /** Levels of the log, from most to least. */
@@ -26,8 +25,8 @@
   keepAliveMs: 15_000,
   /** Added to the address lifetime before a stopping entry closes connections, in ms. */
   stopSlackMs: 2_000,
-  /** Streams over which keys of operations that may not be repeated are spread; the same on every entry, for ever. */
-  claimPartitions: 64,
+  /** How long the log keeps records, in ms; state that must last longer is written again in time. */
+  retentionMs: 86_400_000,
   logLevel: 'info' as LogLevel,
   callers: {
     /** The largest header of a request, in bytes. */
@@ -56,12 +55,11 @@
     operatorPort: port,
     peerPort: port
   }),
-  log: z.strictObject({ url: httpUrl }),
+  log: z.strictObject({ url: httpUrl, retentionMs: positiveInt.default(defaults.retentionMs) }),
   hostList: z.strictObject({ url: httpUrl }),
   peerKey: z.string().min(SHORTEST_PEER_KEY, `give at least ${SHORTEST_PEER_KEY} characters, the same on every entry`),
   keepAliveMs: positiveInt.default(defaults.keepAliveMs),
   stopSlackMs: z.number().int().nonnegative().default(defaults.stopSlackMs),
-  claimPartitions: positiveInt.max(LARGEST_CLAIM_PARTITIONS).default(defaults.claimPartitions),
   logLevel: z.enum(LOG_LEVELS).default(defaults.logLevel),
   callers: z.strictObject({
     largestHeaderBytes: positiveInt.default(defaults.callers.largestHeaderBytes),
@@ -108,6 +106,7 @@
 }
 
 /** Returns settings for tests and tools: defaults for all that is not given. */
-export function createSettings (given: Pick<Settings, 'entry' | 'log' | 'hostList' | 'peerKey'> & Partial<Settings>): Settings {
-  return { ...SETTINGS_DEFAULTS, ...given }
+export function createSettings (given: Pick<Settings, 'entry' | 'hostList' | 'peerKey'> & { log: { url: string, retentionMs?: number } } & Partial<Omit<Settings, 'log'>>): Settings {
+  const { retentionMs, ...rest } = SETTINGS_DEFAULTS
+  return { ...rest, ...given, log: { retentionMs, ...given.log } }
 }
--- a/test/whole-answers.test.ts
+++ b/test/whole-answers.test.ts
@@ -138,7 +138,7 @@
 
 test('a slow first answer is hedged to another target and the loser is cancelled', async () => {
   let cancelled = 0
-  const watchSlow: RequestListener = (incoming, outgoing) => { outgoing.on('close', () => { if (!outgoing.writableFinished) cancelled += 1 }) }
+  const watchSlow: RequestListener = (_, outgoing) => { outgoing.on('close', () => { if (!outgoing.writableFinished) cancelled += 1 }) }
   const path = await setup([watchSlow, answerText('fast')], { hedging: { afterMs: 20, budgetShare: 1 } })
   const answers = await Promise.all([1, 2, 3, 4].map(async () => (await request(`${path.url}/slots/1`)).body.text()))
   expect(answers).toEqual(['fast', 'fast', 'fast', 'fast'])
