--- a/src/cli/addresses.ts
+++ b/src/cli/addresses.ts
@@ -3,7 +3,7 @@
  */
 import { createError } from '../errors.ts'
 import { parseArguments } from './arguments.ts'
-import { EXIT_CODES, EXIT_CODES_HELP, reportError } from './command.ts'
+import { EXIT_CODES, EXIT_CODES_HELP, printFailure } from './command.ts'
 import type { CommandIo } from './command.ts'
 import { fetchJson } from './entry-request.ts'
 
@@ -36,16 +36,16 @@
     json: { type: 'boolean', default: false },
     help: { type: 'boolean', short: 'h' }
   })
-  if (parsed.isErr()) return reportError(parsed.error, io, args.includes('--json'))
+  if (parsed.isErr()) return printFailure(io, parsed.error, args.includes('--json'))
   const { entry, customer, caller, json, help } = parsed.value.values
   if (help) {
     io.stdout(HELP)
     return EXIT_CODES.ok
   }
-  if (!entry || !customer) return reportError(createError('usage', 'Give --entry HOST:PORT and --customer CUSTOMER.'), io, json)
+  if (!entry || !customer) return printFailure(io, createError('usage', 'Give --entry HOST:PORT and --customer CUSTOMER.'), json)
   const query = new URLSearchParams({ customer, caller })
   const answer = await fetchJson(`http://${entry}/.medlarcove/addresses?${query}`)
-  if (answer.isErr()) return reportError(answer.error, io, json)
+  if (answer.isErr()) return printFailure(io, answer.error, json)
   if (json) io.stdout(`${JSON.stringify(answer.value)}\n`)
   else printAddresses(answer.value as AddressesAnswer, io)
   return EXIT_CODES.ok
--- a/src/cli/audit.ts
+++ b/src/cli/audit.ts
@@ -6,8 +6,9 @@
 import { AUDIT_STREAM, decodeAuditBatch } from '../process/audit/audit-log.ts'
 import type { AuditRecord } from '../process/audit/audit-trail.ts'
 import type { LogClient } from '../process/log-client.ts'
-import { EXIT_CODES, EXIT_CODES_HELP, printFailure, printLine, runWithLog } from './contract-io.ts'
-import type { CommandIo } from './contract-io.ts'
+import { EXIT_CODES, EXIT_CODES_HELP, printFailure, printLine } from './command.ts'
+import type { CommandIo } from './command.ts'
+import { runWithLog } from './contract-io.ts'
 
 const HELP = `Usage: medlarcove audit [options]
 
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -41,8 +41,13 @@
   }
 }
 
-/** Prints an error, as a sentence with advice or as JSON, and returns the exit code for it. */
-export function reportError (error: AppError, io: CommandIo, isJson: boolean): number {
+/** Prints one line. */
+export function printLine (io: CommandIo, text: string): void {
+  io.stdout(`${text}\n`)
+}
+
+/** Prints an error with what to do, and returns its exit code. */
+export function printFailure (io: CommandIo, error: AppError, isJson: boolean): number {
   const { advice } = getErrorAnswer(error.kind)
   if (isJson) io.stderr(`${JSON.stringify({ error: error.kind, message: error.message, advice })}\n`)
   else io.stderr(`medlarcove: ${error.kind}: ${error.message}\n${advice}\n`)
@@ -56,5 +61,5 @@
   2  wrong command line
   3  wrong settings or contract file; file, line and column are printed
   4  the log or the entry cannot be reached; nothing was done
-  5  it is not known whether the change was made
+  5  it is not known whether the change was made; publish the same file again to learn it
 `
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -4,8 +4,10 @@
 import packageJson from '../../package.json' with { type: 'json' }
 import { createError } from '../errors.ts'
 import { runAddresses } from './addresses.ts'
-import { EXIT_CODES, EXIT_CODES_HELP, reportError } from './command.ts'
+import { runAudit } from './audit.ts'
+import { EXIT_CODES, EXIT_CODES_HELP, printFailure } from './command.ts'
 import type { CommandIo } from './command.ts'
+import { runContract } from './contract.ts'
 import { runEntry } from './entry.ts'
 import { runStatus } from './status.ts'
 
@@ -28,6 +30,8 @@
   const [command, ...rest] = args
   switch (command) {
     case 'entry': return runEntry(rest, io)
+    case 'contract': return runContract(rest, io)
+    case 'audit': return runAudit(rest, io)
     case 'status': return runStatus(rest, io)
     case 'addresses': return runAddresses(rest, io)
     case '--version':
@@ -38,7 +42,7 @@
     case 'help':
       io.stdout(HELP)
       return EXIT_CODES.ok
-    case undefined: return reportError(createError('usage', 'Name a command: entry, contract, audit, status or addresses.'), io, false)
-    default: return reportError(createError('usage', `There is no command "${command}".`), io, args.includes('--json'))
+    case undefined: return printFailure(io, createError('usage', 'Name a command: entry, contract, audit, status or addresses.'), false)
+    default: return printFailure(io, createError('usage', `There is no command "${command}".`), args.includes('--json'))
   }
 }
--- a/src/cli/contract-io.ts
+++ b/src/cli/contract-io.ts
@@ -1,5 +1,5 @@
 /**
- * What the operators' commands share: where they print, their exit codes and how they reach the log.
+ * What the operators' commands share: how they reach the log.
  */
 import { readFileSync } from 'node:fs'
 import { parse } from 'jsonc-parser'
@@ -7,65 +7,12 @@
 import type { Result } from 'neverthrow'
 import { z } from 'zod'
 import { createHostClock } from '../clock.ts'
-import { createError, describeCause, getErrorAnswer } from '../errors.ts'
-import type { AppError, ErrorKind } from '../errors.ts'
+import { createError, describeCause } from '../errors.ts'
+import type { AppError } from '../errors.ts'
 import { createHttpLogClient } from '../process/log-http-client.ts'
 import type { LogHttpClient } from '../process/log-http-client.ts'
-
-/** Where a command writes. */
-export interface CommandIo {
-  stdout(text: string): void
-  stderr(text: string): void
-}
-
-/** The stated exit codes. */
-export const EXIT_CODES = {
-  ok: 0,
-  /** The command ran and the answer is no: refused, rejected or not found. */
-  refused: 1,
-  usage: 2,
-  /** A settings or contract file is wrong. */
-  invalidFile: 3,
-  /** The log cannot be reached; nothing was done. */
-  unreachable: 4,
-  /** It is not known whether the change was made. */
-  unknown: 5
-} as const
-
-/** The exit codes as `--help` prints them. */
-export const EXIT_CODES_HELP = `Exit codes:
-  0  done
-  1  rejected or not found
-  2  wrong command line
-  3  wrong settings or contract file; file, line and column are printed
-  4  the log cannot be reached; nothing was done
-  5  it is not known whether the change was made; publish the same file again to learn it
-`
-
-/** Returns the exit code that belongs to an error kind. */
-export function getExitCode (kind: ErrorKind): number {
-  switch (kind) {
-    case 'usage': return EXIT_CODES.usage
-    case 'settings-invalid':
-    case 'contract-invalid': return EXIT_CODES.invalidFile
-    case 'log-unavailable': return EXIT_CODES.unreachable
-    case 'log-unknown': return EXIT_CODES.unknown
-    default: return EXIT_CODES.refused
-  }
-}
-
-/** Prints one line. */
-export function printLine (io: CommandIo, text: string): void {
-  io.stdout(`${text}\n`)
-}
-
-/** Prints an error with what to do, and returns its exit code. */
-export function printFailure (io: CommandIo, error: AppError, isJson: boolean): number {
-  const { advice } = getErrorAnswer(error.kind)
-  if (isJson) io.stderr(`${JSON.stringify({ error: error.kind, message: error.message, advice })}\n`)
-  else io.stderr(`medlarcove: ${error.kind}: ${error.message}\n${advice}\n`)
-  return getExitCode(error.kind)
-}
+import { printFailure } from './command.ts'
+import type { CommandIo } from './command.ts'
 
 /** Arguments that name the log. */
 export interface LogArguments { log?: string, settings?: string }
--- a/src/cli/contract.ts
+++ b/src/cli/contract.ts
@@ -17,8 +17,9 @@
 import { findVersionInForce } from '../version/contract-fold.ts'
 import type { AcceptedVersion, Schedule } from '../version/contract-fold.ts'
 import { formatFaults } from '../version/jsonc.ts'
-import { EXIT_CODES, EXIT_CODES_HELP, printFailure, printLine, runWithLog } from './contract-io.ts'
-import type { CommandIo } from './contract-io.ts'
+import { EXIT_CODES, EXIT_CODES_HELP, printFailure, printLine } from './command.ts'
+import type { CommandIo } from './command.ts'
+import { runWithLog } from './contract-io.ts'
 
 const HELP = `Usage: medlarcove contract <command> [options]
 
--- a/src/cli/entry.ts
+++ b/src/cli/entry.ts
@@ -6,7 +6,7 @@
 import { readSettings } from '../process/settings.ts'
 import type { Settings } from '../process/settings.ts'
 import { parseArguments } from './arguments.ts'
-import { EXIT_CODES, EXIT_CODES_HELP, reportError } from './command.ts'
+import { EXIT_CODES, EXIT_CODES_HELP, printFailure } from './command.ts'
 import type { CommandIo } from './command.ts'
 
 const HELP = `Usage: medlarcove entry --settings FILE [--check]
@@ -34,7 +34,7 @@
     })
     return EXIT_CODES.ok
   } catch (cause) {
-    return reportError(createError('internal', `The entry ended: ${describeCause(cause)}.`, cause), io, isJson)
+    return printFailure(io, createError('internal', `The entry ended: ${describeCause(cause)}.`, cause), isJson)
   }
 }
 
@@ -46,16 +46,16 @@
     json: { type: 'boolean' },
     help: { type: 'boolean', short: 'h' }
   })
-  if (parsed.isErr()) return reportError(parsed.error, io, args.includes('--json'))
+  if (parsed.isErr()) return printFailure(io, parsed.error, args.includes('--json'))
   const { values } = parsed.value
   const isJson = values.json ?? false
   if (values.help) {
     io.stdout(HELP)
     return EXIT_CODES.ok
   }
-  if (!values.settings) return reportError(createError('usage', 'Name the settings: medlarcove entry --settings FILE'), io, isJson)
+  if (!values.settings) return printFailure(io, createError('usage', 'Name the settings: medlarcove entry --settings FILE'), isJson)
   const settings = await readSettings(values.settings)
-  if (settings.isErr()) return reportError(settings.error, io, isJson)
+  if (settings.isErr()) return printFailure(io, settings.error, isJson)
   if (values.check) {
     io.stdout(isJson ? `${JSON.stringify({ ok: true, entry: settings.value.entry.id })}\n` : `${values.settings} is correct.\n`)
     return EXIT_CODES.ok
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -3,7 +3,7 @@
  */
 import { createError } from '../errors.ts'
 import { parseArguments } from './arguments.ts'
-import { EXIT_CODES, EXIT_CODES_HELP, reportError } from './command.ts'
+import { EXIT_CODES, EXIT_CODES_HELP, printFailure } from './command.ts'
 import type { CommandIo } from './command.ts'
 import { fetchJson } from './entry-request.ts'
 
@@ -24,15 +24,15 @@
     json: { type: 'boolean', default: false },
     help: { type: 'boolean', short: 'h' }
   })
-  if (parsed.isErr()) return reportError(parsed.error, io, args.includes('--json'))
+  if (parsed.isErr()) return printFailure(io, parsed.error, args.includes('--json'))
   const { entry, json, help } = parsed.value.values
   if (help) {
     io.stdout(HELP)
     return EXIT_CODES.ok
   }
-  if (!entry) return reportError(createError('usage', 'Give --entry HOST:PORT, the address for operators.'), io, json)
+  if (!entry) return printFailure(io, createError('usage', 'Give --entry HOST:PORT, the address for operators.'), json)
   const answer = await fetchJson(`http://${entry}/status`)
-  if (answer.isErr()) return reportError(answer.error, io, json)
+  if (answer.isErr()) return printFailure(io, answer.error, json)
   io.stdout(json ? `${JSON.stringify(answer.value)}\n` : `${JSON.stringify(answer.value, undefined, 2)}\n`)
   return EXIT_CODES.ok
 }
--- a/test/command-line.test.ts
+++ b/test/command-line.test.ts
@@ -11,7 +11,7 @@
   return result
 }
 
-test.each(['entry', 'status', 'addresses'])('%s prints its help', async (command) => {
+test.each(['entry', 'contract', 'audit', 'status', 'addresses'])('%s prints its help', async (command) => {
   const result = await runCaptured(command, '--help')
   expect(result.exitCode).toBe(EXIT_CODES.ok)
   expect(result.stdout).toMatch(new RegExp(`^Usage: medlarcove ${command} `))
@@ -27,7 +27,7 @@
   expect((await runCaptured('--version')).stdout).toMatch(/^\d+\.\d+\.\d+\n$/)
 })
 
-test.each([[[]], [['run']], [['entry']], [['entry', '--setting', 'x']], [['status']], [['addresses', '--entry', '127.0.0.1:1']]])('a wrong command line %j ends with the exit code for usage', async (args) => {
+test.each([[[]], [['run']], [['entry']], [['entry', '--setting', 'x']], [['status']], [['contract']], [['contract', 'print']], [['contract', 'publish', 'samples/kyushu/contract.jsonc']], [['audit', '--until', 'noon']], [['addresses', '--entry', '127.0.0.1:1']]])('a wrong command line %j ends with the exit code for usage', async (args) => {
   const result = await runCaptured(...args)
   expect(result.exitCode).toBe(EXIT_CODES.usage)
   expect(result.stderr).toMatch(/^medlarcove: usage: /)
@@ -50,3 +50,9 @@
   expect(result.exitCode).toBe(EXIT_CODES.unreachable)
   expect(result.stderr).toContain('check the address and that the entry runs')
 })
+
+test.each(['kyushu', 'arequipa'])('the contract of the sample %s passes the check', async (sample) => {
+  const result = await runCaptured('contract', 'check', `samples/${sample}/contract.jsonc`)
+  expect(result).toMatchObject({ exitCode: EXIT_CODES.ok, stderr: '' })
+  expect(result.stdout).toContain(`valid: ${sample} version 1`)
+})
