Add peer links, the member table, the mesh over TCP, address order and the host list

Cause: entries need to find each other without a coordination service, through a list that lags, and callers need an answer that names only live entries. Change: frames of CBOR with a size limit; a handshake with nonces and a keyed hash over both hellos, so that strangers are refused; heartbeats that acknowledge each other, so that one-way loss shows as silence; silence is tested on a new connection before a peer is suspected; the member table moves facts only forward within a run. Ruled out: closing the silent link at once, which drops a peer that was only paused; trusting a peer's word on the run of a third entry, which one wrong frame could pin.

--- /dev/null
+++ b/src/process/membership/member-state.ts
@@ -0,0 +1,154 @@
+/**
+ * One entry as the member table holds it, and the state that follows from it.
+ */
+import type { Clock } from '../../clock.ts'
+import type { PeerIdentity } from '../../connection/peer-frames.ts'
+import { toBrand } from '../../types.ts'
+import type { EntryId, Incarnation, Offset, ZoneId } from '../../types.ts'
+import type { PeerState } from './peer-mesh.ts'
+
+/** How the table is set up; times in ms. */
+export interface MemberTableOptions {
+  self: PeerIdentity
+  clock: Clock
+  /** For how long the list's word that an entry is leaving holds after it was last read. */
+  listLeavingHoldMs?: number
+  /** After this long without contact an unlisted entry is gone, and an earlier run may take an id over again. */
+  forgetAfterMs?: number
+}
+
+const DEFAULT_LIST_LEAVING_HOLD_MS = 10_000
+const DEFAULT_FORGET_AFTER_MS = 30_000
+const MOST_LEAVING_MARKS = 4_096
+
+/** The offset of an entry that has told none yet. */
+export const NO_OFFSET = toBrand<Offset>(-1)
+
+/** Where an entry is. */
+export type Place = Pick<PeerIdentity, 'id' | 'zone' | 'address' | 'port' | 'peerPort'>
+
+/** What is known of one entry. */
+export interface Member {
+  id: EntryId
+  /** The latest run that has proved itself. */
+  incarnation: Incarnation | undefined
+  zone: ZoneId
+  address: string
+  port: number
+  peerPort: number
+  isListed: boolean
+  listedLeavingUntilMs: number
+  /** Whether this entry is in direct contact with the run. */
+  isHeard: boolean
+  lastHeardMs: number
+  isLeaving: boolean
+  contractOffset: Offset
+  /** Runs of this entry that other peers hear, by peer. */
+  words: Map<EntryId, Incarnation>
+}
+
+/** Runs that are known to leave. */
+export interface LeavingMarks {
+  /** Adds a mark; the oldest is dropped beyond a bound. */
+  addMark(id: EntryId, incarnation: Incarnation): void
+  hasMark(id: EntryId, incarnation: Incarnation): boolean
+}
+
+/** The state of a member table. */
+export interface TableState {
+  self: PeerIdentity
+  clock: Clock
+  listLeavingHoldMs: number
+  forgetAfterMs: number
+  members: Map<EntryId, Member>
+  own: Member
+  leavingMarks: LeavingMarks
+  staleFacts: number
+}
+
+/** Creates a member of which only the place is known. */
+export function createMember (place: Place, nowMs: number): Member {
+  const { id, zone, address, port, peerPort } = place
+  return {
+    id,
+    zone,
+    address,
+    port,
+    peerPort,
+    incarnation: undefined,
+    isListed: false,
+    listedLeavingUntilMs: -Infinity,
+    isHeard: false,
+    lastHeardMs: nowMs,
+    isLeaving: false,
+    contractOffset: NO_OFFSET,
+    words: new Map()
+  }
+}
+
+/** Notes where a member is. */
+export function setPlace (member: Member, place: Place): void {
+  member.zone = place.zone
+  member.address = place.address
+  member.port = place.port
+  member.peerPort = place.peerPort
+}
+
+/** Returns a member, after adding it when it is new. */
+export function getMember (state: TableState, place: Place): Member {
+  const known = state.members.get(place.id)
+  if (known) return known
+  const created = createMember(place, state.clock.monotonicMs())
+  state.members.set(place.id, created)
+  return created
+}
+
+function createLeavingMarks (): LeavingMarks {
+  const marks = new Set<string>()
+  const toMark = (id: EntryId, incarnation: Incarnation) => `${id} ${incarnation}`
+  return {
+    addMark (id, incarnation) {
+      marks.add(toMark(id, incarnation))
+      if (marks.size <= MOST_LEAVING_MARKS) return
+      const [oldest] = marks
+      if (oldest !== undefined) marks.delete(oldest)
+    },
+    hasMark: (id, incarnation) => marks.has(toMark(id, incarnation))
+  }
+}
+
+/** Creates the state with the entry itself in it. */
+export function createTableState (options: MemberTableOptions): TableState {
+  const { self, clock } = options
+  const own = createMember(self, clock.monotonicMs())
+  own.incarnation = self.incarnation
+  own.isHeard = true
+  return {
+    self,
+    clock,
+    listLeavingHoldMs: options.listLeavingHoldMs ?? DEFAULT_LIST_LEAVING_HOLD_MS,
+    forgetAfterMs: options.forgetAfterMs ?? DEFAULT_FORGET_AFTER_MS,
+    members: new Map([[self.id, own]]),
+    own,
+    leavingMarks: createLeavingMarks(),
+    staleFacts: 0
+  }
+}
+
+/** Whether a peer that is heard itself says that it hears this run or a later one. */
+function hasWord (state: TableState, member: Member): boolean {
+  for (const [reporter, incarnation] of member.words) {
+    if (!state.members.get(reporter)?.isHeard) continue
+    if (member.incarnation === undefined || incarnation >= member.incarnation) return true
+  }
+  return false
+}
+
+/** Computes how an entry is known to be. */
+export function computeMemberState (state: TableState, member: Member): PeerState {
+  const nowMs = state.clock.monotonicMs()
+  const isReachable = member.isHeard || hasWord(state, member)
+  if (member.isLeaving) return isReachable ? 'leaving' : 'gone'
+  if (isReachable) return nowMs < member.listedLeavingUntilMs ? 'leaving' : 'live'
+  return !member.isListed && nowMs - member.lastHeardMs > state.forgetAfterMs ? 'gone' : 'suspect'
+}
--- /dev/null
+++ b/src/process/membership/mesh-links.ts
@@ -0,0 +1,127 @@
+/**
+ * Runs the links of a mesh and applies what arrives on them.
+ */
+import type { Duplex } from 'node:stream'
+import type { LinkRole } from '../../connection/peer-handshake.ts'
+import type { BeatFrame, LinkFrame } from '../../connection/peer-frames.ts'
+import { servePeerLink } from '../../connection/peer-link.ts'
+import type { LinkEvents, PeerLink } from '../../connection/peer-link.ts'
+import type { AppError } from '../../errors.ts'
+import type { ForwardedAnswer, ForwardedRequest } from './peer-mesh.ts'
+import { dropPeerContact, flushChanges, startTask } from './mesh-parts.ts'
+import type { MeshParts } from './mesh-parts.ts'
+
+const STATUS_NO_HANDLER = 503
+const STATUS_HANDLER_FAILED = 500
+/** Refusals are logged once in this many, so that a stranger cannot flood the log. */
+const REFUSALS_PER_LOG_LINE = 100
+
+/** Runs the handler for a request of a peer. */
+async function answerForward (parts: MeshParts, request: ForwardedRequest): Promise<ForwardedAnswer> {
+  const { handler } = parts
+  if (!handler) return { status: STATUS_NO_HANDLER, headers: {}, body: new Uint8Array(), fate: 'not-run' }
+  try {
+    return await handler(request)
+  } catch {
+    return { status: STATUS_HANDLER_FAILED, headers: {}, body: new Uint8Array(), fate: 'unknown' }
+  }
+}
+
+async function handleForward (parts: MeshParts, link: PeerLink, call: number, request: ForwardedRequest): Promise<void> {
+  const answer = await answerForward(parts, request)
+  const frame: LinkFrame = { type: 'forward-answer', call, answer }
+  if (!link.sendFrame(frame)) parts.links.sendTo(link.peer.id, frame)
+}
+
+function applyFrame (parts: MeshParts, link: PeerLink, frame: Exclude<LinkFrame, BeatFrame>): void {
+  const from = link.peer.id
+  switch (frame.type) {
+    case 'members':
+      parts.table.applyWord(from, frame.facts)
+      return flushChanges(parts)
+    case 'forward-request':
+      return startTask(parts, 'a forwarded request', () => handleForward(parts, link, frame.call, frame.request))
+    case 'forward-answer':
+      return parts.calls.applyAnswer(from, frame.call, frame.answer)
+    case 'contract-records':
+    case 'contract-pull':
+    case 'target-leaving':
+      return parts.messages.runAll(from, frame)
+  }
+}
+
+function applyBeat (parts: MeshParts, link: PeerLink, beat: BeatFrame): void {
+  const { id, incarnation } = link.peer
+  if (beat.offset !== undefined) parts.table.applyOffset(id, incarnation, beat.offset)
+  if (!beat.leaving) return
+  parts.table.applyLeaving(id, incarnation)
+  flushChanges(parts)
+}
+
+/** Takes a peer that has proved itself, or refuses it when it is an earlier run. */
+function addPeerLink (parts: MeshParts, link: PeerLink): boolean {
+  const { peer } = link
+  if (peer.id === parts.options.self.id) {
+    parts.table.applyWord(peer.id, [{ ...peer, isHeard: true, isLeaving: false }])
+    parts.options.logger?.warn(`membership: another run of this entry is at ${peer.address}`)
+    flushChanges(parts)
+    return false
+  }
+  if (parts.table.applyContact(peer) === 'stale') {
+    // Tells a run that was paused that another has taken its place.
+    link.sendFrame({ type: 'members', facts: parts.table.listFacts().filter((fact) => fact.id === peer.id) })
+    return false
+  }
+  parts.links.addLink(link)
+  link.sendFrame({ type: 'members', facts: parts.table.listFacts() })
+  flushChanges(parts)
+  return true
+}
+
+function handleRefused (parts: MeshParts, role: LinkRole, error: AppError): void {
+  if (error.kind !== 'peer-refused' && error.kind !== 'frame-malformed') return
+  if (parts.counts.refused % REFUSALS_PER_LOG_LINE === 0) {
+    parts.options.logger?.warn(`membership: refused a peer as ${role}: ${error.message}`)
+  }
+  parts.counts.refused += 1
+}
+
+/** Runs a link on a socket; resolves at the end of the handshake, true when the link is open. */
+export function runLink (parts: MeshParts, socket: Duplex, role: LinkRole): Promise<boolean> {
+  const { options, timing, counts } = parts
+  let opened: PeerLink | undefined
+  return new Promise((resolve) => {
+    const events: LinkEvents = {
+      handleOpen (link) {
+        if (!addPeerLink(parts, link)) return false
+        opened = link
+        resolve(true)
+        return true
+      },
+      handleFrame: (link, frame) => applyFrame(parts, link, frame),
+      handleBeat: (link, beat) => applyBeat(parts, link, beat),
+      handleSilent (link) {
+        counts.silentLinks += 1
+        options.logger?.warn(`membership: a link to ${link.peer.id} is silent; testing a new one`)
+      },
+      handleMalformed (link, error) {
+        counts.malformedFrames += 1
+        options.logger?.warn(`membership: malformed frame from ${link.peer.id}: ${error.message}`)
+      }
+    }
+    const describeSelf = () => ({ offset: parts.contractOffset, isLeaving: parts.isLeaving })
+    startTask(parts, 'a link', async () => {
+      const error = await servePeerLink(socket, { ...options, timing, role, events, describeSelf })
+      resolve(false)
+      if (opened) handleEnd(parts, opened)
+      else handleRefused(parts, role, error)
+    })
+  })
+}
+
+function handleEnd (parts: MeshParts, link: PeerLink): void {
+  parts.links.removeLink(link)
+  parts.calls.dropLink(link)
+  if (!parts.links.hasLink(link.peer.id)) dropPeerContact(parts, link)
+  flushChanges(parts)
+}
--- /dev/null
+++ b/src/process/membership/peer-calls.ts
@@ -0,0 +1,59 @@
+/**
+ * Requests passed on to a peer, and their answers.
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Clock } from '../../clock.ts'
+import type { PeerLink } from '../../connection/peer-link.ts'
+import { createError } from '../../errors.ts'
+import type { AppError } from '../../errors.ts'
+import type { EntryId } from '../../types.ts'
+import type { ForwardedAnswer, ForwardedRequest } from './peer-mesh.ts'
+
+type CallResult = Result<ForwardedAnswer, AppError>
+
+/** Calls that wait for their answers. */
+export interface PeerCalls {
+  /** Sends a request over a link. Errors: `peer-unreachable` (never sent), `peer-broken` (may have run). */
+  sendRequest(link: PeerLink | undefined, request: ForwardedRequest): Promise<CallResult>
+  /** Settles a call; answers to calls that are over, or from another peer, are ignored. */
+  applyAnswer(from: EntryId, call: number, answer: ForwardedAnswer): void
+  /** Ends the calls that went out on a link that has closed. */
+  dropLink(link: PeerLink): void
+  countWaiting(): number
+}
+
+/** Creates the book of calls. */
+export function createPeerCalls (clock: Clock): PeerCalls {
+  const waiting = new Map<number, { link: PeerLink, settle: (result: CallResult) => void }>()
+  let lastCall = 0
+  return {
+    sendRequest (link, request) {
+      lastCall += 1
+      const call = lastCall
+      const isSent = link?.sendFrame({ type: 'forward-request', call, request }) ?? false
+      if (!link || !isSent) return Promise.resolve(err(createError('peer-unreachable', 'no link to the peer is up')))
+      return new Promise((resolve) => {
+        const settle = (result: CallResult) => {
+          cancel()
+          waiting.delete(call)
+          resolve(result)
+        }
+        const cancel = clock.startTimer(Math.max(0, request.remainingMs), () => {
+          settle(err(createError('peer-broken', `${link.peer.id} did not answer in time`)))
+        })
+        waiting.set(call, { link, settle })
+      })
+    },
+    applyAnswer (from, call, answer) {
+      const entry = waiting.get(call)
+      if (entry?.link.peer.id === from) entry.settle(ok(answer))
+    },
+    dropLink (link) {
+      for (const entry of waiting.values()) {
+        if (entry.link === link) entry.settle(err(createError('peer-broken', `the link to ${link.peer.id} broke`)))
+      }
+    },
+    countWaiting: () => waiting.size
+  }
+}
--- /dev/null
+++ b/src/process/membership/peer-dialer.ts
@@ -0,0 +1,86 @@
+/**
+ * Opens links: one task for each peer, which dials whenever there is no link with proof of life.
+ */
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import type { Clock } from '../../clock.ts'
+import type { EntryId } from '../../types.ts'
+import type { PeerView } from './peer-mesh.ts'
+
+/** How a dialer works; times in ms. */
+export interface PeerDialerOptions {
+  selfId: EntryId
+  /** Address from which links are opened. */
+  localAddress: string
+  clock: Clock
+  /** Between two looks at a peer. */
+  redialMs: number
+  /** The longest wait between failed tries. */
+  longestRedialMs: number
+  signal: AbortSignal
+  /** Finds a peer; undefined once it has been forgotten. */
+  findPeer(id: EntryId): PeerView | undefined
+  hasLiveLink(peer: PeerView): boolean
+  hasLink(id: EntryId): boolean
+  /** Runs a link on a socket that connects; resolves at the end of the handshake, true when the link is open. */
+  openLink(socket: Socket): Promise<boolean>
+  /** Starts a task whose faults are logged. */
+  startTask(name: string, task: () => Promise<unknown>): void
+  /** A new connection to this run of the peer failed while no link has proof of life. */
+  handleUnreachable(peer: PeerView): void
+}
+
+/** Starts a task for each peer. */
+export interface PeerDialer {
+  /** Starts the task of a peer unless it runs. */
+  startTask(id: EntryId): void
+  /** Tries one address, for a peer that is not known by its id yet. */
+  tryAddress(address: string, port: number): Promise<boolean>
+}
+
+const BACKOFF_FACTOR = 2
+const JITTER_SHARE = 0.2
+
+/** Looks at one peer until it is forgotten. */
+async function runPeerTask (id: EntryId, options: PeerDialerOptions, tryAddress: PeerDialer['tryAddress']): Promise<void> {
+  const { clock, redialMs, longestRedialMs, signal } = options
+  let waitMs = redialMs
+  let isOurTurn = options.selfId < id
+  while (!signal.aborted) {
+    const peer = options.findPeer(id)
+    if (!peer) return
+    if (options.hasLiveLink(peer)) {
+      waitMs = redialMs
+      isOurTurn = options.selfId < id
+    } else if (isOurTurn || options.hasLink(id)) {
+      await tryAddress(peer.address, peer.peerPort)
+      // Another entry, or a later run, may have answered at this address.
+      const tried = options.findPeer(id)
+      if (!tried || options.hasLiveLink(tried)) continue
+      waitMs = Math.min(longestRedialMs, waitMs * BACKOFF_FACTOR)
+      options.handleUnreachable(tried)
+    } else {
+      // The lower id dials first, so that a pair seldom opens two links at once.
+      isOurTurn = true
+    }
+    await clock.wait(waitMs * (1 + JITTER_SHARE * Math.random()), signal)
+  }
+}
+
+/** Creates the dialer. */
+export function createPeerDialer (options: PeerDialerOptions): PeerDialer {
+  const running = new Set<EntryId>()
+  const tryAddress = async (address: string, port: number): Promise<boolean> => {
+    if (options.signal.aborted || port === 0) return false
+    const socket = connect({ host: address, port, localAddress: options.localAddress, noDelay: true })
+    return await options.openLink(socket)
+  }
+  return {
+    startTask (id) {
+      if (id === options.selfId || running.has(id)) return
+      running.add(id)
+      options.startTask(`the task of ${id}`, () => runPeerTask(id, options, tryAddress).finally(() => running.delete(id)))
+    },
+    tryAddress
+  }
+}
--- /dev/null
+++ b/src/process/membership/tcp-peer-mesh.ts
@@ -0,0 +1,209 @@
+/**
+ * The links of an entry to all others over TCP, and what it learns of them.
+ */
+import { createServer } from 'node:net'
+import type { Server, Socket } from 'node:net'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Clock } from '../../clock.ts'
+import type { PeerIdentity } from '../../connection/peer-frames.ts'
+import { DEFAULT_LINK_TIMING } from '../../connection/peer-link.ts'
+import type { LinkCounts, LinkTiming } from '../../connection/peer-link.ts'
+import { createError, describeCause } from '../../errors.ts'
+import type { AppError } from '../../errors.ts'
+import { toBrand } from '../../types.ts'
+import type { Offset } from '../../types.ts'
+import type { HostListClient } from '../host-list-client.ts'
+import type { MemberTableOptions } from './member-state.ts'
+import { createMemberTable } from './member-table.ts'
+import { runLink } from './mesh-links.ts'
+import { createListeners, flushChanges, startTask } from './mesh-parts.ts'
+import type { MeshParts } from './mesh-parts.ts'
+import { createPeerCalls } from './peer-calls.ts'
+import { createPeerDialer } from './peer-dialer.ts'
+import type { PeerDialer } from './peer-dialer.ts'
+import { createPeerLinks } from './peer-links.ts'
+import type { PeerMesh } from './peer-mesh.ts'
+
+/** Takes the mesh's log lines. */
+export interface MeshLogger { info(message: string): void, warn(message: string): void }
+
+/** How to create a mesh; times in ms. */
+export interface PeerMeshOptions {
+  self: PeerIdentity
+  /** Where to listen and dial from, when that is not the address that peers are told. */
+  listenAddress?: string
+  /** Secret that all entries share. */
+  peerKey: string
+  hostList: HostListClient
+  clock: Clock
+  logger?: MeshLogger
+  /** Times of each link. */
+  timing?: Partial<LinkTiming>
+  /** Between two reads of the host list. */
+  listPollMs?: number
+  /** Between two looks at a peer without a link, and the longest wait between failed tries. */
+  redialMs?: number
+  longestRedialMs?: number
+  /** Peers to try while no link is up, for a start while the host list is down. */
+  seeds?: readonly { address: string, peerPort: number }[]
+  /** Times of the member table. */
+  members?: Pick<MemberTableOptions, 'listLeavingHoldMs' | 'forgetAfterMs'>
+}
+
+/** Figures of a mesh. */
+export interface MeshReport {
+  links: number
+  traffic: LinkCounts
+  /** Connections refused: wrong key, wrong protocol, an earlier run. */
+  refused: number
+  malformedFrames: number
+  staleFacts: number
+  /** Links that went silent. */
+  silentLinks: number
+  listFailures: number
+}
+
+/** A mesh with its start and its figures. */
+export type TcpPeerMesh = PeerMesh & {
+  /** Listens for peers and starts to read the list. Errors: `settings-invalid` when it cannot listen. */
+  start(): Promise<Result<void, AppError>>
+  report(): MeshReport
+}
+
+const DEFAULT_LIST_POLL_MS = 1_000
+const DEFAULT_REDIAL_MS = 250
+const DEFAULT_LONGEST_REDIAL_MS = 2_000
+const NO_OFFSET = toBrand<Offset>(-1)
+/** Connections to the peer port at once, strangers included. */
+const MOST_CONNECTIONS = 512
+
+/** Listens on the peer port of the entry. */
+function startListening (server: Server, address: string, port: number): Promise<Result<void, AppError>> {
+  return new Promise((resolve) => {
+    server.once('error', (cause) => resolve(err(createError('settings-invalid',
+      `cannot listen on ${address}:${port}: ${describeCause(cause)}`, cause))))
+    server.listen(port, address, () => resolve(ok(undefined)))
+  })
+}
+
+/** Reads the host list again and again; a failed read leaves the last one in place. */
+async function runListTask (parts: MeshParts): Promise<void> {
+  const { hostList, clock, listPollMs = DEFAULT_LIST_POLL_MS } = parts.options
+  while (!parts.stop.signal.aborted) {
+    const hosts = await hostList.readHosts()
+    if (hosts.isOk()) parts.table.applyList(hosts.value)
+    else parts.counts.listFailures += 1
+    flushChanges(parts)
+    await clock.wait(listPollMs, parts.stop.signal)
+  }
+}
+
+/** Tries the seeds while no link is up. */
+async function runSeedTask (parts: MeshParts): Promise<void> {
+  const { seeds = [], clock, longestRedialMs = DEFAULT_LONGEST_REDIAL_MS } = parts.options
+  while (!parts.stop.signal.aborted && seeds.length > 0) {
+    if (parts.links.countLinks() === 0) {
+      for (const seed of seeds) await parts.dialer.tryAddress(seed.address, seed.peerPort)
+    }
+    await clock.wait(longestRedialMs, parts.stop.signal)
+  }
+}
+
+/** Closes replaced links and notices what changes by time alone. */
+async function runUpkeepTask (parts: MeshParts): Promise<void> {
+  while (!parts.stop.signal.aborted) {
+    parts.links.closeReplaced()
+    flushChanges(parts)
+    await parts.options.clock.wait(parts.timing.heartbeatMs, parts.stop.signal)
+  }
+}
+
+function createMeshDialer (parts: Omit<MeshParts, 'dialer'>, openLink: (socket: Socket) => Promise<boolean>): PeerDialer {
+  const { options, table, links } = parts
+  return createPeerDialer({
+    selfId: options.self.id,
+    localAddress: options.listenAddress ?? options.self.address,
+    clock: options.clock,
+    redialMs: options.redialMs ?? DEFAULT_REDIAL_MS,
+    longestRedialMs: options.longestRedialMs ?? DEFAULT_LONGEST_REDIAL_MS,
+    signal: parts.stop.signal,
+    findPeer: (id) => table.listPeers().find((peer) => peer.id === id),
+    hasLiveLink: (peer) => links.hasLiveLink(peer.id, peer.incarnation),
+    hasLink: (id) => links.hasLink(id),
+    openLink,
+    startTask: (name, task) => startTask(parts, name, task),
+    handleUnreachable (peer) {
+      table.markUnreachable(peer.id, peer.incarnation)
+    }
+  })
+}
+
+function createMeshParts (options: PeerMeshOptions): MeshParts {
+  const { self, clock } = options
+  const shared = {
+    options,
+    timing: { ...DEFAULT_LINK_TIMING, ...options.timing },
+    table: createMemberTable({ self, clock, ...options.members }),
+    links: createPeerLinks(self.id, clock),
+    calls: createPeerCalls(clock),
+    counts: { refused: 0, malformedFrames: 0, silentLinks: 0, listFailures: 0 },
+    messages: createListeners<[never, never]>(),
+    entries: createListeners<[never]>(),
+    stop: new AbortController(),
+    handler: undefined,
+    contractOffset: NO_OFFSET,
+    isLeaving: false,
+    toldLive: self.id as string,
+    toldFacts: new Map()
+  } as unknown as Omit<MeshParts, 'dialer'>
+  const parts: MeshParts = Object.assign(shared, { dialer: createMeshDialer(shared, (socket) => runLink(parts, socket, 'initiator')) })
+  return parts
+}
+
+function reportMesh (parts: MeshParts): MeshReport {
+  const { links, table, counts } = parts
+  return { ...counts, links: links.countLinks(), traffic: links.countTraffic(), staleFacts: table.countStale() }
+}
+
+/** Creates the mesh of one entry; nothing happens before `start`. */
+export function createPeerMesh (options: PeerMeshOptions): TcpPeerMesh {
+  const parts = createMeshParts(options)
+  const { table, links, calls, messages, entries } = parts
+  const server = createServer({ noDelay: true }, (socket) => startTask(parts, 'a link', () => runLink(parts, socket, 'acceptor')))
+  server.maxConnections = MOST_CONNECTIONS
+  return {
+    async start () {
+      const listening = await startListening(server, options.listenAddress ?? options.self.address, options.self.peerPort)
+      if (listening.isErr()) return listening
+      startTask(parts, 'reading the host list', () => runListTask(parts))
+      startTask(parts, 'trying seeds', () => runSeedTask(parts))
+      startTask(parts, 'upkeep', () => runUpkeepTask(parts))
+      return listening
+    },
+    listPeers: () => table.listPeers(),
+    listLiveEntries: () => table.listLive(),
+    sendTo: (peer, message) => { links.sendTo(peer, message) },
+    broadcast: (message) => links.broadcast(message),
+    watchMessages: (action) => messages.addListener(action),
+    watchEntries: (action) => entries.addListener(action),
+    forwardRequest: (peer, request) => calls.sendRequest(links.getLink(peer), request),
+    handleForwards (action) {
+      parts.handler = action
+    },
+    setContractOffset (offset) {
+      if (offset > parts.contractOffset) parts.contractOffset = offset
+    },
+    markLeaving () {
+      parts.isLeaving = true
+      table.applyLeaving(options.self.id, options.self.incarnation)
+      flushChanges(parts)
+    },
+    async close () {
+      parts.stop.abort()
+      links.closeAll()
+      await new Promise<void>((resolve) => server.close(() => resolve()))
+    },
+    report: () => reportMesh(parts)
+  }
+}
--- /dev/null
+++ b/test/host-list.test.ts
@@ -0,0 +1,61 @@
+import { createServer } from 'node:http'
+import { afterEach, expect, test } from 'vitest'
+import { createHostClock } from '../src/clock.ts'
+import { createHostListHttpClient } from '../src/process/host-list-http-client.ts'
+import { startHostListServer } from '../stand-ins/host-list-server.ts'
+import { getLoopbackAddress } from './support/addresses.ts'
+import { createIdentity, toListed } from './support/mesh.ts'
+
+const ADDRESS = getLoopbackAddress(60)
+const closers: (() => Promise<void>)[] = []
+afterEach(async () => {
+  for (const close of closers.splice(0)) await close()
+})
+
+async function startList () {
+  const server = await startHostListServer({ address: ADDRESS, port: 0, clock: createHostClock(), hosts: [toListed(createIdentity(0))] })
+  closers.push(server.close)
+  const baseUrl = `http://${ADDRESS}:${server.port}`
+  return { server, baseUrl, client: createHostListHttpClient({ baseUrl, timeoutMs: 300 }) }
+}
+
+test('the list is read, and follows what control sets', async () => {
+  const { baseUrl, client } = await startList()
+  expect((await client.readHosts())._unsafeUnwrap()).toEqual([toListed(createIdentity(0))])
+  const hosts = [toListed(createIdentity(1), 'leaving')]
+  await fetch(`${baseUrl}/control`, { method: 'POST', body: JSON.stringify({ hosts }) })
+  expect((await client.readHosts())._unsafeUnwrap()).toEqual(hosts)
+})
+
+test('two views that disagree are read in turn', async () => {
+  const { server, client } = await startList()
+  server.control({ otherHosts: [] })
+  const reads = [(await client.readHosts())._unsafeUnwrap().length, (await client.readHosts())._unsafeUnwrap().length]
+  expect(reads.sort()).toEqual([0, 1])
+})
+
+test('a change is seen only after the lag', async () => {
+  const { server, client } = await startList()
+  server.control({ lagMs: 50, hosts: [] })
+  expect((await client.readHosts())._unsafeUnwrap()).toHaveLength(1)
+  await expect.poll(async () => (await client.readHosts())._unsafeUnwrap().length).toBe(0)
+})
+
+test('an outage, a slow list and a list of unknown form are unavailable, and nothing waits without bound', async () => {
+  const { server, client } = await startList()
+  server.control({ isDown: true })
+  expect((await client.readHosts())._unsafeUnwrapErr().kind).toBe('host-list-unavailable')
+  server.control({ isDown: false, slowMs: 60_000 })
+  expect((await client.readHosts())._unsafeUnwrapErr().kind).toBe('host-list-unavailable')
+  const foreign = createServer((_request, response) => response.end('{"hosts":[{"id":4}]}'))
+  await new Promise<void>((resolve) => foreign.listen(0, ADDRESS, resolve))
+  closers.push(() => new Promise((resolve) => foreign.close(() => resolve())))
+  const { port } = foreign.address() as { port: number }
+  const reading = await createHostListHttpClient({ baseUrl: `http://${ADDRESS}:${port}`, timeoutMs: 300 }).readHosts()
+  expect(reading._unsafeUnwrapErr().kind).toBe('host-list-unavailable')
+})
+
+test('a wrong change of the stand-in is refused', async () => {
+  const { baseUrl } = await startList()
+  expect((await fetch(`${baseUrl}/control`, { method: 'POST', body: '{"lag":1}' })).status).toBe(400)
+})
