Add the limiter of one entry with the even static split

Cause: the sum over entries must never exceed the contract's rate and concurrency. Change: each entry counts admissions in an exact sliding second (1,001 ms, for clock rates that differ a little) and holds its rounded-down share of the largest count. Ruled out: a token bucket, which admits its burst on top of its rate within a second.

--- /dev/null
+++ b/src/process/limits/rate-window.ts
@@ -0,0 +1,60 @@
+/**
+ * Counts admissions in a sliding second, exactly.
+ */
+import type { Clock } from '../../clock.ts'
+
+/** Length of the window in ms: a second, and a little more for clocks that run at slightly different rates. */
+export const RATE_WINDOW_MS = 1_001
+const SMALLEST_CAPACITY = 16
+
+/** Admissions within the last second. */
+export interface RateWindow {
+  /** Admits one if fewer than `limit` were admitted within the last second. */
+  takeOne(limit: number): boolean
+  /** How long until one more could be admitted under `limit`, in ms. */
+  computeWaitMs(limit: number): number
+  count(): number
+}
+
+/** Creates a window; memory grows with the admissions of a second, 8 bytes each. */
+export function createRateWindow (clock: Clock): RateWindow {
+  let times = new Float64Array(SMALLEST_CAPACITY)
+  let first = 0
+  let size = 0
+  const dropOld = (nowMs: number): void => {
+    while (size > 0 && nowMs - (times[first] ?? 0) >= RATE_WINDOW_MS) {
+      first = (first + 1) % times.length
+      size -= 1
+    }
+  }
+  const addRoom = (): void => {
+    if (size < times.length) return
+    const larger = new Float64Array(2 * times.length)
+    for (let index = 0; index < size; index++) larger[index] = times[(first + index) % times.length] ?? 0
+    times = larger
+    first = 0
+  }
+  return {
+    takeOne (limit) {
+      const nowMs = clock.monotonicMs()
+      dropOld(nowMs)
+      if (size >= limit) return false
+      addRoom()
+      times[(first + size) % times.length] = nowMs
+      size += 1
+      return true
+    },
+    computeWaitMs (limit) {
+      const nowMs = clock.monotonicMs()
+      dropOld(nowMs)
+      if (size < limit) return 0
+      if (limit <= 0) return RATE_WINDOW_MS
+      const blocking = times[(first + size - Math.floor(limit)) % times.length] ?? nowMs
+      return Math.max(0, blocking + RATE_WINDOW_MS - nowMs)
+    },
+    count () {
+      dropOld(clock.monotonicMs())
+      return size
+    }
+  }
+}
--- /dev/null
+++ b/test/local-customer-limiter.test.ts
@@ -0,0 +1,56 @@
+import { expect, test } from 'vitest'
+import { createTestClock } from '../src/clock.ts'
+import { createCustomerLimiter } from '../src/process/limits/local-customer-limiter.ts'
+import { createRateWindow, RATE_WINDOW_MS } from '../src/process/limits/rate-window.ts'
+import { createLimitsContract } from './support/limits.ts'
+
+test('one entry admits its even share of the rate and of the concurrency', async () => {
+  const clock = createTestClock()
+  const contract = createLimitsContract({ requestsPerSecond: 18, concurrentRequests: 12, largestCount: 6 })
+  const limiter = createCustomerLimiter({ clock })
+  const first = limiter.takePermit(contract)._unsafeUnwrap()
+  const second = limiter.takePermit(contract)._unsafeUnwrap()
+  expect(limiter.takePermit(contract)._unsafeUnwrapErr().kind).toBe('over-concurrency')
+  first.release()
+  first.release()
+  second.release()
+  limiter.takePermit(contract)._unsafeUnwrap().release()
+  expect(limiter.takePermit(contract)._unsafeUnwrapErr().kind).toBe('over-rate')
+  expect(limiter.report()).toEqual([{ customer: 'millers', inProgress: 0, refused: 2, shareOfRate: 3 }])
+  await clock.advance(RATE_WINDOW_MS)
+  expect(limiter.takePermit(contract).isOk()).toBe(true)
+})
+
+test('customers do not use up each other\'s share', () => {
+  const limiter = createCustomerLimiter({ clock: createTestClock() })
+  const limits = { requestsPerSecond: 6, concurrentRequests: 6, largestCount: 6 }
+  expect(limiter.takePermit(createLimitsContract(limits)).isOk()).toBe(true)
+  expect(limiter.takePermit(createLimitsContract(limits)).isOk()).toBe(false)
+  expect(limiter.takePermit(createLimitsContract({ ...limits, customer: 'plumbers' })).isOk()).toBe(true)
+})
+
+test('no second of any position holds more admissions than the limit', async () => {
+  const clock = createTestClock()
+  const window = createRateWindow(clock)
+  const admitted: number[] = []
+  for (let step = 0; step < 400; step++) {
+    if (window.takeOne(7)) admitted.push(clock.monotonicMs())
+    await clock.advance(step % 5 === 0 ? 90 : 7)
+  }
+  for (const start of admitted) {
+    expect(admitted.filter((at) => at >= start && at < start + 1_000).length).toBeLessThanOrEqual(7)
+  }
+  expect(admitted.length).toBeGreaterThan(50)
+})
+
+test('a window tells when one more fits', async () => {
+  const clock = createTestClock()
+  const window = createRateWindow(clock)
+  window.takeOne(2)
+  await clock.advance(400)
+  window.takeOne(2)
+  expect(window.computeWaitMs(2)).toBe(RATE_WINDOW_MS - 400)
+  expect(window.computeWaitMs(3)).toBe(0)
+  await clock.advance(RATE_WINDOW_MS - 400)
+  expect(window.takeOne(2)).toBe(true)
+})
