--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -19,7 +19,7 @@
 
 test('settings that give only what is required get the documented defaults', () => {
   const settings = parseSettings(JSON.stringify(MINIMAL), 'host.jsonc')._unsafeUnwrap()
-  expect(settings).toEqual({ ...MINIMAL, ...SETTINGS_DEFAULTS })
+  expect(settings).toEqual({ ...MINIMAL, ...SETTINGS_DEFAULTS, log: { ...MINIMAL.log, ...SETTINGS_DEFAULTS.log } })
 })
 
 test('a part of the caller limits may be given', () => {
