Eject targets that fail out of line, keep leaving sticky, ramp cold ones, probe within the budget

Cause: by requests in flight alone, a target that fails in 1 ms looks free and draws most of the load; the platform's list says live of a draining target. Change: a failure counts as load for five times the typical time of good work; a target that fails far more than the others is ejected, never more than the contract's share, and comes back through single trials. Leaving holds until the target is known to be a new process: it refused connections and answers again, moved, or the list said live for a minute and a probe agrees. Probes cost the budget before they go; only targets without answers get one. Ruled out: the list's latest word for bringing a target back, and ejecting for slowness (it shifts in milliseconds, and in flight shows it at once).

--- /dev/null
+++ b/src/process/targets/target-leaving.ts
@@ -0,0 +1,66 @@
+/**
+ * Leaving is sticky: a target that was seen leaving takes no new work until it is known to be a new process.
+ * The platform's list lags, so its word alone does not bring a target back soon.
+ */
+import type { HostState, TargetId } from '../../types.ts'
+import { markReturned } from './target-health.ts'
+import type { TargetRecord } from './target-record.ts'
+import type { LeavingSource } from './target-set.ts'
+import { recordChange } from './target-set-state.ts'
+import type { SetState } from './target-set-state.ts'
+
+/** How long the list must call a leaving target live without a break before it counts; well past the list's lag. */
+const LIST_SETTLE_MS = 60_000
+
+/** Marks a target as leaving; later marks change nothing. */
+export function markLeaving (state: SetState, id: TargetId, source: LeavingSource): void {
+  const record = state.records.get(id)
+  if (!record || record.state.kind === 'leaving') return
+  const nowMs = state.options.clock.monotonicMs()
+  record.state = { kind: 'leaving', sinceMs: nowMs }
+  record.wasUnreachable = false
+  record.listing.liveSinceMs = nowMs
+  recordChange(state, { type: 'target-leaving', target: id, source })
+  if (source !== 'peer') state.options.notifyLeaving?.(id, source)
+}
+
+/** Applies the whole list. Hosts that it never listed are left alone. */
+export function applyHostList (state: SetState, hosts: readonly { id: string, state: HostState }[]): void {
+  const nowMs = state.options.clock.monotonicMs()
+  const listed = new Map(hosts.map((host) => [host.id, host.state]))
+  for (const record of state.records.values()) {
+    const hostState = listed.get(record.target.id)
+    applyListing(record, hostState, nowMs)
+    if (hostState === 'leaving') markLeaving(state, record.target.id, 'host-list')
+    if (hostState === 'live' && state.options.sendProbe === undefined) tryReturn(state, record)
+  }
+}
+
+function applyListing (record: TargetRecord, hostState: HostState | undefined, nowMs: number): void {
+  const { listing } = record
+  if (hostState === undefined) {
+    if (listing.state !== 'never-listed') listing.state = 'dropped'
+    return
+  }
+  if (hostState === 'live') {
+    if (listing.state !== 'live') listing.liveSinceMs = nowMs
+    listing.liveUntilMs = nowMs
+  }
+  listing.state = hostState
+}
+
+/** Tells whether the list has called a target live for long enough to believe it. */
+function isListSettled (record: TargetRecord): boolean {
+  const { listing } = record
+  return listing.state === 'live' && listing.liveUntilMs - listing.liveSinceMs >= LIST_SETTLE_MS
+}
+
+/**
+ * Returns a leaving target that is a new process by now: it stopped accepting connections and accepts them again,
+ * or the list has settled on live. Called when a probe was answered ready.
+ */
+export function tryReturn (state: SetState, record: TargetRecord): void {
+  if (record.state.kind !== 'leaving') return
+  if (!record.wasUnreachable && !isListSettled(record)) return
+  markReturned(state, record, state.options.clock.monotonicMs())
+}
--- a/src/process/targets/target-set.ts
+++ b/src/process/targets/target-set.ts
@@ -42,6 +42,8 @@
   mayWait: boolean
   /** Aborted when the caller has gone. */
   signal: AbortSignal
+  /** Whether the request may be repeated; only such requests try an ejected target. Default true. */
+  isRepeatable?: boolean
 }
 
 /** The right to send one request to a target. It must be released exactly once. */
@@ -63,8 +65,8 @@
   takeRetry(): boolean
   /** Marks a target as leaving for good. */
   markLeaving(target: TargetId, source: LeavingSource): void
-  /** Follows a new version of the contract. */
-  updateContract(service: ServiceContract): void
+  /** Follows a new version of the contract; `largestEntries` is its largest number of entry processes. */
+  updateContract(service: ServiceContract, largestEntries?: number): void
   /** Tells which entries are live, for home slots and probing shares. */
   updateEntries(entries: readonly EntryId[]): void
   /** Applies the platform's list. */
--- /dev/null
+++ b/src/request/balancing/baseline-policies.ts
@@ -0,0 +1,73 @@
+/**
+ * Plain policies to compare with, for the replay tool and the bench. The product never uses them.
+ */
+
+/** The policies to compare with. */
+export const BASELINE_KINDS = ['random', 'round-robin', 'two-choices', 'least-in-flight', 'latency-weighted'] as const
+/** The name of a baseline. */
+export type BaselineKind = typeof BASELINE_KINDS[number]
+
+/** A baseline at one entry. */
+export interface BaselinePolicy {
+  /** Chooses a target outside `exclude` and counts a request there; undefined when none is left. */
+  choose(exclude: ReadonlySet<string>): string | undefined
+  /** Counts a request out; `latencyMs` is left out when nothing was answered. */
+  finish(target: string, latencyMs?: number): void
+}
+
+interface BaselineTarget { id: string, inFlight: number, latencyMs: number }
+
+const LATENCY_SMOOTHING = 0.2
+const FIRST_LATENCY_MS = 20
+
+function chooseLeast (targets: readonly BaselineTarget[], compute: (target: BaselineTarget) => number, random: () => number): BaselineTarget | undefined {
+  const scores = targets.map(compute)
+  const least = Math.min(...scores)
+  const best = targets.filter((_, index) => scores[index] === least)
+  return chooseAny(best, random)
+}
+
+function chooseAny (targets: readonly BaselineTarget[], random: () => number): BaselineTarget | undefined {
+  return targets[Math.floor(random() * targets.length)]
+}
+
+function countInFlight (target: BaselineTarget): number {
+  return target.inFlight
+}
+
+function computeLatencyLoad (target: BaselineTarget): number {
+  return (target.inFlight + 1) * target.latencyMs
+}
+
+/** Creates a baseline; `random` gives numbers in [0, 1). */
+export function createBaselinePolicy (kind: BaselineKind, targetIds: readonly string[], random: () => number): BaselinePolicy {
+  const targets = targetIds.map((id): BaselineTarget => ({ id, inFlight: 0, latencyMs: FIRST_LATENCY_MS }))
+  const byId = new Map(targets.map((target) => [target.id, target]))
+  let turn = Math.floor(random() * targets.length)
+
+  const chooseFrom = (open: BaselineTarget[]): BaselineTarget | undefined => {
+    switch (kind) {
+      case 'random': return chooseAny(open, random)
+      case 'round-robin': return open[turn++ % open.length]
+      case 'two-choices': {
+        const pair = [chooseAny(open, random), chooseAny(open, random)].filter((target) => target !== undefined)
+        return chooseLeast(pair, countInFlight, random)
+      }
+      case 'least-in-flight': return chooseLeast(open, countInFlight, random)
+      case 'latency-weighted': return chooseLeast(open, computeLatencyLoad, random)
+    }
+  }
+  return {
+    choose (exclude) {
+      const target = chooseFrom(exclude.size === 0 ? targets : targets.filter(({ id }) => !exclude.has(id)))
+      if (target) target.inFlight += 1
+      return target?.id
+    },
+    finish (id, latencyMs) {
+      const target = byId.get(id)
+      if (!target) return
+      target.inFlight -= 1
+      if (latencyMs !== undefined) target.latencyMs += (latencyMs - target.latencyMs) * LATENCY_SMOOTHING
+    }
+  }
+}
--- a/src/request/balancing/choose-target.ts
+++ b/src/request/balancing/choose-target.ts
@@ -4,8 +4,10 @@
 
 /** What the choice looks at. */
 export interface Candidate {
-  /** Requests that this process counts as being at the target. */
+  /** Requests of this process at the target. */
   inFlight: number
+  /** Requests added to `inFlight` for the choice alone, for recent failures. */
+  penalty: number
   /** Slots of the target that were dealt to this process. */
   homeSlots: number
   /** The largest `inFlight` that this process may bring about. */
@@ -17,8 +19,8 @@
 
 /** Computes the score of a target; the lowest is chosen. */
 export function computeScore (candidate: Candidate): number {
-  const isHome = candidate.inFlight < candidate.homeSlots
-  return isHome ? candidate.inFlight - HOME_PREFERENCE : candidate.inFlight
+  const load = candidate.inFlight + candidate.penalty
+  return load < candidate.homeSlots ? load - HOME_PREFERENCE : load
 }
 
 /** Chooses the candidate with the lowest score; `random` in [0, 1) breaks ties. Undefined when all are full. */
--- a/test/support/target-service.ts
+++ b/test/support/target-service.ts
@@ -1,6 +1,6 @@
 import { createTestClock } from '../../src/clock.ts'
 import { createTargetSet } from '../../src/process/targets/local-target-set.ts'
-import type { TargetSetOptions } from '../../src/process/targets/local-target-set.ts'
+import type { TargetSetOptions } from '../../src/process/targets/target-set-state.ts'
 import type { TargetWish } from '../../src/process/targets/target-set.ts'
 import { toBrand } from '../../src/types.ts'
 import type { CustomerId, EntryId, ServiceId, TargetId, ZoneId } from '../../src/types.ts'
@@ -46,6 +46,7 @@
     service,
     self: toBrand<EntryId>('e0'),
     entries: toEntryIds('e0'),
+    largestEntries: 6,
     clock,
     audit: { record: (event) => events.push(event) },
     random: () => 0.5,
--- /dev/null
+++ b/test/target-ejection.test.ts
@@ -0,0 +1,158 @@
+import { expect, test } from 'vitest'
+import type { ContractTarget, ServiceContract } from '../src/version/contract.ts'
+import { createBaselinePolicy } from '../src/request/balancing/baseline-policies.ts'
+import { buildService, setupTargetSet, toTargetId } from './support/target-service.ts'
+
+const GOOD = { kind: 'answered', status: 200, firstByteMs: 20 } as const
+const BAD = { kind: 'answered', status: 500, firstByteMs: 1 } as const
+const GOOD_MS = 20
+const BAD_MS = 1
+const FAILING = 't0'
+
+type Setup = ReturnType<typeof setupTargetSet>
+
+/** Sends a request a ms for `totalMs`; `isFailing` targets answer with an error at once. Counts requests by target. */
+async function runTraffic (setup: Setup, totalMs: number, isFailing: (target: ContractTarget) => boolean) {
+  const counts = new Map<string, number>()
+  for (let ms = 0; ms < totalMs; ms++) {
+    const slot = (await setup.set.takeSlot(setup.buildWish({ mayWait: false }))).unwrapOr(undefined)
+    if (slot) {
+      counts.set(slot.target.id, (counts.get(slot.target.id) ?? 0) + 1)
+      const isBad = isFailing(slot.target)
+      setup.clock.startTimer(isBad ? BAD_MS : GOOD_MS, () => slot.release(isBad ? BAD : GOOD))
+    }
+    await setup.clock.advance(1)
+  }
+  return counts
+}
+
+const NO_EJECTION: Partial<ServiceContract> = { ejectedShare: 0, coldRampMs: 0 }
+
+test('bulk fast errors attract no load even when nothing may be ejected, and would attract most of it by in-flight alone', async () => {
+  const { set, clock, buildWish } = setupTargetSet(buildService(10, NO_EJECTION))
+  const counts = await runTraffic({ set, clock, buildWish } as Setup, 1_000, (target) => target.id === FAILING)
+  expect(counts.get(FAILING)).toBeLessThan(100)
+
+  const targets = buildService(10).targets.map((target) => target.id)
+  const naive = createBaselinePolicy('least-in-flight', targets, () => 0)
+  const naiveClock = setupTargetSet(buildService(1)).clock
+  let naiveCount = 0
+  for (let ms = 0; ms < 1_000; ms++) {
+    const target = naive.choose(new Set())
+    if (target === FAILING) naiveCount += 1
+    naiveClock.startTimer(target === FAILING ? BAD_MS : GOOD_MS, () => naive.finish(target!, 20))
+    await naiveClock.advance(1)
+  }
+  expect(naiveCount).toBeGreaterThan(500)
+})
+
+test('a target that fails out of line is ejected, told in the audit, and gets no ordinary work', async () => {
+  const setup = setupTargetSet(buildService(10))
+  await runTraffic(setup, 500, (target) => target.id === FAILING)
+  expect(setup.set.listTargets()[0]?.state).toBe('ejected')
+  expect(setup.events.filter((event) => event.type === 'target-ejected')).toHaveLength(1)
+  const later = await runTraffic(setup, 500, (target) => target.id === FAILING)
+  expect(later.get(FAILING)).toBeUndefined()
+})
+
+test('never more targets are ejected than the contract allows', async () => {
+  const setup = setupTargetSet(buildService(10, { ejectedShare: 0.2 }))
+  const failing = new Set(['t0', 't1', 't2', 't3', 't4'])
+  let mostEjected = 0
+  for (let round = 0; round < 60; round++) {
+    await runTraffic(setup, 50, (target) => failing.has(target.id))
+    mostEjected = Math.max(mostEjected, setup.set.listTargets().filter((target) => target.state === 'ejected').length)
+  }
+  expect(mostEjected).toBe(2)
+})
+
+test('nothing is ejected when all targets fail alike', async () => {
+  const setup = setupTargetSet(buildService(6))
+  await runTraffic(setup, 500, () => true)
+  expect(setup.set.listTargets().map((target) => target.state)).toEqual(Array(6).fill('serving'))
+})
+
+test('a new contract that allows fewer ejections takes the surplus back', async () => {
+  const setup = setupTargetSet(buildService(10, { ejectedShare: 0.3 }))
+  await runTraffic(setup, 1_000, (target) => ['t0', 't1', 't2'].includes(target.id))
+  expect(setup.set.listTargets().filter((target) => target.state === 'ejected')).toHaveLength(3)
+  setup.set.updateContract(buildService(10, { ejectedShare: 0.1 }))
+  expect(setup.set.listTargets().filter((target) => target.state === 'ejected')).toHaveLength(1)
+})
+
+test('an ejected target comes back through single trials, repeatable requests only, and is cold at first', async () => {
+  const setup = setupTargetSet(buildService(10))
+  const { set, clock, take, events } = setup
+  await runTraffic(setup, 500, (target) => target.id === FAILING)
+  await clock.advance(2_500)
+  expect((await take({ isRepeatable: false })).target.id).not.toBe(FAILING)
+  for (let trial = 0; trial < 3; trial++) {
+    const first = await take()
+    const second = await take()
+    expect([first.target.id, second.target.id === FAILING]).toEqual([FAILING, false])
+    first.release(GOOD)
+    second.release(GOOD)
+  }
+  expect(set.listTargets()[0]?.state).toBe('cold')
+  expect(events.at(-1)).toMatchObject({ type: 'target-returned', target: FAILING })
+})
+
+test('a failed trial makes the next one wait longer', async () => {
+  const setup = setupTargetSet(buildService(10))
+  await runTraffic(setup, 500, (target) => target.id === FAILING)
+  const waits: number[] = []
+  for (let trial = 0; trial < 3; trial++) {
+    let waitedMs = 0
+    for (;;) {
+      const slot = await setup.take()
+      slot.release(slot.target.id === FAILING ? BAD : GOOD)
+      if (slot.target.id === FAILING) break
+      await setup.clock.advance(500)
+      waitedMs += 500
+    }
+    waits.push(waitedMs)
+  }
+  expect(waits[1]).toBeGreaterThan(waits[0]!)
+  expect(waits[2]).toBeGreaterThan(waits[1]!)
+})
+
+test('with probes a trial waits until a probe was answered', async () => {
+  let isUp = false
+  const setup = setupTargetSet(buildService(10), { sendProbe: async () => ({ kind: isUp ? 'ready' : 'unreachable' }) })
+  await runTraffic(setup, 500, (target) => target.id === FAILING)
+  await runTraffic(setup, 6_000, () => false)
+  expect(setup.set.listTargets()[0]?.state).toBe('ejected')
+  isUp = true
+  const counts = await runTraffic(setup, 8_000, () => false)
+  expect(counts.get(FAILING)).toBeGreaterThan(0)
+  expect(setup.set.listTargets()[0]?.state).toBe('cold')
+})
+
+test('a refusal by shedding attracts no load and ejects nothing', async () => {
+  const setup = setupTargetSet(buildService(10))
+  let shed = 0
+  for (let ms = 0; ms < 1_000; ms++) {
+    const slot = await setup.take()
+    const isShed = slot.target.id === FAILING
+    if (isShed) shed += 1
+    setup.clock.startTimer(isShed ? BAD_MS : GOOD_MS, () => slot.release(isShed ? { kind: 'shed' } : GOOD))
+    await setup.clock.advance(1)
+  }
+  expect(shed).toBeLessThan(100)
+  expect(setup.set.listTargets()[0]?.state).toBe('serving')
+})
+
+test('the share of a new target grows with its ramp', async () => {
+  let turn = 0
+  const setup = setupTargetSet(buildService(9), { random: () => (turn = (turn + 0.381966) % 1) })
+  setup.set.updateContract(buildService(10, { coldRampMs: 10_000 }))
+  const perSecond: number[] = []
+  for (let second = 0; second < 10; second++) {
+    const counts = await runTraffic(setup, 1_000, () => false)
+    perSecond.push(counts.get('t9') ?? 0)
+  }
+  expect(perSecond[0]).toBeLessThan(40)
+  expect(perSecond[4]).toBeGreaterThan(perSecond[0]!)
+  expect(perSecond[9]).toBeGreaterThan(60)
+  expect(setup.set.listTargets().find((target) => target.id === toTargetId('t9'))?.state).toBe('cold')
+})
--- /dev/null
+++ b/test/target-leaving.test.ts
@@ -0,0 +1,114 @@
+import { expect, test } from 'vitest'
+import type { ProbeResult } from '../src/process/targets/target-prober.ts'
+import type { LeavingSource } from '../src/process/targets/target-set.ts'
+import type { HostState, TargetId } from '../src/types.ts'
+import { buildService, setupTargetSet, toTargetId } from './support/target-service.ts'
+
+const GOOD = { kind: 'answered', status: 200, firstByteMs: 20 } as const
+const T0 = toTargetId('t0')
+
+function buildList (states: Record<string, HostState>) {
+  return Object.entries(states).map(([id, state]) => ({ id, state }))
+}
+
+/** Takes and releases so many slots, and tells which targets got them. */
+async function listChosen (setup: ReturnType<typeof setupTargetSet>, count: number): Promise<Set<string>> {
+  const slots = []
+  for (let index = 0; index < count; index++) slots.push(await setup.take())
+  for (const slot of slots) slot.release(GOOD)
+  return new Set(slots.map((slot) => slot.target.id))
+}
+
+test.each<LeavingSource>(['host-list', 'answer', 'probe', 'peer'])('no new work after the first sign from %s, though the list says live', async (source) => {
+  const told: TargetId[] = []
+  const setup = setupTargetSet(buildService(3), { notifyLeaving: (target) => told.push(target) })
+  expect(await listChosen(setup, 12)).toContain('t0')
+  setup.set.markLeaving(T0, source)
+  const live = buildList({ t0: 'live', t1: 'live', t2: 'live' })
+
+  // Following the latest word of the list alone would revive it at once.
+  const naive = new Map(live.map((host) => [host.id, host.state]))
+  expect(naive.get('t0')).toBe('live')
+
+  for (let second = 0; second < 10; second++) {
+    setup.set.updateHosts(live)
+    expect(await listChosen(setup, 8)).not.toContain('t0')
+    await setup.clock.advance(1_000)
+  }
+  expect(setup.events.filter((event) => event.type === 'target-leaving')).toHaveLength(1)
+  expect(told).toEqual(source === 'peer' ? [] : [T0])
+})
+
+test('work in progress on a leaving target runs to its end', async () => {
+  const setup = setupTargetSet(buildService(1))
+  const slot = await setup.take()
+  setup.set.markLeaving(T0, 'answer')
+  expect(setup.set.listTargets()[0]).toMatchObject({ state: 'leaving', inFlight: 1 })
+  slot.release(GOOD)
+  expect(setup.set.listTargets()[0]).toMatchObject({ state: 'leaving', inFlight: 0 })
+  expect((await setup.set.takeSlot(setup.buildWish()))._unsafeUnwrapErr().kind).toBe('no-target')
+})
+
+function setupWithProbes (first: ProbeResult['kind']) {
+  const answer = { kind: first }
+  const setup = setupTargetSet(buildService(3), { sendProbe: async () => answer })
+  return { ...setup, answer }
+}
+
+test('a restarted target is known by refusing connections and then answering ready', async () => {
+  const setup = setupWithProbes('ready')
+  setup.set.markLeaving(T0, 'answer')
+  await setup.clock.advance(50_000)
+  expect(setup.set.listTargets()[0]?.state).toBe('leaving')
+  setup.answer.kind = 'unreachable'
+  await setup.clock.advance(12_000)
+  setup.answer.kind = 'ready'
+  await setup.clock.advance(12_000)
+  expect(setup.set.listTargets()[0]?.state).toBe('cold')
+  // Four slots of each other target, and the one that a cold target takes at first.
+  expect(await listChosen(setup, 9)).toContain('t0')
+})
+
+test('a list that has said live for long brings a target back only with a ready probe', async () => {
+  const setup = setupWithProbes('leaving')
+  const advanceSeconds = async (seconds: number) => {
+    for (let second = 0; second < seconds; second++) {
+      setup.set.updateHosts(buildList({ t0: 'live', t1: 'live', t2: 'live' }))
+      await setup.clock.advance(1_000)
+    }
+  }
+  setup.set.updateHosts(buildList({ t0: 'leaving', t1: 'live', t2: 'live' }))
+  await advanceSeconds(90)
+  expect(setup.set.listTargets()[0]?.state).toBe('leaving')
+  setup.answer.kind = 'ready'
+  await advanceSeconds(15)
+  expect(setup.set.listTargets()[0]?.state).toBe('cold')
+})
+
+test('a list that changes its mind again and again brings nothing back', async () => {
+  const setup = setupWithProbes('ready')
+  for (let second = 0; second < 300; second++) {
+    setup.set.updateHosts(buildList({ t0: second % 30 === 0 ? 'leaving' : 'live', t1: 'live', t2: 'live' }))
+    await setup.clock.advance(1_000)
+  }
+  expect(setup.set.listTargets()[0]?.state).toBe('leaving')
+})
+
+test('a target that moved to another address is a new process and starts cold', () => {
+  const setup = setupTargetSet(buildService(3))
+  setup.set.markLeaving(T0, 'host-list')
+  const moved = buildService(3)
+  moved.targets[0] = { ...moved.targets[0]!, port: 9999 }
+  setup.set.updateContract(moved)
+  expect(setup.set.listTargets()[0]?.state).toBe('cold')
+})
+
+test('a leaving target that a contract drops and lists again is still leaving', () => {
+  const setup = setupTargetSet(buildService(3))
+  setup.set.markLeaving(T0, 'answer')
+  const without = buildService(3)
+  without.targets.shift()
+  setup.set.updateContract(without)
+  setup.set.updateContract(buildService(3))
+  expect(setup.set.listTargets().find((target) => target.id === T0)?.state).toBe('leaving')
+})
