--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -70,7 +70,13 @@
   const mesh = createPeerMesh({ self: { ...settings.entry, port: settings.entry.callerPort, incarnation }, peerKey: settings.peerKey, hostList, clock })
   const limiter = createCustomerLimiter({ clock })
   const claims = createLogClaimBook({ log, clock, entry: self, incarnation, partitions: CLAIM_PARTITIONS, retentionMs: settings.log.retentionMs })
-  const services = createServiceDirectory({ self, clock, audit, listLiveEntries: () => mesh.listLiveEntries() })
+  const services = createServiceDirectory({
+    self,
+    clock,
+    audit,
+    listLiveEntries: () => mesh.listLiveEntries(),
+    notifyLeaving: (customer, service, target) => mesh.broadcast({ type: 'target-leaving', customer, service, target })
+  })
   const findOwner = (key: KeyHash): EntryId => {
     const partition = computePartition(key, CLAIM_PARTITIONS)
     return rankEntries(`claims-${partition}`, mesh.listLiveEntries())[0] ?? self
--- a/src/process/service-links.ts
+++ b/src/process/service-links.ts
@@ -2,6 +2,7 @@
  * The targets of every service in force with the connections to them.
  */
 import type { Clock } from '../clock.ts'
+import { sendProbe } from '../connection/send-probe.ts'
 import { createTargetPool } from '../connection/target-pool.ts'
 import type { TargetPool } from '../connection/target-pool.ts'
 import type { ServiceLinks } from '../request/call.ts'
@@ -19,6 +20,8 @@
   audit: Pick<AuditTrail, 'record'>
   /** Returns the live entries. */
   listLiveEntries(): readonly EntryId[]
+  /** Called when this process sees by itself that a target is leaving. */
+  notifyLeaving(customer: CustomerId, service: ServiceId, target: TargetId): void
 }
 
 /** One service in force. */
@@ -53,7 +56,18 @@
 function openService (options: ServiceDirectoryOptions, contract: Contract, serviceId: ServiceId, service: ServiceContract): OpenService {
   const { clock, audit, self } = options
   const { customer } = contract
-  const targets = createTargetSet({ customer, serviceId, service, self, entries: options.listLiveEntries(), clock, audit })
+  const targets = createTargetSet({
+    customer,
+    serviceId,
+    service,
+    self,
+    entries: options.listLiveEntries(),
+    largestEntries: contract.entries.largestCount,
+    clock,
+    audit,
+    sendProbe,
+    notifyLeaving: (target) => options.notifyLeaving(customer, serviceId, target)
+  })
   const pools = new Map<TargetId, { target: ContractTarget, pool: TargetPool }>()
   let largestConnections = getLargestConnections(contract, service)
 
@@ -81,7 +95,7 @@
     listPools: () => [...pools.values()].map(({ pool }) => pool),
     updateContract (next, nextService) {
       largestConnections = getLargestConnections(next, nextService)
-      targets.updateContract(nextService)
+      targets.updateContract(nextService, next.entries.largestCount)
       dropUnlisted(nextService)
     },
     close () {
--- a/test/support/data-path.ts
+++ b/test/support/data-path.ts
@@ -38,6 +38,7 @@
     service,
     self: toBrand<EntryId>('e0'),
     entries: [toBrand<EntryId>('e0')],
+    largestEntries: 1,
     clock,
     audit: { record: () => undefined },
     random: () => 0
