--- a/src/process/claims/claim-attempts.ts
+++ b/src/process/claims/claim-attempts.ts
@@ -55,6 +55,11 @@
   return ok(holder.outcome ? { kind: 'repeated', outcome: holder.outcome } : { kind: 'elsewhere' })
 }
 
+/** Returns how long the log must remember the claim: the window of the key from the last instant at which it may be sent. */
+function computeWindowMs (attempt: ClaimAttempt, startedMs: number): number {
+  return Math.ceil(attempt.onceWindowMs + attempt.deadlineMs - startedMs)
+}
+
 interface GrantedClaim { seq: number, key: KeyHash, windowMs: number, sendBeforeMs: number }
 
 function buildClaim (granted: GrantedClaim, clock: Clock, queue: QueuePart): Claim {
@@ -93,7 +98,8 @@
     if (!found) return
     settle(seq, refuseAttempt(kind, message))
     if (queue.removeClaim(seq)) return
-    queue.addNotice({ kind: 'void', seq, key: found.attempt.keyHash, windowMs: found.attempt.onceWindowMs })
+    const { attempt, startedMs } = found
+    queue.addNotice({ kind: 'void', seq, key: attempt.keyHash, windowMs: computeWindowMs(attempt, startedMs) })
   }
   const stopWaiting = (seq: number): void => {
     const deadlineMs = waiting.get(seq)?.attempt.deadlineMs ?? 0
@@ -105,7 +111,7 @@
     const found = waiting.get(seq)
     // Its attempt was answered long ago and will never be sent.
     if (!found) return queue.addNotice({ kind: 'void', seq, key, windowMs })
-    const sendBeforeMs = Math.min(found.attempt.deadlineMs, found.startedMs + windowMs)
+    const sendBeforeMs = found.attempt.deadlineMs
     if (clock.monotonicMs() >= sendBeforeMs) return refuse(seq, 'deadline-passed', 'The deadline passed before the claim was granted.')
     settle(seq, ok({ kind: 'admitted', claim: buildClaim({ seq, key, windowMs, sendBeforeMs }, clock, queue) }))
   }
@@ -119,13 +125,14 @@
       const startedMs = clock.monotonicMs()
       const waitMs = Math.min(claimWaitMs, attempt.deadlineMs - startedMs)
       waiting.set(seq, { attempt, startedMs, resolve, cancelTimer: clock.startTimer(waitMs, () => stopWaiting(seq)) })
-      const { keyHash: key, requestDigest: digest, onceWindowMs: windowMs } = attempt
-      queue.addClaim({ kind: 'claim', seq, key, digest, windowMs })
+      const { keyHash: key, requestDigest: digest } = attempt
+      queue.addClaim({ kind: 'claim', seq, key, digest, windowMs: computeWindowMs(attempt, startedMs) })
     }),
     handleDecision (decision) {
       switch (decision.kind) {
         case 'granted': return handleGranted(decision)
         case 'lost': return handleLost(decision.seq, decision.holder)
+        case 'uncertain': return refuse(decision.seq, 'platform-down', 'Claims have aged out unread; the once-window cannot be proved yet.')
         case 'void': return settle(decision.seq, refuseAttempt('platform-down', 'The claim was void before it came.'))
       }
     },
--- a/src/process/claims/claim-checkpoint.ts
+++ b/src/process/claims/claim-checkpoint.ts
@@ -9,7 +9,6 @@
 
 const CHECKS_PER_INTERVAL = 10
 const LARGEST_JITTER_SHARE = 0.2
-const REQUEST_INTERVAL_MS = 2_000
 const ANSWER_JITTER_MS = 500
 const PART_BYTES = 131_072
 const PART_CLAIMS = 1_000
@@ -29,8 +28,8 @@
 export interface CheckpointWriter {
   /** Takes notice of a record of the stream that is not a batch of claims. */
   handleRecord(record: ClaimRecord): void
-  /** Asks the other processes for a checkpoint and waits a while. */
-  requestCheckpoint(signal: AbortSignal): Promise<void>
+  /** Asks the other processes for a checkpoint; the record also moves the time of the stream. */
+  requestCheckpoint(): Promise<void>
   countWritten(): number
   close(): void
 }
@@ -130,9 +129,8 @@
       if (record.type !== 'checkpoint' || !addPart(record)) return
       progress.lastWallMs = Math.max(progress.lastWallMs, Math.min(record.atMs, clock.wallMs()))
     },
-    async requestCheckpoint (signal) {
+    async requestCheckpoint () {
       await log.append(stream, encodeClaimRecord({ type: 'checkpoint-wanted', v: 1, writer, atMs: Math.floor(clock.wallMs()) }))
-      await clock.wait(REQUEST_INTERVAL_MS * (1 + random()), signal)
     },
     countWritten: () => progress.written,
     close: () => stop.abort()
--- a/src/process/claims/claim-index.ts
+++ b/src/process/claims/claim-index.ts
@@ -9,6 +9,7 @@
 import type { KeyHash, Offset } from '../../types.ts'
 import type { RecordedOutcome } from './claim-book.ts'
 import type { ClaimEntry, ClaimRecord, KeptClaim, KeptVoid } from './claim-record.ts'
+import { createPartialView } from './partial-view.ts'
 
 const SWEEP_INTERVAL_MS = 60_000
 
@@ -28,6 +29,8 @@
   | { kind: 'lost', seq: number, holder: HeldClaim }
   /** It was void before it came. */
   | { kind: 'void', seq: number }
+  /** The start of the stream is not known, and what is known does not settle it. */
+  | { kind: 'uncertain', seq: number }
 
 /** A copy of the state at one offset. */
 export interface IndexSnapshot {
@@ -46,8 +49,10 @@
   /** Copies the state; `covers` is the offset that the next record would be read from. */
   buildSnapshot(covers: Offset): IndexSnapshot
   countKeys(): number
-  /** The time of the stream, in ms since 1970. */
-  getStreamMs(): number
+  /** Whether the state is the same as that of every reader with the whole stream. */
+  isWhole(): boolean
+  /** Whether a claim of the key could be granted, as far as the start of the stream is concerned. */
+  canGrant(key: KeyHash, windowMs: number): boolean
 }
 
 /** Copies the body, which is otherwise a view that keeps the whole record in memory. */
@@ -83,6 +88,8 @@
 /** Claims in force by key. */
 interface HeldClaims {
   find(key: string, streamMs: number): HeldClaim | undefined
+  /** Finds the claim in force if it is the one that the entry speaks of. */
+  findOwn(entry: ClaimEntry, writer: string, streamMs: number): HeldClaim | undefined
   set(key: string, claim: HeldClaim): void
   drop(key: string): void
   dropExpired(streamMs: number): void
@@ -103,10 +110,15 @@
     byKey.set(key, { writer: loadWriter(writer), seq, digest, untilMs, outcome })
   }
   for (const { key, ...claim } of kept) set(key, claim)
+  const find = (key: string, streamMs: number): HeldClaim | undefined => {
+    const holder = byKey.get(key)
+    return holder && holder.untilMs > streamMs ? holder : undefined
+  }
   return {
-    find (key, streamMs) {
-      const holder = byKey.get(key)
-      return holder && holder.untilMs > streamMs ? holder : undefined
+    find,
+    findOwn ({ key, seq }, writer, streamMs) {
+      const holder = find(key, streamMs)
+      return holder?.writer === writer && holder.seq === seq ? holder : undefined
     },
     set,
     drop: (key) => { byKey.delete(key) },
@@ -123,11 +135,18 @@
   }
 }
 
-/** Creates the state of an empty stream, or of a stream up to a snapshot. */
-export function createClaimIndex (snapshot?: IndexSnapshot): ClaimIndex {
-  const held = createHeldClaims(snapshot?.claims ?? [])
-  const voids = createVoidMemory(snapshot?.voids ?? [])
-  let streamMs = snapshot?.streamMs ?? 0
+/** From where a stream is read: its first record, a snapshot, or wherever its first kept record stands. */
+export type IndexStart = { from: 'first-record' } | { from: 'snapshot', snapshot: IndexSnapshot } | { from: 'middle', largestWindowMs: number }
+
+const EMPTY_SNAPSHOT: IndexSnapshot = { covers: toBrand<Offset>(0), streamMs: 0, claims: [], voids: [] }
+
+/** Creates the state at the place from which a stream is read. */
+export function createClaimIndex (start: IndexStart): ClaimIndex {
+  const { claims, voids: keptVoids, streamMs: startMs } = start.from === 'snapshot' ? start.snapshot : EMPTY_SNAPSHOT
+  const held = createHeldClaims(claims)
+  const voids = createVoidMemory(keptVoids)
+  let partial = start.from === 'middle' ? createPartialView(start.largestWindowMs) : undefined
+  let streamMs = startMs
   let nextSweepMs = 0
 
   /** Two clocks must both be ahead for a key to be forgotten early. */
@@ -137,46 +156,50 @@
     nextSweepMs = streamMs + SWEEP_INTERVAL_MS
     held.dropExpired(streamMs)
     voids.dropExpired(streamMs)
+    if (partial?.isSettled(streamMs)) partial = undefined
   }
   const applyClaim = (entry: ClaimEntry & { kind: 'claim' }, writer: string, startMs: number): ClaimDecision => {
     const { seq, key, digest, windowMs } = entry
     if (voids.isVoid(writer, seq, streamMs)) return { kind: 'void', seq }
+    const untilMs = startMs + windowMs
     const holder = held.find(key, streamMs)
+    const isUncertain = !holder && partial?.canGrant(key, windowMs, streamMs) === false
+    if (holder || isUncertain) partial?.addClaim(key, untilMs)
     if (holder) return { kind: 'lost', seq, holder }
-    held.set(key, { writer, seq, digest, untilMs: startMs + windowMs })
+    if (isUncertain) return { kind: 'uncertain', seq }
+    held.set(key, { writer, seq, digest, untilMs })
     return { kind: 'granted', seq, key: toBrand<KeyHash>(key), windowMs }
   }
   const applyVoid = (entry: ClaimEntry & { kind: 'void' }, writer: string, startMs: number): void => {
-    const { seq, key, windowMs } = entry
-    const holder = held.find(key, streamMs)
-    const isHolder = holder?.writer === writer && holder.seq === seq
-    if (isHolder && holder.outcome) return
-    if (isHolder) held.drop(key)
-    voids.add(writer, seq, startMs + windowMs)
+    const own = held.findOwn(entry, writer, streamMs)
+    if (own?.outcome) return
+    if (own) held.drop(entry.key)
+    voids.add(writer, entry.seq, startMs + entry.windowMs)
   }
   const applyOutcome = (entry: ClaimEntry & { kind: 'outcome' }, writer: string): void => {
-    const holder = held.find(entry.key, streamMs)
-    if (holder?.writer !== writer || holder.seq !== entry.seq || holder.outcome) return
-    held.set(entry.key, { ...holder, outcome: buildOwnCopy(entry.outcome) })
+    const own = held.findOwn(entry, writer, streamMs)
+    if (own && !own.outcome) held.set(entry.key, { ...own, outcome: buildOwnCopy(entry.outcome) })
+  }
+  const applyEntry = (entry: ClaimEntry, writer: string, startMs: number): ClaimDecision[] => {
+    switch (entry.kind) {
+      case 'claim': return [applyClaim(entry, writer, startMs)]
+      case 'void': applyVoid(entry, writer, startMs); break
+      case 'outcome': applyOutcome(entry, writer); break
+    }
+    return []
   }
   return {
     applyRecord (record, appendedAtMs) {
+      partial?.addRecord(appendedAtMs)
       advanceTime(record.atMs, appendedAtMs)
       if (record.type !== 'claims') return []
       const startMs = Math.max(streamMs, record.atMs, appendedAtMs)
-      const decisions: ClaimDecision[] = []
-      for (const entry of record.entries) {
-        switch (entry.kind) {
-          case 'claim': decisions.push(applyClaim(entry, record.writer, startMs)); break
-          case 'void': applyVoid(entry, record.writer, startMs); break
-          case 'outcome': applyOutcome(entry, record.writer); break
-        }
-      }
-      return decisions
+      return record.entries.flatMap((entry) => applyEntry(entry, record.writer, startMs))
     },
     findHolder: (key) => held.find(key, streamMs),
     buildSnapshot: (covers) => ({ covers, streamMs, claims: held.listUnexpired(streamMs), voids: voids.listUnexpired(streamMs) }),
     countKeys: () => held.count(),
-    getStreamMs: () => streamMs
+    isWhole: () => partial === undefined,
+    canGrant: (key, windowMs) => partial?.canGrant(key, windowMs, streamMs) ?? true
   }
 }
--- a/src/process/claims/claim-loader.ts
+++ b/src/process/claims/claim-loader.ts
@@ -22,9 +22,6 @@
   position: Offset
 }
 
-/** `unproven`: records have aged out and no checkpoint covers them, so that keys in their window may be missing. */
-export type LoadResult = { kind: 'loaded', state: LoadedState } | { kind: 'unproven' }
-
 /** Collects the parts of checkpoints and keeps the newest whole one. */
 export interface CheckpointCollector {
   /** Adds a part; returns true when it made a checkpoint whole. */
@@ -57,7 +54,8 @@
   const covers = toBrand<Offset>(parts[0]!.covers)
   const claims = parts.flatMap((part) => part.claims)
   const voids = parts.flatMap((part) => part.voids)
-  return { index: createClaimIndex({ covers, streamMs: parts[0]!.streamMs, claims, voids }), position: covers }
+  const snapshot = { covers, streamMs: parts[0]!.streamMs, claims, voids }
+  return { index: createClaimIndex({ from: 'snapshot', snapshot }), position: covers }
 }
 
 /** Reads all that a stream holds and returns the newest whole checkpoint in it. */
@@ -77,17 +75,18 @@
 }
 
 /**
- * Loads the state of a stream: from its first record, or from a checkpoint that covers every record that is gone.
+ * Loads the state of a stream: from its first record, or from a checkpoint that covers every record that is gone,
+ * or else from the middle, so that little can be granted at first.
  * Errors: `log-unavailable`, `log-gap` (try again).
  */
-export async function loadClaimState (log: LogClient, stream: StreamName): Promise<Result<LoadResult, AppError>> {
+export async function loadClaimState (log: LogClient, stream: StreamName, largestWindowMs: number): Promise<Result<LoadedState, AppError>> {
   const bounds = await log.readBounds(stream)
   if (bounds.isErr()) return err(bounds.error)
   const { earliest } = bounds.value
-  if (earliest === FIRST_OFFSET) return ok({ kind: 'loaded', state: { index: createClaimIndex(), position: FIRST_OFFSET } })
+  if (earliest === FIRST_OFFSET) return ok({ index: createClaimIndex({ from: 'first-record' }), position: FIRST_OFFSET })
   const found = await findCheckpoint(log, stream, earliest)
   if (found.isErr()) return err(found.error)
   const parts = found.value
-  if (!parts || parts[0]!.covers < earliest) return ok({ kind: 'unproven' })
-  return ok({ kind: 'loaded', state: buildStateFrom(parts) })
+  const isCovering = parts && parts[0]!.covers >= earliest
+  return ok(isCovering ? buildStateFrom(parts) : { index: createClaimIndex({ from: 'middle', largestWindowMs }), position: earliest })
 }
--- a/src/process/claims/claim-partition.ts
+++ b/src/process/claims/claim-partition.ts
@@ -26,6 +26,8 @@
   largestBatch: number
   /** Keys that this stream may hold before claims are refused. */
   largestKeyCount: number
+  /** The longest once-window of any contract, in ms. */
+  largestWindowMs: number
   /** How often the state is written again, in ms. */
   checkpointIntervalMs: number
   /** Tells of a record that all readers skip. */
@@ -56,10 +58,10 @@
 }
 
 /** Says why the stream takes no claims now; undefined when it does. */
-function describeRefusal (reader: ClaimReader, largestKeyCount: number): string | undefined {
+function describeRefusal (reader: ClaimReader, attempt: ClaimAttempt, largestKeyCount: number): string | undefined {
   const index = reader.getIndex()
-  if (reader.getState() === 'unproven') return 'Claims have aged out unread; the once-window cannot be proved yet.'
   if (reader.getState() === 'loading' || !index) return 'The claims are still being read.'
+  if (!index.canGrant(attempt.keyHash, attempt.onceWindowMs)) return 'Claims have aged out unread; the once-window cannot be proved yet.'
   if (reader.countFailures() >= FAILURES_TO_REFUSE) return 'The log cannot be read.'
   if (index.countKeys() >= largestKeyCount) return 'No more keys can be remembered; raise the bound or shorten the once-window.'
   return undefined
@@ -85,15 +87,15 @@
       if (record.writer === writer) for (const decision of decisions) attempts.handleDecision(decision)
     },
     // A later claim could otherwise be judged without records that are gone.
-    handleGap: () => attempts.refuseAll('The claims are being read anew.'),
-    waitForCheckpoint: (signal) => checkpoints.requestCheckpoint(signal)
+    handleReload: () => attempts.refuseAll('The claims are being read anew.'),
+    requestCheckpoint: () => checkpoints.requestCheckpoint()
   })
   const checkAdmission = (attempt: ClaimAttempt): Result<ClaimVerdict, AppError> | undefined => {
     if (isClosed) return refuseAttempt('platform-down', 'This process is stopping.')
     if (clock.monotonicMs() >= attempt.deadlineMs) return refuseAttempt('deadline-passed', 'The deadline has passed.')
     const holder = reader.getIndex()?.findHolder(attempt.keyHash)
     if (holder && holder.untilMs > clock.wallMs()) return buildLostVerdict(attempt, holder)
-    const refusal = describeRefusal(reader, largestKeyCount)
+    const refusal = describeRefusal(reader, attempt, largestKeyCount)
     if (refusal) return refuseAttempt('platform-down', refusal)
     if (!queue.canTryClaim()) return refuseAttempt('platform-down', 'The log takes no records.')
     return undefined
--- a/src/process/claims/claim-reader.ts
+++ b/src/process/claims/claim-reader.ts
@@ -14,22 +14,26 @@
 const LONGEST_BACKOFF_MS = 1_000
 const LARGEST_DOUBLINGS = 6
 const PAGE_LIMIT = 200
+const FIRST_REQUEST_INTERVAL_MS = 2_000
+const LONGEST_REQUEST_INTERVAL_MS = 60_000
 
 /** Options of a reader. */
 export interface ClaimReaderOptions extends ClaimStreamOptions {
   /** How long a read waits for new records, in ms. */
   pollMs: number
+  /** The longest once-window of any contract, in ms. */
+  largestWindowMs: number
   /** Gets each record that counts, with what its claims came to. */
   handleRecord: (record: ClaimRecord, decisions: ClaimDecision[]) => void
   /** Tells of a record that all readers skip. */
   handleSkipped: (offset: Offset) => void
-  /** Tells that records have aged out unread and the state is forgotten. */
-  handleGap: () => void
-  /** Waits before the stream is looked at again that no checkpoint covers. */
-  waitForCheckpoint: (signal: AbortSignal) => Promise<void>
+  /** Tells that the state is about to be read anew. */
+  handleReload: () => void
+  /** Asks the other processes for a checkpoint. */
+  requestCheckpoint: () => Promise<void>
 }
 
-/** How far a reader is. `unproven`: keys in their window may have aged out unread. */
+/** How far a reader is. `unproven`: it has read all there is, but keys in their window may have aged out before. */
 export type ReaderState = 'loading' | 'unproven' | 'ready'
 
 /** The state of one claim stream as read so far. */
@@ -50,11 +54,19 @@
 interface Reading {
   index: ClaimIndex | undefined
   position: Offset
-  state: ReaderState
+  isCaughtUp: boolean
+  /** A checkpoint has come that the state may be read from. */
+  hasCheckpoint: boolean
+  nextRequestMs: number
+  requests: number
   failures: number
   skipped: number
 }
 
+function createReading (): Reading {
+  return { index: undefined, position: toBrand<Offset>(0), isCaughtUp: false, hasCheckpoint: false, nextRequestMs: 0, requests: 0, failures: 0, skipped: 0 }
+}
+
 /** Applies a page in offset order; records that came twice are passed over. */
 function applyPage (reading: Reading, page: LogPage, options: ClaimReaderOptions): void {
   for (const { offset, appendedAtMs, data } of page.records) {
@@ -62,6 +74,7 @@
     reading.position = toBrand<Offset>(offset + 1)
     const record = decodeClaimRecord(data)
     if (record) {
+      if (record.type === 'checkpoint') reading.hasCheckpoint = true
       options.handleRecord(record, reading.index.applyRecord(record, appendedAtMs))
     } else {
       reading.skipped += 1
@@ -71,61 +84,91 @@
   reading.position = toBrand<Offset>(Math.max(reading.position, page.nextOffset))
 }
 
+function getReaderState ({ index, isCaughtUp }: Reading): ReaderState {
+  if (!index || !isCaughtUp) return 'loading'
+  return index.isWhole() ? 'ready' : 'unproven'
+}
+
+function computeRequestIntervalMs (requests: number): number {
+  return Math.min(LONGEST_REQUEST_INTERVAL_MS, FIRST_REQUEST_INTERVAL_MS * 2 ** Math.min(requests, LARGEST_DOUBLINGS))
+}
+
+function computeBackoffMs (failures: number): number {
+  return Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** Math.min(failures, LARGEST_DOUBLINGS))
+}
+
+/** Finds the place from which to read; returns false when the log cannot be read. */
+async function loadState (reading: Reading, options: ClaimReaderOptions): Promise<boolean> {
+  const loaded = await loadClaimState(options.log, options.stream, options.largestWindowMs)
+  if (loaded.isErr()) return false
+  // What a partial view has learned is kept until something better is found.
+  if (reading.index && !loaded.value.index.isWhole()) return true
+  if (reading.index) options.handleReload()
+  Object.assign(reading, loaded.value, { isCaughtUp: false, failures: 0 })
+  return true
+}
+
+/** Looks for a checkpoint while the start of the stream is not known. */
+async function tryCheckpoint (reading: Reading, options: ClaimReaderOptions): Promise<void> {
+  const { clock, random } = options
+  if (reading.hasCheckpoint) {
+    reading.hasCheckpoint = false
+    await loadState(reading, options)
+    return
+  }
+  if (clock.monotonicMs() < reading.nextRequestMs) return
+  reading.nextRequestMs = clock.monotonicMs() + computeRequestIntervalMs(reading.requests) * (1 + random()) / 2
+  reading.requests += 1
+  await options.requestCheckpoint()
+}
+
 /** Creates a reader and starts its task. */
 export function createClaimReader (options: ClaimReaderOptions): ClaimReader {
   const { log, clock, stream, random, pollMs } = options
   const stop = new AbortController()
-  const reading: Reading = { index: undefined, position: toBrand<Offset>(0), state: 'loading', failures: 0, skipped: 0 }
-  let readyWaiters: (() => void)[] = []
+  const reading = createReading()
+  const readyWaiters: (() => void)[] = []
 
   const releaseReadyWaiters = (): void => {
-    for (const resolve of readyWaiters) resolve()
-    readyWaiters = []
+    for (const resolve of readyWaiters.splice(0)) resolve()
   }
   const waitAfterFailure = async (): Promise<void> => {
-    const backoffMs = Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** Math.min(reading.failures, LARGEST_DOUBLINGS))
+    const backoffMs = computeBackoffMs(reading.failures)
     reading.failures += 1
     await clock.wait(backoffMs * (1 + random()) / 2, stop.signal)
   }
-  const load = async (): Promise<void> => {
-    const loaded = await loadClaimState(log, stream)
-    if (loaded.isErr()) return waitAfterFailure()
-    reading.failures = 0
-    if (loaded.value.kind === 'loaded') {
-      Object.assign(reading, loaded.value.state, { state: 'loading' })
-      return
-    }
-    reading.state = 'unproven'
-    await options.waitForCheckpoint(stop.signal)
+  const loadOrWait = async (): Promise<void> => {
+    if (!await loadState(reading, options)) await waitAfterFailure()
   }
   const readOnce = async (): Promise<void> => {
-    const waitMs = reading.state === 'ready' ? pollMs : 0
+    // After a failure the next answer comes at once, so that claims are taken again as soon as the log works.
+    const waitMs = reading.isCaughtUp && reading.failures === 0 ? pollMs : 0
     const page = await log.read(stream, reading.position, { limit: PAGE_LIMIT, waitMs, signal: stop.signal })
     if (stop.signal.aborted) return
     if (page.isErr()) {
       if (page.error.kind === 'log-gap') {
-        Object.assign(reading, { index: undefined, state: 'loading' })
-        options.handleGap()
+        reading.index = undefined
+        options.handleReload()
       }
       return waitAfterFailure()
     }
     reading.failures = 0
     applyPage(reading, page.value, options)
-    if (reading.position < page.value.bounds.next) return
-    reading.state = 'ready'
-    releaseReadyWaiters()
+    reading.isCaughtUp ||= reading.position >= page.value.bounds.next
+    if (getReaderState(reading) === 'unproven') return tryCheckpoint(reading, options)
+    if (getReaderState(reading) === 'ready') releaseReadyWaiters()
   }
   const run = async (): Promise<void> => {
-    while (!stop.signal.aborted) await (reading.index ? readOnce() : load())
+    while (!stop.signal.aborted) await (reading.index ? readOnce() : loadOrWait())
   }
   const running = run()
   return {
-    getState: () => reading.state,
+    getState: () => getReaderState(reading),
     getIndex: () => reading.index,
-    buildSnapshot: () => (reading.state === 'ready' ? reading.index?.buildSnapshot(reading.position) : undefined),
+    buildSnapshot: () => (getReaderState(reading) === 'ready' ? reading.index?.buildSnapshot(reading.position) : undefined),
     countFailures: () => reading.failures,
     countSkipped: () => reading.skipped,
-    waitUntilReady: () => (reading.state === 'ready' ? Promise.resolve() : new Promise((resolve) => readyWaiters.push(resolve))),
+    waitUntilReady: () => (getReaderState(reading) === 'ready' ? Promise.resolve() : new Promise((resolve) => readyWaiters.push(resolve))),
     async close () {
       stop.abort()
       releaseReadyWaiters()
--- a/src/process/claims/log-claim-book.ts
+++ b/src/process/claims/log-claim-book.ts
@@ -33,6 +33,8 @@
   noticeLingerMs?: number
   /** Keys that this process remembers before it refuses claims. Default 1,000,000. */
   largestKeyCount?: number
+  /** The longest once-window of any contract, in ms; an upper bound does. Default seven days. */
+  largestWindowMs?: number
   /** How long the log keeps records, in ms; the state is written again four times within. Default one day. */
   retentionMs?: number
   /** Returns a number from 0 to below 1, for jitter. Default Math.random. */
@@ -64,6 +66,7 @@
   pollMs: 10_000,
   noticeLingerMs: 50,
   largestKeyCount: 1_000_000,
+  largestWindowMs: 604_800_000,
   retentionMs: 86_400_000,
   random: Math.random
 }
--- /dev/null
+++ b/test/claim-window.test.ts
@@ -0,0 +1,147 @@
+import { expect, test } from 'vitest'
+import { createTestClock } from '../src/clock.ts'
+import { formatClaimStream } from '../src/process/claims/log-claim-book.ts'
+import type { LogClaimBook, LogClaimBookOptions } from '../src/process/claims/log-claim-book.ts'
+import { createFakeLog } from './support/fake-log.ts'
+import { createProcessGate } from './support/process-gate.ts'
+import type { ProcessGate } from './support/process-gate.ts'
+import { createAttempt, createTestBook, describeVerdict, WINDOW_MS } from './support/claim-fixtures.ts'
+
+const STREAM = formatClaimStream(0)
+const RETENTION_MS = WINDOW_MS / 4
+const OUTCOME = { status: 201, headers: {}, body: new Uint8Array([7]) }
+
+interface TestProcess { book: LogClaimBook, gate: ProcessGate }
+
+/** Sets up a log that keeps records for a quarter of the once-window. */
+function setup () {
+  const clock = createTestClock()
+  const log = createFakeLog({ clock })
+  let started = 0
+  const startProcess = async (options: Partial<LogClaimBookOptions> = {}): Promise<TestProcess> => {
+    const gate = createProcessGate()
+    const settings = { retentionMs: RETENTION_MS, largestWindowMs: WINDOW_MS, ...options }
+    const book = createTestBook(log.createClient(gate), gate.createClock(clock), `incarnation-${started++}`, settings)
+    for (let step = 0; step < 20; step++) await clock.advance(10)
+    return { book, gate }
+  }
+  /** Moves the time on while the log ages out old records. */
+  const advanceWithRetention = async (ms: number): Promise<void> => {
+    const STEP_MS = 60_000
+    for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+      await clock.advance(Math.min(STEP_MS, ms - passedMs))
+      log.store.dropOlderThan(clock.wallMs() - RETENTION_MS)
+    }
+  }
+  const claim = async (book: LogClaimBook, key: string) => {
+    const running = book.claimKey(createAttempt(clock, key))
+    await clock.advance(200)
+    return running
+  }
+  const claimKind = async (book: LogClaimBook, key: string): Promise<string> => describeVerdict(await claim(book, key))
+  return { clock, log, startProcess, advanceWithRetention, claim, claimKind }
+}
+
+async function stopProcess ({ book, gate }: TestProcess): Promise<void> {
+  gate.kill()
+  const closing = book.close()
+  await Promise.race([closing, new Promise((resolve) => setImmediate(resolve))])
+}
+
+test('claims and outcomes outlive the retention of the log, for a process that starts blank', async () => {
+  const { startProcess, advanceWithRetention, claim, claimKind } = setup()
+  const first = await startProcess()
+  await claim(first.book, 'held')
+  const answered = (await claim(first.book, 'answered'))._unsafeUnwrap()
+  if (answered.kind === 'admitted') answered.claim.recordOutcome(OUTCOME)
+  await advanceWithRetention(3 * RETENTION_MS)
+  await stopProcess(first)
+  const second = await startProcess()
+  expect(second.book.isReady()).toBe(true)
+  expect(await claimKind(second.book, 'held')).toBe('elsewhere')
+  const verdict = (await claim(second.book, 'answered'))._unsafeUnwrap()
+  expect(verdict).toMatchObject({ kind: 'repeated', outcome: { status: 201 } })
+  await advanceWithRetention(WINDOW_MS)
+  expect(await claimKind(second.book, 'held')).toBe('admitted')
+})
+
+test('several processes keep few checkpoints, and each of them suffices', async () => {
+  const { startProcess, advanceWithRetention, claimKind } = setup()
+  const processes = [await startProcess({ random: () => 0.1 }), await startProcess({ random: () => 0.5 }), await startProcess({ random: () => 0.9 })]
+  for (let number = 0; number < 10; number++) await claimKind(processes[number % 3]!.book, `k${number}`)
+  await advanceWithRetention(2 * RETENTION_MS)
+  const written = processes.reduce((sum, { book }) => sum + book.report().checkpoints, 0)
+  expect(written).toBeGreaterThanOrEqual(4)
+  expect(written).toBeLessThanOrEqual(12)
+  const blank = await startProcess()
+  expect(blank.book.report().keys).toBe(10)
+})
+
+test('a checkpoint in several parts is read whole, and one that lacks a part is not used', async () => {
+  const { clock, log, startProcess, claimKind } = setup()
+  const first = await startProcess({ claimWaitMs: 10_000 })
+  const running = Promise.all(Array.from({ length: 2_500 }, (_, number) => first.book.claimKey(createAttempt(clock, `k${number}`))))
+  await clock.advance(2_000)
+  await running
+  const afterClaims = log.store.readBounds(STREAM).next
+  for (let step = 0; step < 50; step++) await clock.advance(RETENTION_MS / 100)
+  expect(first.book.report().checkpoints).toBeGreaterThan(0)
+  expect(log.store.readBounds(STREAM).next - afterClaims).toBeGreaterThan(1)
+  await stopProcess(first)
+  log.store.dropBefore(STREAM, afterClaims)
+  const helped = await startProcess()
+  expect(helped.book.report().keys).toBe(2_500)
+  await stopProcess(helped)
+  log.dropOldest([STREAM], 1)
+  const blank = await startProcess()
+  expect(blank.book.report().keys).toBe(0)
+  expect(blank.book.report().unproven).toBe(1)
+  expect(await claimKind(blank.book, 'k1')).toBe('platform-down')
+})
+
+test('a process that was paused past the retention reads anew and judges rightly', async () => {
+  const { clock, startProcess, advanceWithRetention, claimKind } = setup()
+  const paused = await startProcess()
+  const other = await startProcess()
+  await claimKind(paused.book, 'before')
+  paused.gate.pause()
+  await claimKind(other.book, 'during')
+  await advanceWithRetention(2 * RETENTION_MS)
+  paused.gate.resume()
+  for (let step = 0; step < 20; step++) await clock.advance(100)
+  expect(paused.book.isReady()).toBe(true)
+  for (const key of ['before', 'during']) expect(await claimKind(paused.book, key)).toBe('elsewhere')
+})
+
+test('a blank process refuses while the window cannot be proved, and a peer with the whole state helps it', async () => {
+  const { clock, log, startProcess, claimKind } = setup()
+  const whole = await startProcess()
+  for (const key of ['a', 'b', 'c', 'd']) await claimKind(whole.book, key)
+  log.dropOldest([STREAM], 1)
+  whole.gate.pause()
+  const blank = await startProcess()
+  expect(await claimKind(blank.book, 'a')).toBe('platform-down')
+  expect(await claimKind(blank.book, 'new')).toBe('platform-down')
+  whole.gate.resume()
+  await clock.advance(15_000)
+  expect(blank.book.isReady()).toBe(true)
+  expect(await claimKind(blank.book, 'a')).toBe('elsewhere')
+  expect(await claimKind(blank.book, 'new')).toBe('admitted')
+})
+
+test('when nobody knows the whole state any more, keys are admitted again after their window', async () => {
+  const { log, startProcess, advanceWithRetention, claimKind } = setup()
+  const first = await startProcess({ retentionMs: WINDOW_MS * 100 })
+  for (const key of ['a', 'b', 'c']) await claimKind(first.book, key)
+  await stopProcess(first)
+  log.dropOldest([STREAM], 0)
+  const blank = await startProcess()
+  await advanceWithRetention(WINDOW_MS - 120_000)
+  expect(await claimKind(blank.book, 'a')).toBe('platform-down')
+  expect(blank.book.report().unproven).toBe(1)
+  await advanceWithRetention(300_000)
+  expect(await claimKind(blank.book, 'a')).toBe('admitted')
+  expect(await claimKind(blank.book, 'a')).toBe('elsewhere')
+  await advanceWithRetention(WINDOW_MS + 300_000)
+  expect(blank.book.isReady()).toBe(true)
+})
--- a/test/support/fake-log.ts
+++ b/test/support/fake-log.ts
@@ -12,8 +12,11 @@
 import type { ProcessGate } from './process-gate.ts'
 import type { LogStore } from '../../stand-ins/log-store.ts'
 
-/** What the next append meets. `late-lost`: the answer is lost at once, the record lands when it is released. */
-export type AppendFault = 'none' | 'refused' | 'answer-lost' | 'late-lost' | 'never-landed'
+/**
+ * What the next append meets. `late-lost`: the answer is lost at once, the record lands when it is released.
+ * `doubled`: the record lands twice.
+ */
+export type AppendFault = 'none' | 'refused' | 'answer-lost' | 'late-lost' | 'never-landed' | 'doubled'
 
 /** A log in memory; each process under test has its own client of it. */
 export interface FakeLog {
@@ -33,6 +36,7 @@
 export interface FakeLogClient extends LogClient {
   /** Sets what the next appends meet, in order. */
   addAppendFaults(...faults: AppendFault[]): void
+  clearAppendFaults(): void
 }
 
 /** Options of a fake log. */
@@ -62,6 +66,9 @@
       case 'answer-lost':
         store.appendRecord(stream, data)
         return unknown
+      case 'doubled':
+        store.appendRecord(stream, data)
+        return ok(store.appendRecord(stream, data))
       case 'none': return ok(store.appendRecord(stream, data))
     }
   }
@@ -105,7 +112,8 @@
         await gate.waitForTurn()
         return bounds
       },
-      addAppendFaults: (...added) => { faults.push(...added) }
+      addAppendFaults: (...added) => { faults.push(...added) },
+      clearAppendFaults: () => { faults.length = 0 }
     }
   }
   return {
--- a/test/support/process-gate.ts
+++ b/test/support/process-gate.ts
@@ -33,11 +33,13 @@
     }
     const wait: Clock['wait'] = (delayMs, signal) => new Promise((resolve) => {
       if (signal?.aborted) return resolve()
-      const cancel = startTimer(delayMs, resolve)
-      signal?.addEventListener('abort', () => {
+      const stopWaiting = (): void => {
         cancel()
+        signal?.removeEventListener('abort', stopWaiting)
         resolve()
-      }, { once: true })
+      }
+      const cancel = startTimer(delayMs, stopWaiting)
+      signal?.addEventListener('abort', stopWaiting, { once: true })
     })
     return { ...clock, startTimer, wait }
   }
