--- a/replay/demo-steps.ts
+++ b/replay/demo-steps.ts
@@ -11,6 +11,8 @@
 /** What a step must show. */
 interface Step {
   title: string
+  /** How long to wait before, in ms. */
+  pauseMs?: number
   request: CallerRequest
   /** Checks the answer; returns what is wrong, if anything. */
   findFault: (answer: CallerAnswer, previous: readonly CallerAnswer[]) => string | undefined
@@ -40,7 +42,9 @@
     findFault: (answer) => findFateFault(answer, 'ran')
   },
   {
-    title: 'The same charge with the same key: answered from the record, not run again',
+    title: 'The same charge with the same key a moment later: answered from the record, not run again',
+    // The outcome is written to the log in batches, after the answer.
+    pauseMs: 500,
     request: CHARGE,
     findFault: (answer, previous) => answer.text === previous.at(-1)?.text ? findFateFault(answer, 'ran') : 'the answer is not that of the first charge'
   },
@@ -74,7 +78,8 @@
       print(`     WRONG: ${addresses.length} of ${deployment.entries.length} entries are listed`)
       faults += 1
     }
-    for (const { title, request, findFault } of STEPS) {
+    for (const { title, pauseMs = 0, request, findFault } of STEPS) {
+      await new Promise((resolve) => setTimeout(resolve, pauseMs))
       const answer = await caller.send(request)
       const fault = findFault(answer, answers)
       answers.push(answer)
--- /dev/null
+++ b/replay/write-traces.ts
@@ -0,0 +1,227 @@
+/**
+ * Writes the committed traces and their outcomes from fixed seeds.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import path from 'node:path'
+import { createRandom } from './random.ts'
+import type { Sample } from './deployment.ts'
+import type { TraceFault, TraceRequest } from './trace.ts'
+
+const LENGTH_MS = 6_000
+const TARGETS_PER_SERVICE = 6
+const WORK_MS = 40
+const STEADY_PER_SECOND = 220
+const BUSY_PER_SECOND = 420
+const CALLERS = 48
+const ENTRIES = 6
+const SKEWED_SHARE = 0.4
+const DOWNLOAD_BYTES = [200_000, 1_000_000, 4_000_000] as const
+
+/** How often an operation is called, compared with the others. */
+interface Weight { service: string, operation: string, weight: number, keyCount: number, hasSize?: boolean }
+
+/** What happens in a trace. */
+interface Scenario {
+  name: string
+  /** One sentence for the outcomes file. */
+  about: string
+  perSecond: number
+  weights: (sample: Sample) => Weight[]
+  faults: (sample: Sample, random: () => number) => TraceFault[]
+  /** Whether one entry gets a large share of the callers. */
+  isSkewed?: boolean
+  answeredShare: number
+  tail: { baseline: string, percentile: number, atMost: number }[]
+}
+
+const STEADY: Record<Sample, Weight[]> = {
+  kyushu: [
+    { service: 'booking', operation: 'slot-status', weight: 62, keyCount: 400 },
+    { service: 'booking', operation: 'ticket-status', weight: 20, keyCount: 400 },
+    { service: 'booking', operation: 'charge-slot', weight: 6, keyCount: 1_000_000 },
+    { service: 'collection', operation: 'lot-status', weight: 8, keyCount: 200 },
+    { service: 'collection', operation: 'issue-ticket', weight: 4, keyCount: 60 }
+  ],
+  arequipa: [
+    { service: 'booking', operation: 'availability', weight: 66, keyCount: 20 },
+    { service: 'booking', operation: 'booking-status', weight: 16, keyCount: 300 },
+    { service: 'booking', operation: 'emergency-booking', weight: 5, keyCount: 1_000_000 },
+    { service: 'paperwork', operation: 'visit-status', weight: 7, keyCount: 200 },
+    { service: 'paperwork', operation: 'cancel-visit', weight: 3, keyCount: 40 },
+    { service: 'paperwork', operation: 'visit-report', weight: 3, keyCount: 100 }
+  ]
+}
+const REFRESHED: Record<Sample, string> = { kyushu: 'slot-status', arequipa: 'availability' }
+const DOWNLOADS: Record<Sample, Weight> = {
+  kyushu: { service: 'collection', operation: 'season-ledger', weight: 6, keyCount: 12, hasSize: true },
+  arequipa: { service: 'paperwork', operation: 'job-sheets', weight: 6, keyCount: 12, hasSize: true }
+}
+const TARGET_PREFIX: Record<Sample, string> = { kyushu: 'slot', arequipa: 'booking' }
+const ZONES: Record<Sample, string[]> = { kyushu: ['zone-a', 'zone-b', 'zone-c', 'zone-d'], arequipa: ['zone-a', 'zone-b', 'zone-c'] }
+
+function createFault (time: number, where: string, change: Record<string, unknown>): TraceFault {
+  return { time, what: 'control', where, with: change }
+}
+
+/** Neighbours slow the targets of one zone for 100 to 300 ms, again and again. */
+function createNeighbours (sample: Sample, random: () => number): TraceFault[] {
+  const faults: TraceFault[] = []
+  for (let time = 500; time < LENGTH_MS - 500; time += 500 + Math.floor(random() * 400)) {
+    const zone = ZONES[sample][Math.floor(random() * ZONES[sample].length)]
+    faults.push(createFault(time, `booking/zone:${zone}`, { slowFactor: 6, forMs: 100 + Math.floor(random() * 200) }))
+  }
+  return faults
+}
+
+const SCENARIOS: Scenario[] = [
+  {
+    name: 'steady-day',
+    about: 'An ordinary day.',
+    perSecond: STEADY_PER_SECOND,
+    weights: (sample) => STEADY[sample],
+    faults: () => [],
+    answeredShare: 0.995,
+    tail: [{ baseline: 'two-choices', percentile: 99, atMost: 1.25 }]
+  },
+  {
+    name: 'night-in-march',
+    about: 'Everyone refreshes the same page, and neighbours slow the targets.',
+    perSecond: BUSY_PER_SECOND,
+    weights: (sample) => STEADY[sample].map((entry) => entry.operation === REFRESHED[sample] ? { ...entry, weight: 300 } : entry),
+    faults: createNeighbours,
+    answeredShare: 0.98,
+    tail: [{ baseline: 'two-choices', percentile: 99.9, atMost: 1 }]
+  },
+  {
+    name: 'month-end-downloads',
+    about: 'Ledgers or job sheets are downloaded, one connection is cut short and a target leaves meanwhile.',
+    perSecond: STEADY_PER_SECOND,
+    weights: (sample) => [...STEADY[sample], DOWNLOADS[sample]],
+    faults: (sample) => {
+      const service = DOWNLOADS[sample].service
+      const first = `${service}/${service}-01`
+      return [
+        createFault(200, `${service}/*`, { downloadBytesPerSecond: 2_000_000 }),
+        createFault(2_000, first, { truncateNext: 1 }),
+        createFault(3_000, first, { isLeaving: true })
+      ]
+    },
+    answeredShare: 0.98,
+    tail: []
+  },
+  {
+    name: 'fast-failures',
+    about: 'One target answers half of its requests with errors at once.',
+    perSecond: STEADY_PER_SECOND,
+    weights: (sample) => STEADY[sample],
+    faults: (sample) => [createFault(1_500, `booking/${TARGET_PREFIX[sample]}-02`, { errorShare: 0.5, forMs: 3_000 })],
+    answeredShare: 0.97,
+    tail: []
+  },
+  {
+    name: 'drain-without-warning',
+    about: 'A target leaves; only its answers and its health endpoint say so.',
+    perSecond: STEADY_PER_SECOND,
+    weights: (sample) => STEADY[sample],
+    faults: (sample) => [createFault(1_500, `booking/${TARGET_PREFIX[sample]}-03`, { isLeaving: true })],
+    answeredShare: 0.99,
+    tail: []
+  },
+  {
+    name: 'lost-entry',
+    about: 'An entry is lost without warning and comes back blank.',
+    perSecond: STEADY_PER_SECOND,
+    weights: (sample) => STEADY[sample],
+    faults: () => [{ time: 1_500, what: 'kill', where: 'entry-2' }, { time: 3_500, what: 'start', where: 'entry-2' }],
+    answeredShare: 0.97,
+    tail: []
+  },
+  {
+    name: 'planned-stop',
+    about: 'An entry is stopped as planned while downloads run.',
+    perSecond: STEADY_PER_SECOND,
+    weights: (sample) => [...STEADY[sample], DOWNLOADS[sample]],
+    faults: () => [{ time: 1_000, what: 'stop', where: 'entry-3' }],
+    answeredShare: 0.995,
+    tail: []
+  },
+  {
+    name: 'skewed-callers',
+    about: 'One entry has two fifths of the callers, and neighbours slow the targets.',
+    perSecond: STEADY_PER_SECOND,
+    weights: (sample) => STEADY[sample],
+    faults: createNeighbours,
+    isSkewed: true,
+    answeredShare: 0.99,
+    tail: [{ baseline: 'two-choices', percentile: 99, atMost: 1 }]
+  },
+  {
+    name: 'noisy-neighbours',
+    about: 'Neighbours slow the targets of a zone for 100 to 300 ms, again and again.',
+    perSecond: STEADY_PER_SECOND,
+    weights: (sample) => STEADY[sample],
+    faults: createNeighbours,
+    answeredShare: 0.99,
+    tail: [{ baseline: 'two-choices', percentile: 99.9, atMost: 0.5 }, { baseline: 'all-knowing', percentile: 99.9, atMost: 1.15 }]
+  },
+  {
+    name: 'platform-outage',
+    about: 'The log is down for two seconds.',
+    perSecond: STEADY_PER_SECOND,
+    weights: (sample) => STEADY[sample],
+    faults: () => [createFault(1_500, 'log', { isDown: true }), createFault(3_500, 'log', { isDown: false })],
+    answeredShare: 0.9,
+    tail: []
+  }
+]
+
+function chooseWeight (weights: readonly Weight[], random: () => number): Weight {
+  const total = weights.reduce((sum, { weight }) => sum + weight, 0)
+  let left = random() * total
+  return weights.find(({ weight }) => (left -= weight) < 0) ?? weights[0]!
+}
+
+/** Builds the requests of a scenario: exponential gaps, callers chosen evenly. */
+function buildRequests (scenario: Scenario, sample: Sample, random: () => number): TraceRequest[] {
+  const weights = scenario.weights(sample)
+  const requests: TraceRequest[] = []
+  const gapMs = 1000 / scenario.perSecond
+  for (let time = 0; time < LENGTH_MS; time -= gapMs * Math.log(1 - random())) {
+    const { service, operation, keyCount, hasSize } = chooseWeight(weights, random)
+    const caller = Math.floor(random() * CALLERS)
+    requests.push({
+      time: Math.round(time),
+      caller: `c${caller}`,
+      service,
+      operation,
+      key: `k${Math.floor(random() * keyCount)}`,
+      ...(hasSize ? { size: DOWNLOAD_BYTES[Math.floor(random() * DOWNLOAD_BYTES.length)] } : {}),
+      ...(scenario.isSkewed ? { entry: buildSkewedEntry(caller) } : {})
+    })
+  }
+  return requests
+}
+
+/** Pins two fifths of the callers to the first entry and spreads the others. */
+function buildSkewedEntry (caller: number): string {
+  const isPinned = caller < CALLERS * SKEWED_SHARE
+  return isPinned ? 'entry-1' : `entry-${2 + caller % (ENTRIES - 1)}`
+}
+
+function formatOutcomes (scenario: Scenario, sample: Sample): string {
+  const fields = { sample, entries: ENTRIES, targetsPerService: TARGETS_PER_SERVICE, workMs: WORK_MS, answeredShare: scenario.answeredShare, tail: scenario.tail }
+  return `// ${scenario.about}\n${JSON.stringify(fields, undefined, 2)}\n`
+}
+
+/** Writes every trace with its outcomes file into a folder. */
+export function writeTraces (folder: string): void {
+  for (const sample of ['kyushu', 'arequipa'] as const) {
+    mkdirSync(path.join(folder, sample), { recursive: true })
+    SCENARIOS.forEach((scenario, index) => {
+      const random = createRandom(index + 1)
+      const lines = [...buildRequests(scenario, sample, random), ...scenario.faults(sample, random)].sort((a, b) => a.time - b.time)
+      writeFileSync(path.join(folder, sample, `${scenario.name}.jsonl`), lines.map((line) => `${JSON.stringify(line)}\n`).join(''))
+      writeFileSync(path.join(folder, sample, `${scenario.name}.outcomes.jsonc`), formatOutcomes(scenario, sample))
+    })
+  }
+}
