--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -25,8 +25,10 @@
   keepAliveMs: 15_000,
   /** Added to the address lifetime before a stopping entry closes connections, in ms. */
   stopSlackMs: 2_000,
-  /** How long the log keeps records, in ms; state that must last longer is written again in time. */
-  retentionMs: 86_400_000,
+  log: {
+    /** How long the log keeps records, in ms; state that must last longer is written again in time. */
+    retentionMs: 86_400_000
+  },
   logLevel: 'info' as LogLevel,
   callers: {
     /** The largest header of a request, in bytes. */
@@ -55,7 +57,7 @@
     operatorPort: port,
     peerPort: port
   }),
-  log: z.strictObject({ url: httpUrl, retentionMs: positiveInt.default(defaults.retentionMs) }),
+  log: z.strictObject({ url: httpUrl, retentionMs: positiveInt.default(defaults.log.retentionMs) }),
   hostList: z.strictObject({ url: httpUrl }),
   peerKey: z.string().min(SHORTEST_PEER_KEY, `give at least ${SHORTEST_PEER_KEY} characters, the same on every entry`),
   keepAliveMs: positiveInt.default(defaults.keepAliveMs),
@@ -107,6 +109,5 @@
 
 /** Returns settings for tests and tools: defaults for all that is not given. */
 export function createSettings (given: Pick<Settings, 'entry' | 'hostList' | 'peerKey'> & { log: { url: string, retentionMs?: number } } & Partial<Omit<Settings, 'log'>>): Settings {
-  const { retentionMs, ...rest } = SETTINGS_DEFAULTS
-  return { ...rest, ...given, log: { retentionMs, ...given.log } }
+  return { ...SETTINGS_DEFAULTS, ...given, log: { ...SETTINGS_DEFAULTS.log, ...given.log } }
 }
