--- a/src/cli/contract.ts
+++ b/src/cli/contract.ts
@@ -16,6 +16,7 @@
 import { checkContractText } from '../version/contract-check.ts'
 import { findVersionInForce } from '../version/contract-fold.ts'
 import type { AcceptedVersion, Schedule } from '../version/contract-fold.ts'
+import { decodeText } from '../version/contract-record.ts'
 import { formatFaults } from '../version/jsonc.ts'
 import { EXIT_CODES, EXIT_CODES_HELP, printFailure, printLine } from './command.ts'
 import type { CommandIo } from './command.ts'
@@ -121,7 +122,7 @@
     operator: version.operator,
     offset: version.offset,
     nonce: version.nonce,
-    text: version.text
+    text: decodeText(version.packed).unwrapOr('')
   }))
 }
 
@@ -146,15 +147,18 @@
 async function runHistory (customer: string | undefined, values: Values, io: CommandIo): Promise<number> {
   return runWithLog(values, io, async (log) => {
     const changes: object[] = []
-    const read = await readContractStream(log, (record, verdict, { offset }) => {
-      const about = verdict.kind === 'rejected' ? verdict.customer : verdict.version.contract.customer
-      if (customer !== undefined && about !== customer) return
-      const base = { offset, customer: about, operator: record.operator, publishedAt: new Date(record.publishedAtMs).toISOString(), verdict: verdict.kind }
-      const change = verdict.kind === 'rejected' ? { ...base, reason: verdict.reason } : { ...base, version: verdict.version.contract.version }
-      changes.push(change)
-      if (values.json) return
-      const result = verdict.kind === 'rejected' ? `rejected: ${verdict.reason}` : `version ${verdict.version.contract.version} ${verdict.kind}`
-      printLine(io, `${base.publishedAt} offset ${offset} ${about} by ${record.operator}: ${result}`)
+    const read = await readContractStream(log, {
+      isWhole: true,
+      watchVerdict: (record, verdict, { offset }) => {
+        const about = verdict.kind === 'rejected' ? verdict.customer : verdict.version.contract.customer
+        if (customer !== undefined && about !== customer) return
+        const base = { offset, customer: about, operator: record.operator, publishedAt: new Date(record.publishedAtMs).toISOString(), verdict: verdict.kind }
+        const change = verdict.kind === 'rejected' ? { ...base, reason: verdict.reason } : { ...base, version: verdict.version.contract.version }
+        changes.push(change)
+        if (values.json) return
+        const result = verdict.kind === 'rejected' ? `rejected: ${verdict.reason}` : `version ${verdict.version.contract.version} ${verdict.kind}`
+        printLine(io, `${base.publishedAt} offset ${offset} ${about} by ${record.operator}: ${result}`)
+      }
     })
     if (read.isErr()) return printFailure(io, read.error, values.json)
     if (values.json) printLine(io, JSON.stringify(changes))
--- a/src/process/audit/audit-trail.ts
+++ b/src/process/audit/audit-trail.ts
@@ -10,6 +10,12 @@
   | { type: 'contract-rejected', customer: string, offset: Offset, reason: string }
   | { type: 'contract-in-force', customer: CustomerId, version: ContractVersion }
   | { type: 'checkpoint-written', offset: Offset }
+  /** A checkpoint differs from what this entry has read itself. */
+  | { type: 'checkpoint-refused', offset: Offset, reason: string }
+  /** The state was read anew, from the offset on. */
+  | { type: 'contracts-reloaded', offset: Offset, reason: string }
+  /** What a peer passed on is not what the log holds. */
+  | { type: 'peer-records-refused', offset: Offset, reason: string }
   | { type: 'record-skipped', stream: string, offset: Offset, reason: string }
   | { type: 'target-ejected', customer: CustomerId, service: ServiceId, target: TargetId, reason: string }
   | { type: 'target-returned', customer: CustomerId, service: ServiceId, target: TargetId }
--- a/src/process/contracts/contract-book.ts
+++ b/src/process/contracts/contract-book.ts
@@ -8,13 +8,13 @@
 import type { AppError } from '../../errors.ts'
 import { toBrand } from '../../types.ts'
 import type { ContractVersion, CustomerId, Offset, StreamName } from '../../types.ts'
-import { foldPublish } from '../../version/contract-fold.ts'
-import type { AcceptedVersion, FoldState } from '../../version/contract-fold.ts'
-import { decodeStreamRecord } from '../../version/contract-record.ts'
+import { foldPublish, toMarkedState, toMarks } from '../../version/contract-fold.ts'
+import type { AcceptedVersion, FoldState, FoldVerdict, MarkedState, VersionMark } from '../../version/contract-fold.ts'
+import { decodeText } from '../../version/contract-record.ts'
 import type { PublishRecord } from '../../version/contract-record.ts'
 import type { Contract } from '../../version/contract.ts'
 import type { AuditTrail } from '../audit/audit-trail.ts'
-import type { AcceptedContract, ContractRecord } from './contract-state.ts'
+import type { AcceptedContract } from './contract-state.ts'
 import { createInForce } from './in-force.ts'
 import type { InForce } from './in-force.ts'
 
@@ -30,17 +30,28 @@
 /** The folded state of the stream and what is in force of it. */
 export interface ContractBook {
   inForce: InForce
-  /** Folds a record; false when it was folded before. */
-  applyRecord(record: ContractRecord): boolean
-  /** Notes that no record stands below `offset` that has not been folded. */
+  /** Folds a published record that stands at or after the next offset. */
+  foldRecord(record: PublishRecord, offset: Offset): void
+  /** Notes that every record below `offset` has been folded. */
   advanceTo(offset: Offset): void
   getNextOffset(): Offset
+  getState(): FoldState
+  /** Returns the state as it was after every record below `offset`; undefined when that is no longer known. */
+  getStateAt(offset: Offset): MarkedState | undefined
+  /** Forgets how the state was below `offset`. */
+  dropHistory(offset: Offset): void
+  /** Takes another state; whatever is in force stays until something newer is due. */
+  replaceState(state: FoldState, nextOffset: Offset): void
   getContract(customer: CustomerId): Result<Contract, AppError>
   listContracts(): { newest: AcceptedContract, versionInForce: ContractVersion }[]
+  /** Tells verdicts to the audit trail from now on; records read while starting are old news. */
+  startAudit(): void
 }
 
-function toAcceptedContract ({ contract, text, offset, nonce, operator }: AcceptedVersion): AcceptedContract {
-  return { contract, text, offset, nonce, operator }
+interface PastSchedule { offset: Offset, customer: CustomerId, schedule: readonly VersionMark[] | undefined }
+
+function toAcceptedContract ({ contract, packed, offset, nonce, operator }: AcceptedVersion): AcceptedContract {
+  return { contract, text: decodeText(packed).unwrapOr(''), offset, nonce, operator }
 }
 
 function getContract (state: FoldState, inForce: InForce, customer: CustomerId): Result<Contract, AppError> {
@@ -58,11 +69,38 @@
   })
 }
 
+/** Returns `state` with every later change undone, the newest first. */
+function buildPastState (state: FoldState, later: readonly PastSchedule[]): MarkedState {
+  const past = toMarkedState(state)
+  for (const { customer, schedule } of later.toReversed()) {
+    if (schedule) past.set(customer, schedule)
+    else past.delete(customer)
+  }
+  return past
+}
+
+function recordVerdict (audit: Pick<AuditTrail, 'record'>, verdict: FoldVerdict, offset: Offset): void {
+  switch (verdict.kind) {
+    case 'accepted': {
+      const { customer, version } = verdict.version.contract
+      audit.record({ type: 'contract-accepted', customer, version, offset })
+      break
+    }
+    case 'rejected':
+      audit.record({ type: 'contract-rejected', customer: verdict.customer, offset, reason: verdict.reason })
+      break
+    case 'repeated':
+  }
+}
+
 /** Creates an empty book. */
 export function createContractBook (options: ContractBookOptions): ContractBook {
   const { clock, audit } = options
-  const state: FoldState = new Map()
+  let state: FoldState = new Map()
   let nextOffset = toBrand<Offset>(0)
+  let history: PastSchedule[] = []
+  let historyStart = nextOffset
+  let isAudited = false
 
   const inForce = createInForce({
     clock,
@@ -70,37 +108,39 @@
     recordInForce: ({ contract }) => audit.record({ type: 'contract-in-force', customer: contract.customer, version: contract.version })
   })
 
-  const applyPublish = (record: PublishRecord, offset: Offset): void => {
-    const verdict = foldPublish(state, record, offset)
-    switch (verdict.kind) {
-      case 'accepted': {
-        const { customer, version } = verdict.version.contract
-        audit.record({ type: 'contract-accepted', customer, version, offset })
-        inForce.updateCustomer(customer)
-        break
-      }
-      case 'rejected':
-        audit.record({ type: 'contract-rejected', customer: verdict.customer, offset, reason: verdict.reason })
-        break
-      case 'repeated':
-    }
-  }
-
   return {
     inForce,
-    applyRecord ({ offset, data }) {
-      if (offset < nextOffset) return false
-      const decoded = decodeStreamRecord(data)
-      if (decoded.isErr()) audit.record({ type: 'record-skipped', stream: CONTRACT_STREAM, offset, reason: decoded.error })
-      else if (decoded.value.type === 'contract') applyPublish(decoded.value, offset)
-      nextOffset = toBrand<Offset>(offset + 1)
-      return true
+    foldRecord (record, offset) {
+      const verdict = foldPublish(state, record, offset)
+      if (isAudited) recordVerdict(audit, verdict, offset)
+      if (verdict.kind !== 'accepted') return
+      const { customer } = verdict.version.contract
+      history.push({ offset, customer, schedule: verdict.previous && toMarks(verdict.previous) })
+      inForce.updateCustomer(customer)
     },
     advanceTo (offset) {
       if (offset > nextOffset) nextOffset = offset
     },
     getNextOffset: () => nextOffset,
+    getState: () => state,
+    getStateAt: (offset) => offset < historyStart || offset > nextOffset
+      ? undefined
+      : buildPastState(state, history.filter((past) => past.offset >= offset)),
+    dropHistory (offset) {
+      history = history.filter((past) => past.offset >= offset)
+      historyStart = offset
+    },
+    replaceState (replacement, offset) {
+      state = replacement
+      nextOffset = offset
+      history = []
+      historyStart = offset
+      for (const customer of state.keys()) inForce.updateCustomer(customer)
+    },
     getContract: (customer) => getContract(state, inForce, customer),
-    listContracts: () => listContracts(state, inForce)
+    listContracts: () => listContracts(state, inForce),
+    startAudit () {
+      isAudited = true
+    }
   }
 }
--- /dev/null
+++ b/src/process/contracts/contract-intake.ts
@@ -0,0 +1,238 @@
+/**
+ * Takes records of the contract stream from the log and from peers into the state of this process.
+ */
+import type { Clock } from '../../clock.ts'
+import { toBrand } from '../../types.ts'
+import type { Offset } from '../../types.ts'
+import { buildState, hasCarriedState } from '../../version/contract-fold.ts'
+import { decodeStreamRecord, hashBytes } from '../../version/contract-record.ts'
+import type { CheckpointRecord, StreamRecord } from '../../version/contract-record.ts'
+import type { AuditTrail } from '../audit/audit-trail.ts'
+import type { LogPage } from '../log-client.ts'
+import { createCheckpointSet } from './checkpoint-set.ts'
+import type { Checkpoint, CheckpointSet } from './checkpoint-set.ts'
+import { CONTRACT_STREAM } from './contract-book.ts'
+import type { ContractBook } from './contract-book.ts'
+import type { LoadedContracts } from './contract-loader.ts'
+import type { ContractRecord } from './contract-state.ts'
+import { createContractTail } from './contract-tail.ts'
+import type { ContractTail } from './contract-tail.ts'
+import { createUnverifiedRecords } from './unverified-records.ts'
+import type { UnverifiedRecords } from './unverified-records.ts'
+
+/** What this process found about a checkpoint. */
+export interface CheckpointFinding {
+  checkpoint: Checkpoint
+  isRight: boolean
+  /** When it was found, by the monotonic clock in ms. */
+  foundAtMs: number
+}
+
+/** What the intake needs. */
+export interface ContractIntakeOptions {
+  book: ContractBook
+  clock: Clock
+  audit: Pick<AuditTrail, 'record'>
+}
+
+/** Takes records in. */
+export interface ContractIntake {
+  /** Takes a page that was read from `getReadOffset`; false when it contradicts what peers passed on. */
+  addPage(page: LogPage): boolean
+  /** Takes records that follow on from `previousOffset`; returns how many were new. */
+  addPeerRecords(previousOffset: Offset, records: readonly ContractRecord[]): number
+  /** Where the log is read next; below it the log itself has been read. */
+  getReadOffset(): Offset
+  /** Goes on from the next offset without having read again what peers passed on, because it has aged out. */
+  skipVerifying(): void
+  /** Begins anew from what the log holds. `canGoBack` when the present state was never the log's. */
+  replaceState(loaded: LoadedContracts, canGoBack: boolean): void
+  listRecords(from: Offset): ContractRecord[]
+  /** The newest checkpoint that this process found right or started from. */
+  getNewestCheckpoint(): CheckpointFinding | undefined
+  /** When the log took the first record that was read from it, in ms since 1970. */
+  getFirstAppendedAtMs(): number | undefined
+  /** Whether other readers have found the checkpoint wrong that this process started from. */
+  isStartRefused(): boolean
+  /** Calls `action` for each checkpoint that this process can judge by itself. */
+  watchFindings(action: (finding: CheckpointFinding) => void): void
+  checkpoints: CheckpointSet
+}
+
+interface IntakeState {
+  book: ContractBook
+  clock: Clock
+  audit: Pick<AuditTrail, 'record'>
+  tail: ContractTail
+  unverified: UnverifiedRecords
+  checkpoints: CheckpointSet
+  newest: CheckpointFinding | undefined
+  /** The checkpoint that this process started from, if any. */
+  start: Checkpoint | undefined
+  /** When the log took the first record that was read from it, in ms since 1970. */
+  firstAppendedAtMs: number | undefined
+  watchers: ((finding: CheckpointFinding) => void)[]
+}
+
+/** Compares a checkpoint with the state at the offset that it covers, if this process knows that state by itself. */
+function verifyCheckpoint (intake: IntakeState, checkpoint: Checkpoint): void {
+  const { book, audit, tail, clock, start } = intake
+  const state = book.getStateAt(checkpoint.coversTo)
+  if (!state || (start && checkpoint.coversTo <= start.coversTo)) return
+  const isRight = hasCarriedState(state, checkpoint.schedules, checkpoint.digest)
+  const finding = { checkpoint, isRight, foundAtMs: clock.monotonicMs() }
+  if (isRight) {
+    tail.setBase(checkpoint)
+    book.dropHistory(checkpoint.coversTo)
+    intake.newest = finding
+  } else {
+    audit.record({ type: 'checkpoint-refused', offset: checkpoint.coversTo, reason: `checkpoint ${checkpoint.id} by ${checkpoint.writer} differs from the records` })
+  }
+  for (const notify of intake.watchers) notify(finding)
+}
+
+function applyStreamRecord (intake: IntakeState, record: StreamRecord, source: ContractRecord): void {
+  switch (record.type) {
+    case 'contract':
+      intake.book.foldRecord(record, source.offset)
+      break
+    case 'checkpoint': {
+      const whole = intake.checkpoints.addPart(record, source)
+      if (!whole) break
+      verifyCheckpoint(intake, whole)
+      intake.checkpoints.dropContent(whole.id)
+      break
+    }
+    case 'checkpoint-vote':
+      intake.checkpoints.addVote(record)
+  }
+}
+
+function applyRecord (intake: IntakeState, source: ContractRecord): void {
+  const { offset, data } = source
+  // Copied, so that it does not keep the whole page that it came with.
+  intake.tail.addRecord({ offset, data: Uint8Array.from(data) })
+  const decoded = decodeStreamRecord(data)
+  if (decoded.isOk()) applyStreamRecord(intake, decoded.value, source)
+  else intake.audit.record({ type: 'record-skipped', stream: CONTRACT_STREAM, offset, reason: decoded.error })
+  intake.book.advanceTo(toBrand<Offset>(offset + 1))
+}
+
+function addPage (intake: IntakeState, page: LogPage): boolean {
+  const { book, unverified, audit } = intake
+  const difference = unverified.verifyPage(page, book.getNextOffset())
+  if (difference !== undefined) {
+    audit.record({ type: 'peer-records-refused', offset: difference, reason: 'the log holds another record at this offset' })
+    return false
+  }
+  intake.firstAppendedAtMs ??= page.records[0]?.appendedAtMs
+  for (const record of page.records) if (record.offset >= book.getNextOffset()) applyRecord(intake, record)
+  book.advanceTo(page.nextOffset)
+  return true
+}
+
+function startFrom (intake: IntakeState, { checkpoint, state, nextOffset }: LoadedContracts): void {
+  const { book, tail, clock } = intake
+  book.replaceState(state, nextOffset)
+  tail.reset(nextOffset)
+  intake.start = checkpoint
+  intake.newest = checkpoint && { checkpoint, isRight: true, foundAtMs: clock.monotonicMs() }
+  if (checkpoint) tail.setBase(checkpoint)
+}
+
+function parseCheckpointPart ({ data }: ContractRecord): CheckpointRecord | undefined {
+  const decoded = decodeStreamRecord(data)
+  return decoded.isOk() && decoded.value.type === 'checkpoint' ? decoded.value : undefined
+}
+
+/** Returns whether a state knows every accepted version that this process knows. */
+export function hasAllVersions (book: ContractBook, state: LoadedContracts['state']): boolean {
+  return [...book.getState()].every(([customer, schedule]) =>
+    (state.get(customer)?.at(-1)?.contract.version ?? 0) >= (schedule.at(-1)?.contract.version ?? 0))
+}
+
+/**
+ * Takes the checkpoint parts that lead a peer's records and cover more than is known here.
+ * Returns how many records they are, or undefined when the checkpoint is not whole or cannot be used.
+ */
+function addLeadingCheckpoint (intake: IntakeState, staged: CheckpointSet, records: readonly ContractRecord[]): number | undefined {
+  const { book, unverified } = intake
+  let count = 0
+  for (const record of records) {
+    const part = parseCheckpointPart(record)
+    if (!part || part.coversTo <= book.getNextOffset()) return count === 0 ? 0 : undefined
+    count += 1
+    const checkpoint = staged.addPart(part, record)
+    if (!checkpoint) continue
+    const state = buildState(checkpoint.schedules, checkpoint.digest)
+    if (state.isErr() || !hasAllVersions(book, state.value)) return undefined
+    startFrom(intake, { state: state.value, nextOffset: checkpoint.coversTo, checkpoint })
+    unverified.reset(checkpoint.coversTo)
+    for (const source of checkpoint.records) unverified.addRecord(source)
+    return count
+  }
+  return count === 0 ? 0 : undefined
+}
+
+/** Finds a record that this process holds with other bytes. */
+function findContradiction ({ tail }: IntakeState, records: readonly ContractRecord[]): Offset | undefined {
+  return records.find(({ offset, data }) => {
+    const own = tail.findRecord(offset)
+    return own !== undefined && hashBytes(own.data) !== hashBytes(data)
+  })?.offset
+}
+
+function addPeerRecords (intake: IntakeState, staged: CheckpointSet, previousOffset: Offset, records: readonly ContractRecord[]): number {
+  const { book, audit, unverified } = intake
+  if (previousOffset > book.getNextOffset()) return 0
+  const contradiction = findContradiction(intake, records)
+  if (contradiction !== undefined) {
+    audit.record({ type: 'peer-records-refused', offset: contradiction, reason: 'this entry holds another record at this offset' })
+    return 0
+  }
+  const leading = addLeadingCheckpoint(intake, staged, records)
+  if (leading === undefined) return 0
+  let added = leading
+  for (const record of records.slice(leading)) {
+    if (record.offset < book.getNextOffset()) continue
+    unverified.addRecord(record)
+    applyRecord(intake, record)
+    added += 1
+  }
+  return added
+}
+
+/** Creates an intake into a book. */
+export function createContractIntake (options: ContractIntakeOptions): ContractIntake {
+  const intake: IntakeState = {
+    ...options,
+    tail: createContractTail(),
+    unverified: createUnverifiedRecords(),
+    checkpoints: createCheckpointSet(),
+    newest: undefined,
+    start: undefined,
+    firstAppendedAtMs: undefined,
+    watchers: []
+  }
+  const staged = createCheckpointSet()
+  return {
+    addPage: (page) => addPage(intake, page),
+    addPeerRecords: (previousOffset, records) => addPeerRecords(intake, staged, previousOffset, records),
+    getReadOffset: () => intake.unverified.getVerifiedOffset(),
+    skipVerifying: () => intake.unverified.reset(intake.book.getNextOffset()),
+    replaceState (loaded, canGoBack) {
+      startFrom(intake, loaded)
+      intake.unverified.reset(loaded.nextOffset)
+      if (canGoBack) intake.book.inForce.dropUnknown()
+    },
+    listRecords: (from) => intake.tail.listRecords(from),
+    getNewestCheckpoint: () => intake.newest,
+    getFirstAppendedAtMs: () => intake.firstAppendedAtMs,
+    isStartRefused () {
+      const { start, checkpoints } = intake
+      return start !== undefined && checkpoints.countWrong(start.id) >= Math.max(1, checkpoints.countRight(start.id))
+    },
+    watchFindings: (action) => { intake.watchers.push(action) },
+    checkpoints: intake.checkpoints
+  }
+}
--- /dev/null
+++ b/src/process/contracts/contract-tail.ts
@@ -0,0 +1,87 @@
+/**
+ * The newest records of the contract stream, kept for peers that lag or start from nothing.
+ */
+import { toBrand } from '../../types.ts'
+import type { Offset } from '../../types.ts'
+import type { Checkpoint } from './checkpoint-set.ts'
+import type { ContractRecord } from './contract-state.ts'
+
+/** Records that follow on from the start of the stream or from a checkpoint. */
+export interface ContractTail {
+  addRecord(record: ContractRecord): void
+  /** Lists the records from an offset on, led by the checkpoint when older ones are no longer kept. */
+  listRecords(from: Offset): ContractRecord[]
+  findRecord(offset: Offset): ContractRecord | undefined
+  /** Keeps only the checkpoint and what follows on from it. */
+  setBase(checkpoint: Checkpoint): void
+  getBase(): Checkpoint | undefined
+  /** The first offset from which every record is kept. */
+  getStart(): Offset
+  /** Forgets everything; later records follow on from `start`. */
+  reset(start: Offset): void
+}
+
+/** Bytes of records that are kept at most; the oldest go first, and then peers cannot start from here. */
+const LARGEST_TAIL_BYTES = 16_777_216
+
+/** Returns the index of the first record at or after an offset. */
+function findIndex (records: readonly ContractRecord[], offset: Offset): number {
+  let low = 0
+  let high = records.length
+  while (low < high) {
+    const middle = (low + high) >> 1
+    const record = records[middle]
+    if (record && record.offset < offset) low = middle + 1
+    else high = middle
+  }
+  return low
+}
+
+/** Creates an empty tail that begins at the start of the stream. */
+export function createContractTail (): ContractTail {
+  let records: ContractRecord[] = []
+  let base: Checkpoint | undefined
+  let start = toBrand<Offset>(0)
+  let size = 0
+
+  const dropBelow = (offset: Offset): void => {
+    const dropped = records.splice(0, findIndex(records, offset))
+    for (const { data } of dropped) size -= data.length
+    start = offset
+  }
+
+  const dropOldestHalf = (): void => {
+    base = undefined
+    const middle = records[records.length >> 1]
+    if (middle) dropBelow(middle.offset)
+  }
+
+  return {
+    addRecord (record) {
+      records.push(record)
+      size += record.data.length
+      if (size > LARGEST_TAIL_BYTES && records.length > 1) dropOldestHalf()
+    },
+    listRecords (from) {
+      if (from >= start) return records.slice(findIndex(records, from))
+      return base ? [...base.records, ...records] : []
+    },
+    findRecord (offset) {
+      const record = records[findIndex(records, offset)]
+      return record?.offset === offset ? record : undefined
+    },
+    setBase (checkpoint) {
+      if (checkpoint.coversTo < start) return
+      base = checkpoint
+      dropBelow(checkpoint.coversTo)
+    },
+    getBase: () => base,
+    getStart: () => start,
+    reset (offset) {
+      records = []
+      base = undefined
+      start = offset
+      size = 0
+    }
+  }
+}
--- a/src/process/contracts/in-force.ts
+++ b/src/process/contracts/in-force.ts
@@ -17,8 +17,8 @@
   updateWaiting(): void
   /** Returns the version number in force, 0 when none is. */
   getVersionNumber(customer: CustomerId): ContractVersion
-  /** Forgets a version that turned out never to have been on the log. */
-  dropCustomer(customer: CustomerId): void
+  /** Forgets versions that turned out never to have been on the log, and puts into force what is due. */
+  dropUnknown(): void
   watchContracts(action: (contract: Contract) => void): Cancel
 }
 
@@ -62,9 +62,15 @@
       for (const customer of [...waiting]) updateCustomer(customer)
     },
     getVersionNumber: (customer) => inForce.get(customer)?.contract.version ?? 0 as ContractVersion,
-    dropCustomer (customer) {
-      inForce.delete(customer)
-      waiting.delete(customer)
+    dropUnknown () {
+      for (const [customer, { contract, nonce }] of inForce) {
+        const schedule = getState().get(customer) ?? []
+        const head = schedule.at(-1)?.contract.version ?? 0
+        const same = schedule.find((version) => version.contract.version === contract.version)
+        // A version that is no longer in the schedule was replaced since.
+        if (contract.version > head || (same && same.nonce !== nonce)) inForce.delete(customer)
+        updateCustomer(customer)
+      }
     },
     watchContracts (action) {
       watchers.add(action)
--- a/src/process/contracts/publish-contract.ts
+++ b/src/process/contracts/publish-contract.ts
@@ -10,14 +10,14 @@
 import { toBrand } from '../../types.ts'
 import type { ContractVersion, CustomerId, Nonce, Offset } from '../../types.ts'
 import { checkContractText } from '../../version/contract-check.ts'
-import { foldPublish } from '../../version/contract-fold.ts'
+import { isSameChange } from '../../version/contract-fold.ts'
 import type { AcceptedVersion } from '../../version/contract-fold.ts'
-import { LARGEST_RECORD_BYTES, decodeStreamRecord, encodeStreamRecord } from '../../version/contract-record.ts'
+import { LARGEST_RECORD_BYTES, encodeStreamRecord, encodeText } from '../../version/contract-record.ts'
 import type { PublishRecord } from '../../version/contract-record.ts'
 import type { Contract } from '../../version/contract.ts'
 import type { LogClient, LogRecord } from '../log-client.ts'
 import { CONTRACT_STREAM } from './contract-book.ts'
-import { readContractStream } from './read-contracts.ts'
+import { foldRecords, readContractStream } from './read-contracts.ts'
 import type { StreamPosition } from './read-contracts.ts'
 
 /** What publishing needs. */
@@ -59,25 +59,20 @@
   return { customer: contract.customer, version: contract.version, offset, nonce, isRepeated }
 }
 
-/** Folds further records and looks for the change with this nonce among them. */
-function findSettlement (position: StreamPosition, records: readonly LogRecord[], nonce: Nonce): Settlement {
+/** Folds further records and looks for the change among them. */
+function findSettlement (position: StreamPosition, records: readonly LogRecord[], change: PublishRecord): Settlement {
   let found: Settlement = { kind: 'open', mayBeWritten: true }
-  for (const { offset, data } of records) {
-    if (offset < position.nextOffset) continue
-    position.nextOffset = toBrand<Offset>(offset + 1)
-    const decoded = decodeStreamRecord(data)
-    if (decoded.isErr() || decoded.value.type !== 'contract') continue
-    const verdict = foldPublish(position.state, decoded.value, offset)
-    if (decoded.value.nonce !== nonce) continue
-    if (verdict.kind === 'rejected') found = found.kind === 'open' ? { kind: 'rejected', reason: verdict.reason } : found
-    else found = { kind: 'accepted', offset: verdict.version.offset }
-  }
+  foldRecords(position, records, (record, verdict) => {
+    if (!isSameChange(record, change)) return
+    if (verdict.kind !== 'rejected') found = { kind: 'accepted', offset: verdict.version.offset }
+    else if (found.kind === 'open') found = { kind: 'rejected', reason: verdict.reason }
+  })
   return found
 }
 
-function checkAgainstHead (contract: Contract, text: string, head: AcceptedVersion | undefined): Result<PublishedContract | undefined, AppError> {
+/** Says what to do without writing: nothing, when the text is accepted already, or refuse it when it comes too late. */
+function checkAgainstHead (contract: Contract, head: AcceptedVersion | undefined): Result<undefined, AppError> {
   const headVersion = head?.contract.version ?? 0
-  if (head && head.text === text) return ok(toPublished(head, true))
   if (contract.basedOn === headVersion) return ok(undefined)
   const known = head ? `version ${headVersion} by ${head.operator} is the accepted one` : 'no version is accepted yet'
   return err(createError('contract-rejected', `The contract is based on version ${contract.basedOn}, but ${known}.`))
@@ -99,7 +94,7 @@
     }
     const page = await log.read(CONTRACT_STREAM, position.nextOffset)
     const records = page.isOk() ? page.value.records : []
-    const settlement = findSettlement(position, records, record.nonce)
+    const settlement = findSettlement(position, records, record)
     if (settlement.kind !== 'open') return settlement
     if (records.length === 0) await clock.wait(RETRY_MS)
   }
@@ -124,25 +119,32 @@
   const checked = checkContractText(options.text)
   if (checked.isErr()) return err(createError('contract-invalid', checked.error[0]?.message ?? 'The contract is not valid.'))
   const contract = checked.value
-  const read = await readContractStream(options.log)
+  const packed = encodeText(options.text)
+  let earlier: AcceptedVersion | undefined
+  const read = await readContractStream(options.log, {
+    watchVerdict: (record, verdict) => {
+      if (verdict.kind === 'accepted' && Buffer.compare(record.packed, packed) === 0) earlier = verdict.version
+    }
+  })
   if (read.isErr()) return err(createError('log-unavailable', `Nothing was written: ${read.error.message}`, read.error))
   const position = read.value
-  const head = position.state.get(contract.customer)?.at(-1)
-  const early = checkAgainstHead(contract, options.text, head)
+  const schedule = position.state.get(contract.customer) ?? []
+  earlier ??= schedule.find((version) => Buffer.compare(version.packed, packed) === 0)
+  if (earlier) return ok(toPublished(earlier, true))
+  const head = schedule.at(-1)
+  const early = checkAgainstHead(contract, head)
   if (early.isErr()) return err(early.error)
-  if (early.value) return ok(early.value)
-  const nonce = options.nonce ?? toBrand<Nonce>(randomUUID())
   const record: PublishRecord = {
     type: 'contract',
     v: 1,
-    nonce,
+    nonce: options.nonce ?? toBrand<Nonce>(randomUUID()),
     basedOnNonce: head?.nonce ?? '',
     operator: options.operator,
     publishedAtMs: options.clock.wallMs(),
-    text: options.text
+    packed
   }
   if (encodeStreamRecord(record).length > LARGEST_RECORD_BYTES) {
     return err(createError('contract-invalid', `The contract is larger than ${LARGEST_RECORD_BYTES} bytes when compressed; list fewer targets.`))
   }
-  return toResult(await settlePublish(options, position, record), contract, nonce)
+  return toResult(await settlePublish(options, position, record), contract, record.nonce)
 }
--- a/src/process/contracts/read-contracts.ts
+++ b/src/process/contracts/read-contracts.ts
@@ -1,17 +1,18 @@
 /**
- * Reads the contract stream once, from its start to its present end.
+ * Reads the contract stream once, to its present end.
  */
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { AppError } from '../../errors.ts'
-import { toBrand } from '../../types.ts'
 import type { Offset } from '../../types.ts'
 import { foldPublish } from '../../version/contract-fold.ts'
 import type { FoldState, FoldVerdict } from '../../version/contract-fold.ts'
 import { decodeStreamRecord } from '../../version/contract-record.ts'
 import type { PublishRecord } from '../../version/contract-record.ts'
+import { createError } from '../../errors.ts'
 import type { LogClient, LogRecord } from '../log-client.ts'
 import { CONTRACT_STREAM } from './contract-book.ts'
+import { loadContracts } from './contract-loader.ts'
 
 /** A state and the offset from which the next record is expected. */
 export interface StreamPosition { state: FoldState, nextOffset: Offset }
@@ -19,18 +20,38 @@
 /** Called for each published record with what the fold said of it. */
 export type WatchVerdict = (record: PublishRecord, verdict: FoldVerdict, source: LogRecord) => void
 
-/** Reads and folds the stream to its present end. Errors: `log-unavailable`, `log-gap`. */
-export async function readContractStream (log: LogClient, watchVerdict: WatchVerdict = () => {}): Promise<Result<StreamPosition, AppError>> {
-  const position: StreamPosition = { state: new Map(), nextOffset: toBrand<Offset>(0) }
+/** How to read the stream. */
+export interface ReadContractsOptions {
+  watchVerdict?: WatchVerdict
+  /** Begins as far back as the log allows, not at the newest checkpoint. */
+  isWhole?: boolean
+}
+
+/** Folds the records that follow on from a position. */
+export function foldRecords (position: StreamPosition, records: readonly LogRecord[], watchVerdict: WatchVerdict): void {
+  for (const record of records) {
+    if (record.offset < position.nextOffset) continue
+    position.nextOffset = record.offset + 1 as Offset
+    const decoded = decodeStreamRecord(record.data)
+    if (decoded.isErr() || decoded.value.type !== 'contract') continue
+    watchVerdict(decoded.value, foldPublish(position.state, decoded.value, record.offset), record)
+  }
+}
+
+/**
+ * Reads and folds the stream to its present end. Errors: `log-unavailable`, `log-gap` when records have aged out and no
+ * checkpoint covers them.
+ */
+export async function readContractStream (log: LogClient, options: ReadContractsOptions = {}): Promise<Result<StreamPosition, AppError>> {
+  const loaded = await loadContracts(log, { isOldest: options.isWhole })
+  if (loaded.isErr()) return err(loaded.error)
+  if (!loaded.value) return err(createError('log-gap', 'The log keeps neither the first records nor a checkpoint that can be used.'))
+  const position: StreamPosition = { state: loaded.value.state, nextOffset: loaded.value.nextOffset }
   for (;;) {
     const page = await log.read(CONTRACT_STREAM, position.nextOffset)
     if (page.isErr()) return err(page.error)
-    for (const record of page.value.records) {
-      const decoded = decodeStreamRecord(record.data)
-      if (decoded.isErr() || decoded.value.type !== 'contract') continue
-      watchVerdict(decoded.value, foldPublish(position.state, decoded.value, record.offset), record)
-    }
-    position.nextOffset = page.value.nextOffset
+    foldRecords(position, page.value.records, options.watchVerdict ?? (() => {}))
+    if (page.value.nextOffset > position.nextOffset) position.nextOffset = page.value.nextOffset
     if (position.nextOffset >= page.value.bounds.next) return ok(position)
   }
 }
--- a/src/version/contract-check.ts
+++ b/src/version/contract-check.ts
@@ -1,6 +1,7 @@
 /**
  * Checks the text of a contract: its shape by the schema, then the rules that span several fields.
  */
+import { createScanner } from 'jsonc-parser'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { contractSchema } from './contract.ts'
@@ -14,6 +15,9 @@
 type CheckContext = z.core.$RefinementCtx
 type Path = (string | number)[]
 
+const DEEPEST_NESTING = 32
+/** Token kinds of the scanner, whose own enumeration has no value at run time. */
+const TOKENS = { openBrace: 1, closeBrace: 2, openBracket: 3, closeBracket: 4, end: 17 }
 /** Methods that a target may see twice without harm, by the HTTP standard. */
 const SAFE_METHODS: readonly string[] = ['GET', 'HEAD']
 
@@ -79,8 +83,24 @@
 
 const checkedSchema = contractSchema.superRefine(checkAcrossFields)
 
+/** Finds the first place where a text nests deeper than a contract can, so that no reader runs out of stack on it. */
+function findDeepNesting (text: string): TextFault | undefined {
+  const scanner = createScanner(text, true)
+  let depth = 0
+  for (let token: number = scanner.scan(); token !== TOKENS.end; token = scanner.scan()) {
+    if (token === TOKENS.openBrace || token === TOKENS.openBracket) depth += 1
+    if (token === TOKENS.closeBrace || token === TOKENS.closeBracket) depth -= 1
+    if (depth > DEEPEST_NESTING) {
+      return { line: scanner.getTokenStartLine() + 1, column: scanner.getTokenStartCharacter() + 1, message: `nests deeper than ${DEEPEST_NESTING} levels` }
+    }
+  }
+  return undefined
+}
+
 /** Parses and checks a contract. Returns it with defaults filled in, or every fault with line and column. */
 export function checkContractText (text: string): Result<Contract, TextFault[]> {
+  const deep = findDeepNesting(text)
+  if (deep) return err([deep])
   const parsed = parseJsonc(text, checkedSchema)
   // Ids are branded only here, after their pattern has been checked.
   return parsed.isOk() ? ok(parsed.value as unknown as Contract) : err(parsed.error)
--- a/src/version/contract-record.ts
+++ b/src/version/contract-record.ts
@@ -1,6 +1,10 @@
 /**
  * The records of the contract stream: their fields, their bytes and the limits on both.
+ *
+ * Every reader must skip the same records. The limits and schemas here are therefore part of the fold's rule: a change
+ * of them needs a new schema number, published only when every entry knows it.
  */
+import { createHash } from 'node:crypto'
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { decode, encode } from 'cbor-x'
 import { err, ok } from 'neverthrow'
@@ -13,115 +17,109 @@
 /** The largest contract text, in bytes of UTF-8. */
 export const LARGEST_TEXT_BYTES = 8_388_608
 
-const LARGEST_NAME_LENGTH = 128
+const LONGEST_NAME = 128
+const MOST_PARTS = 1_024
 
-const name = z.string().min(1).max(LARGEST_NAME_LENGTH)
-const bytes = z.instanceof(Uint8Array)
-const offset = z.number().int().nonnegative()
+const name = z.string().min(1).max(LONGEST_NAME)
+const bytes: z.ZodType<Uint8Array> = z.instanceof(Uint8Array)
+const wallMs = z.number().nonnegative()
+const offset = z.number().int().nonnegative().transform((value) => value as Offset)
+const nonce = name.transform((value) => value as Nonce)
 
-const publishSchema = z.object({
+// Strict objects: an unknown field makes the record foreign, whatever it holds.
+const publishSchema = z.strictObject({
   type: z.literal('contract'),
   v: z.literal(1),
   /** Names this change; a record that stands twice is one change. */
-  nonce: name,
+  nonce,
   /** The nonce of the accepted version that this one replaces; empty for the first. */
-  basedOnNonce: z.string().max(LARGEST_NAME_LENGTH),
+  basedOnNonce: z.string().max(LONGEST_NAME).transform((value) => value as Nonce | ''),
   operator: name,
   /** Wall time at the publisher, in ms since 1970. */
-  publishedAtMs: z.number().nonnegative(),
+  publishedAtMs: wallMs,
   /** The text, compressed by raw deflate. */
-  text: bytes
+  packed: bytes
 })
 
-const carriedSchema = z.object({
-  nonce: name,
+const carriedSchema = z.strictObject({
+  nonce,
   operator: name,
-  version: z.number().int().positive(),
+  publishedAtMs: wallMs,
+  version: z.number().int().positive().transform((value) => value as ContractVersion),
   offset,
-  text: bytes
+  packed: bytes
 })
 
-const checkpointSchema = z.object({
+const checkpointSchema = z.strictObject({
   type: z.literal('checkpoint'),
   v: z.literal(1),
   /** Names the checkpoint that this part belongs to. */
   id: name,
-  /** The entry that wrote it. */
+  /** The process that wrote it. */
   writer: name,
   /** The state is that after every record below this offset. */
   coversTo: offset,
   part: z.number().int().nonnegative(),
-  parts: z.number().int().positive(),
+  parts: z.number().int().positive().max(MOST_PARTS),
   /** Hash over the whole state, in hexadecimal digits. */
   digest: name,
-  /** For each customer the versions that may still come into force, oldest first. */
-  customers: z.array(z.object({ versions: z.array(carriedSchema).min(1) }))
+  /** For each customer the accepted versions that may still come into force, oldest first. */
+  schedules: z.array(z.array(carriedSchema).min(1))
 })
 
-const voteSchema = z.object({
+const voteSchema = z.strictObject({
   type: z.literal('checkpoint-vote'),
   v: z.literal(1),
   id: name,
   writer: name,
+  /** Whether a reader that holds the prefix found the checkpoint right. */
   isRight: z.boolean()
 })
 
 const recordSchema = z.discriminatedUnion('type', [publishSchema, checkpointSchema, voteSchema])
 
 /** A change that an operator published. */
-export type PublishRecord = Omit<z.infer<typeof publishSchema>, 'nonce' | 'basedOnNonce' | 'text'> & { nonce: Nonce, basedOnNonce: Nonce | '', text: string }
+export type PublishRecord = z.infer<typeof publishSchema>
 /** A version as a checkpoint carries it. */
-export interface CarriedVersion { nonce: Nonce, operator: string, version: ContractVersion, offset: Offset, text: string }
+export type CarriedVersion = z.infer<typeof carriedSchema>
 /** A part of a checkpoint. */
-export type CheckpointRecord = Omit<z.infer<typeof checkpointSchema>, 'coversTo' | 'customers'> & { coversTo: Offset, customers: { versions: CarriedVersion[] }[] }
+export type CheckpointRecord = z.infer<typeof checkpointSchema>
 /** What a reader that holds the prefix found about a checkpoint. */
 export type VoteRecord = z.infer<typeof voteSchema>
 /** Any record of the contract stream. */
-export type StreamRecord = PublishRecord | CheckpointRecord | VoteRecord
+export type StreamRecord = z.infer<typeof recordSchema>
 
-function encodeText (text: string): Uint8Array {
+/** Compresses a text. */
+export function encodeText (text: string): Uint8Array {
   return deflateRawSync(text)
 }
 
-/** Decompresses a text. Throws when it is damaged or larger than the limit. */
-function decodeText (data: Uint8Array): string {
-  return inflateRawSync(data, { maxOutputLength: LARGEST_TEXT_BYTES }).toString('utf8')
+/** Decompresses a text; the error says why it cannot be read. */
+export function decodeText (packed: Uint8Array): Result<string, string> {
+  try {
+    return ok(inflateRawSync(packed, { maxOutputLength: LARGEST_TEXT_BYTES }).toString('utf8'))
+  } catch {
+    return err(`the text is damaged or larger than ${LARGEST_TEXT_BYTES} bytes`)
+  }
 }
 
-/** Encodes a record of the contract stream. */
-export function encodeStreamRecord (record: StreamRecord): Uint8Array {
-  switch (record.type) {
-    case 'contract': return encode({ ...record, text: encodeText(record.text) })
-    case 'checkpoint': return encode({
-      ...record,
-      customers: record.customers.map(({ versions }) => ({
-        versions: versions.map((version) => ({ ...version, text: encodeText(version.text) }))
-      }))
-    })
-    case 'checkpoint-vote': return encode(record)
-  }
+/** Hashes bytes; in hexadecimal digits. */
+export function hashBytes (data: Uint8Array): string {
+  return createHash('sha256').update(data).digest('hex')
 }
 
-function toStreamRecord (parsed: z.infer<typeof recordSchema>): StreamRecord {
-  switch (parsed.type) {
-    case 'contract': return { ...parsed, text: decodeText(parsed.text) } as PublishRecord
-    case 'checkpoint': return {
-      ...parsed,
-      customers: parsed.customers.map(({ versions }) => ({
-        versions: versions.map((version) => ({ ...version, text: decodeText(version.text) }))
-      }))
-    } as CheckpointRecord
-    case 'checkpoint-vote': return parsed
-  }
+/** Encodes a record of the contract stream. */
+export function encodeStreamRecord (record: StreamRecord): Uint8Array {
+  return encode(record)
 }
 
 /** Decodes a record; the error says why every reader skips it. */
 export function decodeStreamRecord (data: Uint8Array): Result<StreamRecord, string> {
   if (data.length > LARGEST_RECORD_BYTES) return err(`larger than ${LARGEST_RECORD_BYTES} bytes`)
   try {
-    const parsed = recordSchema.safeParse(decode(data))
-    if (!parsed.success) return err('not a record of this stream')
-    return ok(toStreamRecord(parsed.data))
+    // Copied, so that what is kept of a record does not keep the whole page that it came with.
+    const parsed = recordSchema.safeParse(decode(Uint8Array.from(data)))
+    return parsed.success ? ok(parsed.data) : err('not a record of this stream')
   } catch {
     return err('not readable')
   }
