--- a/src/process/contract-passing.ts
+++ b/src/process/contract-passing.ts
@@ -11,13 +11,22 @@
 const LARGEST_BATCH = 50
 
 /** What passing needs. */
-export interface ContractPassingOptions { clock: Clock, contracts: ContractState, mesh: PeerMesh }
+export interface ContractPassingOptions {
+  clock: Clock
+  contracts: ContractState
+  mesh: PeerMesh
+  /** Whether this entry serves; before that its offset is not told, so that no caller is sent here. */
+  isServing(): boolean
+}
 
 /** Starts to compare offsets with the peers, asking for records that are missing here and answering such requests. */
 export function startContractPassing (options: ContractPassingOptions): Cancel {
   const { clock, contracts, mesh } = options
   const stop = new AbortController()
 
+  const publishOffset = (): void => {
+    if (options.isServing()) mesh.setContractOffset(contracts.getNextOffset())
+  }
   const handleMessage = (from: EntryId, message: PeerMessage): void => {
     switch (message.type) {
       case 'contract-pull': {
@@ -27,7 +36,7 @@
       }
       case 'contract-records':
         contracts.addPeerRecords(message.previousOffset, message.records)
-        mesh.setContractOffset(contracts.getNextOffset())
+        publishOffset()
         break
       case 'target-leaving':
       case 'forward-request':
@@ -36,7 +45,7 @@
   }
   const fetchFromNewest = (): void => {
     const ownOffset = contracts.getNextOffset()
-    mesh.setContractOffset(ownOffset)
+    publishOffset()
     const ahead = mesh.listPeers().filter((peer) => !peer.isSelf && peer.state !== 'gone' && peer.contractOffset > ownOffset)
     const newest = ahead.sort((a, b) => b.contractOffset - a.contractOffset)[0]
     if (newest) mesh.sendTo(newest.id, { type: 'contract-pull', from: ownOffset })
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -18,6 +18,7 @@
 import { createCustomerLimiter } from './limits/local-customer-limiter.ts'
 import { createHttpLogClient } from './log-http-client.ts'
 import { createLogger } from './logger.ts'
+import { canServe } from './membership/address-order.ts'
 import { createPeerMesh } from './membership/tcp-peer-mesh.ts'
 import { createMetrics } from './metrics.ts'
 import { startOperatorServer } from './operator-server.ts'
@@ -31,6 +32,8 @@
 /** Streams of claims. Entries that disagreed about it could run a key twice, so it is no setting. */
 const CLAIM_PARTITIONS = 16
 const HOST_LIST_INTERVAL_MS = 1_000
+/** After this time an entry serves what needs no claims, in ms. */
+const CLAIMS_READY_TIMEOUT_MS = 10_000
 const INCARNATION_DIGITS = 10
 const RANDOM_BYTES = 4
 const HEX_RADIX = 36
@@ -79,7 +82,8 @@
   })
   const findOwner = (key: KeyHash): EntryId => {
     const partition = computePartition(key, CLAIM_PARTITIONS)
-    return rankEntries(`claims-${partition}`, mesh.listLiveEntries())[0] ?? self
+    const serving = mesh.listPeers().filter(canServe).map(({ id }) => id)
+    return rankEntries(`claims-${partition}`, serving)[0] ?? self
   }
   const requests = createRequestService({
     self, idPrefix: `${self}-${incarnation}`, clock, contracts, services, limiter, claims, mesh, metrics, findOwner, log: logger.forPart('request')
@@ -114,7 +118,8 @@
   const listening = await mesh.start()
   if (listening.isErr()) throw new Error(listening.error.message)
   contracts.start()
-  const stopPassing = startContractPassing({ clock, contracts, mesh })
+  const readiness = watchReadiness(parts)
+  const stopPassing = startContractPassing({ clock, contracts, mesh, isServing: () => readiness.isServing })
   const watching = watchHosts(clock, parts.hostList, services, stopSignal.signal)
   const { address, operatorPort } = settings.entry
   const operators = await startOperatorServer({ address, port: operatorPort, metrics, readStatus: () => readEntryStatus(parts) })
@@ -143,6 +148,19 @@
   }
 }
 
+/** Notes when the entry can serve: contracts are known and claims are read, or the log gives no claims for too long. */
+function watchReadiness ({ clock, contracts, claims, logger }: EntryParts): { isServing: boolean } {
+  const readiness = { isServing: false }
+  const wait = async (): Promise<void> => {
+    await contracts.waitUntilReady()
+    await Promise.race([claims.waitUntilReady(), clock.wait(CLAIMS_READY_TIMEOUT_MS)])
+    readiness.isServing = true
+    logger.forPart('entry').info('Ready for callers.', { claimsReady: claims.isReady() })
+  }
+  wait().catch((cause: unknown) => logger.forPart('entry').error('The entry cannot become ready.', { err: cause }))
+  return readiness
+}
+
 async function closeParts (parts: EntryParts): Promise<void> {
   parts.services.close()
   parts.limiter.close()
--- a/src/process/membership/address-order.ts
+++ b/src/process/membership/address-order.ts
@@ -29,8 +29,15 @@
   return createHash('sha256').update(JSON.stringify([callerId, entry])).digest('hex').slice(0, RANK_DIGITS)
 }
 
-/** Lists the entries that are to be answered: the live ones, else those that may yet be reached. */
+/** Whether an entry is live and has told that it knows the contracts; the one that answers is taken to know them. */
+export function canServe (entry: PeerView): boolean {
+  return entry.state === 'live' && (entry.isSelf || entry.contractOffset > 0)
+}
+
+/** Lists the entries that are to be answered: the serving ones, else those that may yet be reached. */
 function listUsable (entries: readonly PeerView[]): PeerView[] {
+  const serving = entries.filter(canServe)
+  if (serving.length > 0) return serving
   const live = entries.filter((entry) => entry.state === 'live')
   if (live.length > 0) return live
   return entries.filter((entry) => entry.state === 'suspect')
--- a/test/address-order.test.ts
+++ b/test/address-order.test.ts
@@ -12,7 +12,7 @@
 
 function createEntries (states: Record<number, PeerState> = {}): PeerView[] {
   return Array.from({ length: ENTRIES }, (_, index) => ({
-    ...createIdentity(index), state: states[index] ?? 'live', contractOffset: toBrand<Offset>(0), isSelf: index === 0
+    ...createIdentity(index), state: states[index] ?? 'live', contractOffset: toBrand<Offset>(1), isSelf: index === 0
   }))
 }
 
@@ -42,6 +42,12 @@
   expect(orderFor(entries, 1).map((entry) => entry.id).sort()).toEqual(['entry-0', 'entry-4', 'entry-5'])
 })
 
+test('an entry that has not told that it knows the contracts is left out', () => {
+  const entries = createEntries().map((entry) => entry.id === 'entry-4' ? { ...entry, contractOffset: toBrand<Offset>(-1) } : entry)
+  expect(orderFor(entries, 1).map((entry) => entry.id)).not.toContain('entry-4')
+  expect(orderFor(entries, 1)).toHaveLength(ENTRIES - 1)
+})
+
 test('with no live entry the suspected ones are answered, and a leaving one never is', () => {
   const entries = createEntries({ 0: 'leaving', 1: 'leaving', 2: 'gone', 3: 'suspect', 4: 'leaving', 5: 'leaving' })
   expect(orderFor(entries, 1).map((entry) => entry.id)).toEqual(['entry-3'])
--- /dev/null
+++ b/test/planned-stop.test.ts
@@ -0,0 +1,56 @@
+import { expect, test } from 'vitest'
+import type { System } from '../replay/system.ts'
+import { chargeSlot, createLiveCaller, listUnanswered, READ_STATUS, readRuns, sendUntil, startLiveSystem } from './support/live-system.ts'
+
+// ROLLING_STOPS=20 npx vitest run test/planned-stop.test.ts
+const STOPS = Number(process.env.ROLLING_STOPS ?? 3)
+const ENTRIES = STOPS > 6 ? 6 : 3
+const LEDGER_BYTES = 2_000_000
+const SLOW_BYTES_PER_SECOND = 400_000
+const RUN_TIMEOUT_MS = 600_000
+
+async function startAgain (system: System, id: string): Promise<number | null> {
+  const exitCode = await system.getProgram(id)!.stop()
+  await system.startEntry(id)
+  return exitCode
+}
+
+test('rolling stops of entries cut no request and no download, and no charge runs twice', async () => {
+  const system = await startLiveSystem({ entryCount: ENTRIES, targetCount: 2 })
+  const callers = Array.from({ length: 6 }, (_, index) => createLiveCaller(system, `caller-${index}`))
+  try {
+    for (const target of system.deployment.targets.filter(({ service }) => service === 'collection')) {
+      await system.switchFaults(target, { downloadBytesPerSecond: SLOW_BYTES_PER_SECOND })
+    }
+    const stop = new AbortController()
+    const ledger = { service: 'collection', method: 'GET', path: `/ledgers/co-op-1/2026?bytes=${LEDGER_BYTES}` }
+    const work = Promise.all([
+      sendUntil(stop.signal, () => callers[0]!.send(READ_STATUS)),
+      sendUntil(stop.signal, () => callers[1]!.send(READ_STATUS)),
+      sendUntil(stop.signal, (round) => callers[2]!.send(chargeSlot(`two-${round}`))),
+      sendUntil(stop.signal, (round) => callers[3]!.send(chargeSlot(`three-${round}`))),
+      sendUntil(stop.signal, () => callers[4]!.send(ledger)),
+      sendUntil(stop.signal, () => callers[5]!.send(ledger))
+    ])
+    const exitCodes: (number | null)[] = []
+    for (let count = 0; count < STOPS; count++) exitCodes.push(await startAgain(system, `entry-${count % ENTRIES + 1}`))
+    stop.abort()
+    const [firstReads, secondReads, firstCharges, secondCharges, firstLedgers, secondLedgers] = await work
+    const ledgers = [...firstLedgers, ...secondLedgers]
+    const charges = [...firstCharges, ...secondCharges]
+    const all = [...firstReads, ...secondReads, ...charges, ...ledgers]
+
+    console.log(`${STOPS} stops: ${all.length} requests, ${charges.length} charges, ${ledgers.length} downloads, ${listUnanswered(all).length} cut`)
+    expect(exitCodes).toEqual(exitCodes.map(() => 0))
+    expect(listUnanswered(all)).toEqual([])
+    expect(all.filter(({ status }) => status !== 200).map(({ status, text }) => `${status} ${text}`)).toEqual([])
+    expect(new Set(ledgers.map(({ bytes, sha256 }) => `${bytes} ${sha256}`)).size).toBe(1)
+    expect(ledgers[0]!.bytes).toBe(LEDGER_BYTES)
+    const runs = await readRuns(system)
+    expect(runs.size).toBe(charges.length)
+    expect([...runs].filter(([, count]) => count !== 1)).toEqual([])
+  } finally {
+    for (const caller of callers) await caller.close()
+    await system.stop()
+  }
+}, RUN_TIMEOUT_MS)
