Test the contract stream by generated histories, with the naive forms shown to break

Cause: the fold, peers' records, checkpoints and publishing had no proof over any order of faults. The judge holds every strategy to the same: no reader goes back, one change for each version, all readers equal in the end, and what publishers are told is true. Seen to fail, as it must: trust in the append's answer ('was told not-written and came into force' or 'told accepted ... but change came into force'), newest version by arrival, and check then write. Also: a wait of the process gate left its listener behind after the timer had fired.

--- a/src/process/contracts/checkpoint-writer.ts
+++ b/src/process/contracts/checkpoint-writer.ts
@@ -118,7 +118,8 @@
       await waitRandomly(signal)
       const { checkpoints } = intake
       const said = isRight ? checkpoints.countRight(checkpoint.id) - 1 : checkpoints.countWrong(checkpoint.id)
-      if (said > 0 || signal.aborted) return
+      const isOld = isRight && intake.getNewestCheckpoint()?.checkpoint.id !== checkpoint.id
+      if (said > 0 || isOld || signal.aborted) return
       await log.append(CONTRACT_STREAM, encodeStreamRecord({ type: 'checkpoint-vote', v: 1, id: checkpoint.id, writer, isRight }))
     }
   }
--- a/src/process/contracts/contract-follower.ts
+++ b/src/process/contracts/contract-follower.ts
@@ -58,7 +58,7 @@
 }
 const READ_LIMIT = 500
 /** How often dates are looked at, in ms; a request looks at its customer's own. */
-const DATE_CHECK_MS = 100
+const DATE_CHECK_MS = 500
 
 interface FollowerParts {
   options: ContractFollowerOptions & typeof DEFAULTS & { random: () => number }
--- /dev/null
+++ b/test/contract-model.test.ts
@@ -0,0 +1,119 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import type { ContractFollower } from '../src/process/contracts/contract-follower.ts'
+import { createContractFollower } from '../src/process/contracts/contract-follower.ts'
+import { publishContract } from '../src/process/contracts/publish-contract.ts'
+import { readContractStream } from '../src/process/contracts/read-contracts.ts'
+import type { ContractRecord } from '../src/process/contracts/contract-state.ts'
+import { toBrand } from '../src/types.ts'
+import type { CustomerId, Nonce, Offset } from '../src/types.ts'
+import { checkContractText } from '../src/version/contract-check.ts'
+import { decodeStreamRecord, decodeText, encodeStreamRecord, encodeText } from '../src/version/contract-record.ts'
+import { CONTRACTS, historyArbitrary, runHistory } from './support/contract-histories.ts'
+import type { ContractStrategy, HistoryReader, PublishResult } from './support/contract-histories.ts'
+import { createModelRuns } from './support/model-runs.ts'
+
+const CUSTOMER = toBrand<CustomerId>('kyushu')
+const HISTORIES = 150
+const NAIVE_HISTORIES = 2_000
+const FOLLOWER_OPTIONS = { checkpointEveryMs: 3_000, checkpointEveryRecords: 4, checkpointJitterMs: 300, scanLength: 3, pollMs: 1_000, retryMs: 400 }
+
+function toReader (follower: ContractFollower): HistoryReader {
+  return {
+    ...follower,
+    getInForce: () => follower.getContract(CUSTOMER).match(
+      ({ version, limits }) => ({ version, mark: limits.requestsPerSecond }),
+      () => undefined)
+  }
+}
+
+const chained: ContractStrategy = {
+  createReader: (log, clock, random) =>
+    toReader(createContractFollower({ log, clock, random, audit: { record: () => {} }, ...FOLLOWER_OPTIONS })),
+  async publish (log, clock, text, operator) {
+    const published = await publishContract({ log, clock, text, operator, timeoutMs: 5_000 })
+    if (published.isOk()) return 'accepted'
+    switch (published.error.kind) {
+      case 'contract-rejected': return 'rejected'
+      case 'log-unavailable': return 'not-written'
+      default: return 'unknown'
+    }
+  }
+}
+
+/** Publishes by a first read, then an append; what the append answers is believed. */
+const believed: ContractStrategy = {
+  ...chained,
+  async publish (log, clock, text, operator): Promise<PublishResult> {
+    const read = await readContractStream(log)
+    if (read.isErr()) return 'not-written'
+    const head = read.value.state.get(CUSTOMER)?.at(-1)
+    const contract = checkContractText(text)._unsafeUnwrap()
+    if (contract.basedOn !== (head?.contract.version ?? 0)) return 'rejected'
+    const nonce = toBrand<Nonce>(operator)
+    const record = encodeStreamRecord({ type: 'contract', v: 1, nonce, basedOnNonce: head?.nonce ?? '', operator, publishedAtMs: clock.wallMs(), packed: encodeText(text) })
+    return (await log.append(CONTRACTS, record)).isOk() ? 'accepted' : 'not-written'
+  }
+}
+
+/** Reads whatever contract arrived last, from the log or from a peer; `canReplace` may refuse some. */
+function createArrivalReader (canReplace: (versionNow: number, versionNew: number) => boolean): ContractStrategy['createReader'] {
+  return (log, clock) => {
+    const records: ContractRecord[] = []
+    const stop = new AbortController()
+    let inForce: { version: number, mark: number } | undefined
+    let nextOffset = 0 as Offset
+    const apply = (record: ContractRecord): void => {
+      records.push(record)
+      const decoded = decodeStreamRecord(record.data)
+      if (decoded.isErr() || decoded.value.type !== 'contract') return
+      const checked = decodeText(decoded.value.packed).map(checkContractText)
+      if (checked.isErr() || checked.value.isErr()) return
+      const { version, limits } = checked.value.value
+      if (canReplace(inForce?.version ?? 0, version)) inForce = { version, mark: limits.requestsPerSecond }
+    }
+    const run = async (): Promise<void> => {
+      while (!stop.signal.aborted) {
+        const page = await log.read(CONTRACTS, nextOffset, { waitMs: 1_000, signal: stop.signal })
+        if (page.isErr()) await clock.wait(400, stop.signal)
+        else {
+          page.value.records.forEach(apply)
+          nextOffset = page.value.nextOffset
+        }
+      }
+    }
+    return {
+      start () { run().catch(() => {}) },
+      getInForce: () => inForce,
+      getNextOffset: () => nextOffset,
+      listRecords: (from) => records.filter(({ offset }) => offset >= from),
+      addPeerRecords (_previousOffset, added) {
+        added.forEach(apply)
+        return added.length
+      },
+      close: async () => stop.abort()
+    }
+  }
+}
+
+const newestByArrival: ContractStrategy = { ...chained, createReader: createArrivalReader(() => true) }
+/** The publisher has checked before it wrote, so readers take any higher or equal version. */
+const checkedBeforeWriting: ContractStrategy = { ...believed, createReader: createArrivalReader((now, added) => added >= now) }
+
+function createProperty (strategy: ContractStrategy) {
+  return fc.asyncProperty(historyArbitrary, (steps) => runHistory(strategy, steps))
+}
+
+test('in any history every reader agrees, none goes back, and publishers are told the truth', async () => {
+  await fc.assert(createProperty(chained), createModelRuns(HISTORIES))
+})
+
+test.each([
+  ['trust in the append\'s answer', believed, /was told/],
+  ['newest version by arrival', newestByArrival, /came into force|went back|for one reader and|readers differ/],
+  ['check, then write', checkedBeforeWriting, /came into force|for one reader and|both told|readers differ/]
+])('%s breaks in some history', async (_name, strategy, fault) => {
+  const result = await fc.check(createProperty(strategy), { ...createModelRuns(NAIVE_HISTORIES), endOnFailure: true })
+  expect(result.failed).toBe(true)
+  expect(String(result.errorInstance)).toMatch(fault)
+})
--- a/test/support/process-gate.ts
+++ b/test/support/process-gate.ts
@@ -33,11 +33,15 @@
     }
     const wait: Clock['wait'] = (delayMs, signal) => new Promise((resolve) => {
       if (signal?.aborted) return resolve()
-      const cancel = startTimer(delayMs, resolve)
-      signal?.addEventListener('abort', () => {
+      const stopEarly = (): void => {
         cancel()
         resolve()
-      }, { once: true })
+      }
+      const cancel = startTimer(delayMs, () => {
+        signal?.removeEventListener('abort', stopEarly)
+        resolve()
+      })
+      signal?.addEventListener('abort', stopEarly, { once: true })
     })
     return { ...clock, startTimer, wait }
   }
