--- a/bench/targets-balancers.ts
+++ b/bench/targets-balancers.ts
@@ -6,7 +6,7 @@
 import { createBaselinePolicy } from '../src/request/balancing/baseline-policies.ts'
 import type { BaselineKind } from '../src/request/balancing/baseline-policies.ts'
 import { toBrand } from '../src/types.ts'
-import type { CustomerId, EntryId, ServiceId, TargetId, ZoneId } from '../src/types.ts'
+import type { CustomerId, EntryId, ServiceId, TargetId } from '../src/types.ts'
 import type { ServiceContract } from '../src/version/contract.ts'
 import type { EventClock } from './targets-clock.ts'
 import type { BenchServer } from './targets-model.ts'
@@ -39,27 +39,6 @@
   deadlineMs: number
 }
 
-/** Builds the contract of a service of the bench. */
-export function buildBenchService (servers: readonly { id: string, zone: number }[], changes: Partial<ServiceContract> = {}): ServiceContract {
-  const targets = servers.map((server, index) => ({
-    id: toBrand<TargetId>(server.id), address: '127.0.0.1', port: 1 + index % 65_535, zone: toBrand<ZoneId>(`zone-${server.zone}`)
-  }))
-  return {
-    targets,
-    slotsPerTarget: 4,
-    connectionsPerTarget: 250,
-    measuring: { budgetMsPerSecond: servers.length * 4, probeCostMs: 6, connectCostMs: 1, probePath: '/health' },
-    hedging: { afterMs: 90, budgetShare: 0.025 },
-    retries: { budgetShare: 0.005, largestAttempts: 3 },
-    ejectedShare: 0.34,
-    queue: { longest: 100, longestWaitMs: 1_000 },
-    coldRampMs: 10_000,
-    shedSignal: { status: 503, header: 'x-shed' },
-    operations: [{ name: 'status', method: 'GET', path: '/slots/:slot', deadlineMs: 2_000, longestMs: 30_000, largestBodyBytes: 65_536, repeatable: true }],
-    ...changes
-  }
-}
-
 function createProductBalancer (input: BalancerInput): BenchBalancer {
   const { clock, servers, service, entries, self, random } = input
   const byId = new Map(servers.map((server) => [server.id, server]))
--- a/bench/targets-scenario.ts
+++ b/bench/targets-scenario.ts
@@ -4,8 +4,9 @@
 import { toBrand } from '../src/types.ts'
 import type { EntryId, TargetId } from '../src/types.ts'
 import type { ServiceContract } from '../src/version/contract.ts'
-import { buildBenchService, createBalancer } from './targets-balancers.ts'
+import { createBalancer } from './targets-balancers.ts'
 import type { BenchBalancer, BenchPlace, BenchPolicy } from './targets-balancers.ts'
+import { buildService } from '../test/support/target-service.ts'
 import { createEventClock } from './targets-clock.ts'
 import type { EventClock } from './targets-clock.ts'
 import { createBenchServer, startSlowDowns } from './targets-model.ts'
@@ -26,6 +27,8 @@
   firstEntryShare: number
   /** Mean work of a request, in ms. */
   workMs: number
+  /** Whether another attempt takes the same work, or draws its own. */
+  isWorkOfRequest: boolean
   /** When a request without an answer is hedged, in ms; undefined for never. */
   hedgeAfterMs: number | undefined
   slow: SlowDowns | undefined
@@ -55,7 +58,10 @@
 interface Run {
   scenario: Scenario
   clock: EventClock
+  /** Draws arrivals and work. */
   random: () => number
+  /** Draws the work of further attempts, so that arrivals are the same for every policy. */
+  attemptRandom: () => number
   latencies: number[]
   counts: { hedges: number, retries: number, failed: number, refused: number, attempts: number, toFailing: number }
 }
@@ -65,6 +71,11 @@
 const MS_PER_SECOND = 1000
 const SLOTS = 4
 const REFUSED_AFTER_MS = 5_000
+const BENCH_LIMITS: Partial<ServiceContract> = {
+  hedging: { afterMs: 90, budgetShare: 0.025 },
+  retries: { budgetShare: 0.005, largestAttempts: 3 },
+  queue: { longest: 100, longestWaitMs: 1_000 }
+}
 
 /** Ends a request: the first answer counts, all other attempts are cancelled. */
 function settleRequest (request: Request, isGood: boolean): void {
@@ -93,8 +104,10 @@
     run.counts.attempts += 1
     if (place.server.isFailing) run.counts.toFailing += 1
   }
+  const isFirst = request.tried.size === 1 || run.scenario.isWorkOfRequest
+  const workMs = isFirst ? request.workMs : computeExponential(run.attemptRandom, run.scenario.workMs)
   const sentMs = run.clock.monotonicMs()
-  request.open.set(place, place.server.send(request.workMs, (isGood) => {
+  request.open.set(place, place.server.send(workMs, (isGood) => {
     if (!request.open.delete(place)) return
     place.release({ kind: 'answered', status: isGood ? 200 : 500, firstByteMs: run.clock.monotonicMs() - sentMs })
     if (isGood) settleRequest(request, true)
@@ -165,11 +178,10 @@
 export async function runScenario (scenario: Scenario): Promise<ScenarioResult> {
   const clock = createEventClock()
   const random = createSeededRandom(scenario.seed)
-  const servers: BenchServer[] = Array.from({ length: scenario.servers }, (_, index) =>
-    createBenchServer(clock, `server-${index}`, index % scenario.zones))
+  const service = buildService(scenario.servers, { ...BENCH_LIMITS, ...scenario.service })
+  const servers: BenchServer[] = service.targets.map((target, index) => createBenchServer(clock, target.id, index % scenario.zones))
   const entries = Array.from({ length: scenario.entries }, (_, index) => toBrand<EntryId>(`entry-${index}`))
-  const service = buildBenchService(servers, scenario.service)
-  const run: Run = { scenario, clock, random, latencies: [], counts: { hedges: 0, retries: 0, failed: 0, refused: 0, attempts: 0, toFailing: 0 } }
+  const run: Run = { scenario, clock, random, attemptRandom: createSeededRandom(scenario.seed + 2), latencies: [], counts: { hedges: 0, retries: 0, failed: 0, refused: 0, attempts: 0, toFailing: 0 } }
   // Faults draw from their own numbers, so that every policy meets the same ones.
   if (scenario.slow) startSlowDowns(clock, servers, scenario.slow, createSeededRandom(scenario.seed + 1))
   clock.startTimer(scenario.warmUpMs, () => {
@@ -195,6 +207,7 @@
   entries: 6,
   firstEntryShare: 1 / 6,
   workMs: 20,
+  isWorkOfRequest: false,
   hedgeAfterMs: 90,
   slow: { factor: 6, durationMs: 150, everyMs: 3 * MS_PER_SECOND, byZone: false },
   failing: 0,
--- a/src/process/targets/local-target-set.ts
+++ b/src/process/targets/local-target-set.ts
@@ -139,7 +139,7 @@
   return {
     takeSlot: (wish) => takeSlot(state, wish),
     takeHedge: () => state.hedges.take(),
-    takeRetry: () => state.retries.take(),
+    takeRetry: (attempts = 0) => attempts < state.service.retries.largestAttempts && state.retries.take(),
     markLeaving: (target, source) => markLeaving(state, target, source),
     updateContract: (next, largestEntries) => updateContract(state, prober, next, largestEntries ?? state.largestEntries),
     updateEntries (entries) {
--- a/src/process/targets/target-set.ts
+++ b/src/process/targets/target-set.ts
@@ -61,8 +61,11 @@
   takeSlot(wish: TargetWish): Promise<Result<TargetSlot, AppError>>
   /** Takes budget for one hedge; false when it is used up. */
   takeHedge(): boolean
-  /** Takes budget for one retry; false when it is used up. */
-  takeRetry(): boolean
+  /**
+   * Takes budget for one retry; false when it is used up, or when `attempts` (those before this process, by the
+   * passed-on count, and those here) have reached the contract's largest number.
+   */
+  takeRetry(attempts?: number): boolean
   /** Marks a target as leaving for good. */
   markLeaving(target: TargetId, source: LeavingSource): void
   /** Follows a new version of the contract; `largestEntries` is its largest number of entry processes. */
--- /dev/null
+++ b/test/target-budgets.test.ts
@@ -0,0 +1,138 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { createRatioBudget } from '../src/request/balancing/ratio-budget.ts'
+import type { ExchangeOutcome, TargetSlot } from '../src/process/targets/target-set.ts'
+import type { ServiceContract } from '../src/version/contract.ts'
+import { buildService, setupTargetSet, toEntryIds, toTargetId } from './support/target-service.ts'
+
+const GOOD = { kind: 'answered', status: 200, firstByteMs: 20 } as const
+const LARGEST_ATTEMPTS = 3
+const DEPTH = 12
+const CALLS = 2_000
+
+/** Sends one call through layers that each retry while `canRetry` allows; the last layer fails one call in `failEvery`. */
+function sendCall (layer: number, canRetry: (layer: number) => boolean, onGood: (layer: number) => void, isGood: () => boolean): boolean {
+  for (let attempt = 1; attempt <= LARGEST_ATTEMPTS; attempt++) {
+    if (attempt > 1 && !canRetry(layer)) return false
+    const hasAnswer = layer === DEPTH ? isGood() : sendCall(layer + 1, canRetry, onGood, isGood)
+    if (hasAnswer) {
+      onGood(layer)
+      return true
+    }
+  }
+  return false
+}
+
+function countLastLayer (canRetry: (layer: number) => boolean, onGood: (layer: number) => void): number {
+  let reached = 0
+  // A hard failure of the last layer for a tenth of the calls.
+  for (let call = 0; call < CALLS; call++) {
+    const isFailing = call % 10 === 0
+    sendCall(1, canRetry, onGood, () => {
+      reached += 1
+      return !isFailing || reached > 500_000
+    })
+  }
+  return reached
+}
+
+test('calls 12 deep do not multiply under budgets, and would by attempts alone', () => {
+  const budgets = Array.from({ length: DEPTH + 1 }, () => createRatioBudget({ share: 0.01, initial: 1 }))
+  const held = countLastLayer((layer) => budgets[layer]!.take(), (layer) => budgets[layer]!.add())
+  expect(held).toBeLessThanOrEqual(CALLS * 1.01 ** DEPTH + DEPTH)
+  expect(countLastLayer(() => true, () => {})).toBeGreaterThan(CALLS * 10)
+})
+
+test('hedges stay within the share of requests, from the first request on', async () => {
+  const { set, take } = setupTargetSet(buildService(3))
+  let hedges = 0
+  for (let request = 1; request <= 1_000; request++) {
+    const slot = await take()
+    slot.release(GOOD)
+    while (set.takeHedge()) hedges += 1
+    expect(hedges).toBeLessThanOrEqual(request * 0.02 + 1e-6)
+  }
+  expect(hedges).toBe(20)
+})
+
+test('retries are earned by successes only', async () => {
+  const { set, take } = setupTargetSet(buildService(3))
+  expect([set.takeRetry(), set.takeRetry()]).toEqual([true, false])
+  for (let request = 0; request < 100; request++) (await take()).release({ kind: 'broken' })
+  expect(set.takeRetry()).toBe(false)
+  for (let request = 0; request < 100; request++) (await take()).release(GOOD)
+  expect([set.takeRetry(), set.takeRetry()]).toEqual([true, false])
+})
+
+test('a retry is refused once the request has had its attempts', () => {
+  const { set } = setupTargetSet(buildService(3))
+  expect([set.takeRetry(3), set.takeRetry(2)]).toEqual([false, true])
+})
+
+const outcome: fc.Arbitrary<ExchangeOutcome> = fc.constantFrom<ExchangeOutcome>(
+  GOOD, { kind: 'answered', status: 500, firstByteMs: 1 }, { kind: 'shed' }, { kind: 'unreachable' }, { kind: 'broken' }, { kind: 'timed-out' }, { kind: 'cancelled' }
+)
+const step = fc.oneof(
+  fc.record({ type: fc.constant('take' as const), waitMs: fc.integer({ min: 1, max: 900 }), mayWait: fc.boolean(), isRepeatable: fc.boolean(), exclude: fc.subarray(['t0', 't1', 't2', 't3']) }),
+  fc.record({ type: fc.constant('release' as const), index: fc.nat(20), outcome, twice: fc.boolean() }),
+  fc.record({ type: fc.constant('leave' as const), index: fc.nat(20) }),
+  fc.record({ type: fc.constant('pass' as const), ms: fc.integer({ min: 0, max: 3_000 }) }),
+  fc.record({ type: fc.constant('entries' as const), count: fc.integer({ min: 1, max: 9 }) }),
+  fc.record({ type: fc.constant('drain' as const), target: fc.constantFrom('t0', 't1') }),
+  fc.record({ type: fc.constant('contract' as const), targets: fc.integer({ min: 2, max: 5 }) })
+)
+
+type Step = typeof step extends fc.Arbitrary<infer T> ? T : never
+
+interface Play { setup: ReturnType<typeof setupTargetSet>, service: ServiceContract, held: TargetSlot[], callers: AbortController[], open: number }
+
+async function runRequest (play: Play, taking: Extract<Step, { type: 'take' }>): Promise<void> {
+  const { set, clock, buildWish } = play.setup
+  const caller = new AbortController()
+  play.callers.push(caller)
+  play.open += 1
+  const exclude = new Set(taking.exclude.map(toTargetId))
+  const { mayWait, isRepeatable, waitMs } = taking
+  const result = await set.takeSlot(buildWish({ mayWait, isRepeatable, exclude, deadlineMs: clock.monotonicMs() + waitMs, signal: caller.signal }))
+  play.open -= 1
+  if (result.isOk()) play.held.push(result.value)
+}
+
+function releaseOne (play: Play, releasing: Extract<Step, { type: 'release' }>): void {
+  const slot = play.held.splice(releasing.index % Math.max(1, play.held.length), 1)[0]
+  slot?.release(releasing.outcome)
+  if (releasing.twice) slot?.release(releasing.outcome)
+}
+
+async function runStep (play: Play, taken: Step): Promise<void> {
+  const { set, clock } = play.setup
+  switch (taken.type) {
+    case 'take':
+      runRequest(play, taken).catch(() => {})
+      return
+    case 'release': return releaseOne(play, taken)
+    case 'leave': return play.callers[taken.index % Math.max(1, play.callers.length)]?.abort()
+    case 'pass': return clock.advance(taken.ms)
+    case 'entries': return set.updateEntries(toEntryIds(...Array.from({ length: taken.count }, (_, index) => `e${index}`)))
+    case 'drain': return set.markLeaving(toTargetId(taken.target), 'answer')
+    case 'contract': return set.updateContract({ ...play.service, targets: buildService(taken.targets).targets })
+  }
+}
+
+test('no slot is leaked, no request left waiting and no bound passed under any order of events', async () => {
+  await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 80 }), async (steps) => {
+    const service = buildService(4, { slotsPerTarget: 2, queue: { longest: 5, longestWaitMs: 400 } })
+    const setup = setupTargetSet(service, { sendProbe: async () => ({ kind: 'ready' }) })
+    const play: Play = { setup, service, held: [], callers: [], open: 0 }
+    for (const taken of steps) {
+      await runStep(play, taken)
+      for (const target of setup.set.listTargets()) expect(target.inFlight).toBeLessThanOrEqual(2)
+      expect(setup.set.report().waiting).toBeLessThanOrEqual(5)
+    }
+    await setup.clock.advance(1_000)
+    expect([play.open, setup.set.report().waiting]).toEqual([0, 0])
+    for (const slot of play.held) slot.release(GOOD)
+    expect(setup.set.listTargets().filter((target) => target.inFlight !== 0)).toEqual([])
+    setup.set.close()
+  }), { seed: 77, numRuns: 150 })
+}, 40_000)
--- /dev/null
+++ b/test/target-prober.test.ts
@@ -0,0 +1,110 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import type { ProbeResult } from '../src/process/targets/target-prober.ts'
+import { computeProbeCost } from '../src/process/targets/target-prober.ts'
+import { createSpendBudget } from '../src/request/balancing/spend-budget.ts'
+import { createTestClock } from '../src/clock.ts'
+import type { TestClock } from '../src/clock.ts'
+import { buildService, setupTargetSet, toEntryIds, toTargetId } from './support/target-service.ts'
+
+const GOOD = { kind: 'answered', status: 200, firstByteMs: 20 } as const
+const LARGEST_ENTRIES = 6
+const MEASURING = { budgetMsPerSecond: 30, probeCostMs: 6, connectCostMs: 1, probePath: '/health' }
+
+interface Spending { clock: TestClock, probes: number }
+
+/** Starts one entry process on a shared clock; all its targets are silent, so it probes as much as it may. */
+function startEntry (spending: Spending, self: string, believed: string[]) {
+  const { set } = setupTargetSet(buildService(8, { measuring: MEASURING }), {
+    clock: spending.clock,
+    self: toEntryIds(self)[0]!,
+    entries: toEntryIds(...believed),
+    largestEntries: LARGEST_ENTRIES,
+    sendProbe: async (): Promise<ProbeResult> => {
+      spending.probes += 1
+      return { kind: 'unreachable' }
+    }
+  })
+  return set
+}
+
+function computeSpentMs (spending: Spending): number {
+  return spending.probes * computeProbeCost(MEASURING)
+}
+
+test('measuring stays within the budget under restarts, replacements and disagreement about who is live', async () => {
+  const step = fc.record({
+    restarted: fc.integer({ min: 0, max: LARGEST_ENTRIES - 1 }),
+    believed: fc.subarray(['e0', 'e1', 'e2', 'e3', 'e4', 'e5']),
+    passMs: fc.integer({ min: 1, max: 4_000 })
+  })
+  await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 3, maxLength: 12 }), async (steps) => {
+    const spending: Spending = { clock: createTestClock(), probes: 0 }
+    const sets = Array.from({ length: LARGEST_ENTRIES }, (_, index) => startEntry(spending, `e${index}`, ['e0']))
+    for (const { restarted, believed, passMs } of steps) {
+      sets[restarted]!.close()
+      sets[restarted] = startEntry(spending, `e${restarted}-again`, believed)
+      for (const set of sets) set.updateEntries(toEntryIds(...believed))
+      await spending.clock.advance(passMs)
+      expect(computeSpentMs(spending)).toBeLessThanOrEqual(MEASURING.budgetMsPerSecond * spending.clock.monotonicMs() / 1000 + 1e-6)
+    }
+    for (const set of sets) set.close()
+  }), { seed: 41, numRuns: 25 })
+}, 40_000)
+
+test('a share by the live entries that each one believes in would overspend', async () => {
+  // Naive form: each of 6 entries believes that it is alone, and begins with a full bucket.
+  const entries = Array.from({ length: LARGEST_ENTRIES }, () => createSpendBudget({ perSecondMs: MEASURING.budgetMsPerSecond, largestMs: 150, nowMs: -5_000 }))
+  let spentMs = 0
+  for (let ms = 0; ms < 1_000; ms += 10) {
+    for (const budget of entries) if (budget.charge(7, ms)) spentMs += 7
+  }
+  expect(spentMs).toBeGreaterThan(MEASURING.budgetMsPerSecond)
+})
+
+test('the cost is charged before a probe goes out, also when it never comes back', async () => {
+  const { set, clock } = setupTargetSet(buildService(8), { sendProbe: () => new Promise(() => {}) })
+  await clock.advance(20_000)
+  const { probes, probeCostMs } = set.report()
+  expect(probes).toBeGreaterThan(0)
+  expect(probeCostMs).toBe(probes * 7)
+})
+
+test('a target that answers describe gets no probe, a silent one does', async () => {
+  const probed = new Set<string>()
+  const setup = setupTargetSet(buildService(3), {
+    sendProbe: async (target) => {
+      probed.add(target.id)
+      return { kind: 'ready' }
+    }
+  })
+  const silent = toTargetId('t2')
+  for (let ms = 0; ms < 30_000; ms += 500) {
+    for (const exclude of [[silent, toTargetId('t0')], [silent, toTargetId('t1')]]) {
+      const slot = await setup.take({ exclude: new Set(exclude) })
+      slot.release(GOOD)
+    }
+    await setup.clock.advance(500)
+  }
+  expect([...probed]).toEqual(['t2'])
+})
+
+test('a budget of nothing sends no probe, and a new contract takes hold at once', async () => {
+  const setup = setupTargetSet(buildService(3, { measuring: { ...MEASURING, budgetMsPerSecond: 0 } }), { sendProbe: async () => ({ kind: 'ready' }) })
+  await setup.clock.advance(30_000)
+  expect(setup.set.report().probes).toBe(0)
+  setup.set.updateContract(buildService(3, { measuring: MEASURING }), 1)
+  await setup.clock.advance(10_000)
+  expect(setup.set.report().probes).toBe(3)
+  setup.set.close()
+  await setup.clock.advance(30_000)
+  expect(setup.set.report().probes).toBe(3)
+})
+
+test('a probe that finds a target leaving stops new work to it', async () => {
+  const setup = setupTargetSet(buildService(2), {
+    sendProbe: async (target) => ({ kind: target.id === 't0' ? 'leaving' : 'ready' })
+  })
+  await setup.clock.advance(20_000)
+  expect(setup.set.listTargets().map((target) => target.state)).toEqual(['leaving', 'serving'])
+})
