--- a/replay/demo-main.ts
+++ b/replay/demo-main.ts
@@ -5,20 +5,25 @@
 import { parseArgs } from 'node:util'
 import { createDeployment } from './deployment.ts'
 import { runSteps } from './demo-steps.ts'
+import { replayThroughEntries } from './replay-trace.ts'
+import { renderReport } from './report.ts'
 import { startSystem } from './system.ts'
 import type { System } from './system.ts'
+import { readTrace } from './trace.ts'
 
 const HELP = `Usage: npm run demo -- [options]
 
-Starts the platform's stand-ins, targets and six entries as processes on loopback addresses, makes one path through them and stays up.
+Starts the platform's stand-ins, targets and six entries as processes on loopback addresses, makes one path through them,
+replays a short trace and stays up.
 
-  --once          end after the path
+  --once          end after the trace
   --network A.B.C the first three bytes of every address (default 127.77.1)
   --binary FILE   run the one binary in place of the bundled program
   --root FOLDER   the folder that holds samples/ and dist/ (default: this one)
   --help          print this text`
 const ENTRY_COUNT = 6
 const TARGET_COUNT = 6
+const TRACE = 'replay/traces/kyushu/steady-day.jsonl'
 
 const { values } = parseArgs({
   options: {
@@ -71,14 +76,24 @@
   const binary = values.binary === undefined ? undefined : path.resolve(values.binary)
   const interrupted = waitForSignal()
   print(`Starting the log, the host list, ${deployment.targets.length} targets and ${ENTRY_COUNT} entries.`)
-  const system = await startSystem({ deployment, files: { dist: path.join(root, 'dist'), binary } })
+  const startedMs = performance.now()
   let faults = 0
+  const handleLine = (process: string, line: string) => {
+    if (!/Warning:/.test(line)) return
+    print(`  WRONG: ${process} printed a warning: ${line}`)
+    faults += 1
+  }
+  const system = await startSystem({ deployment, handleLine, files: { dist: path.join(root, 'dist'), binary } })
   try {
     await system.startEntries()
     await system.publishContract()
     print(`Contract of ${deployment.customer} is published by the command line and in force on every entry.\n`)
-    faults = await runSteps(system, print)
-    print(faults === 0 ? '\nEvery step went as it should.' : `\n${faults} steps went wrong.`)
+    faults += await runSteps(system, print)
+    print(`\nReplaying ${TRACE} ...\n`)
+    const { report } = await replayThroughEntries(readTrace(path.join(root, TRACE)), system, startedMs)
+    print(renderReport('What came of it:', [report], []))
+    faults += report.verdicts.filter((verdict) => !verdict.holds).length
+    print(faults === 0 ? '\nEvery step went as it should and every invariant held.' : `\n${faults} steps or invariants went wrong.`)
     if (!values.once && faults === 0) {
       printLinesToTry(system)
       await interrupted
--- a/replay/judge.ts
+++ b/replay/judge.ts
@@ -117,7 +117,7 @@
   return createVerdict('a leaving target receives no new work after 2 s', leaving.length, faults)
 }
 
-function checkStops (trace: PlayedTrace, exitCodes: Record<string, number | null>): Verdict {
+function checkStops (trace: PlayedTrace, exitCodes: Record<string, number | null | undefined>): Verdict {
   const stopped = trace.faults.filter(({ line }) => line.what === 'stop')
   const isUnplanned = trace.faults.some(({ line }) => line.what === 'kill' || line.what === 'freeze')
   const broken = isUnplanned ? [] : trace.requests.filter(({ answer }) => answer.attempts.some(({ kind }) => kind === 'broken'))
@@ -165,7 +165,7 @@
   notes: TargetNotes[]
   costs: MeasuringCost[]
   /** Exit codes of entries that were stopped. */
-  exitCodes: Record<string, number | null>
+  exitCodes: Record<string, number | null | undefined>
 }
 
 /** Judges every invariant. */
--- a/replay/replay-trace.ts
+++ b/replay/replay-trace.ts
@@ -33,15 +33,14 @@
 /** What a replay came to. */
 export interface ReplayResult { reports: PolicyReport[], results: OutcomeResult[] }
 
-interface PolicyRun { played: PlayedTrace, report: PolicyReport }
+/** A trace that one policy played. */
+export interface PolicyRun { played: PlayedTrace, report: PolicyReport }
 
-async function runEntries (options: ReplayOptions, system: System): Promise<PolicyRun> {
+/** Plays a trace through the entries of a running system and judges what came of it; `startedMs` is when the system started. */
+export async function replayThroughEntries (trace: Trace, system: System, startedMs: number): Promise<PolicyRun> {
   const { deployment } = system
-  const startedMs = performance.now()
-  await system.startEntries()
-  await system.publishContract()
   const played = await runTrace({
-    trace: options.trace,
+    trace,
     system,
     hasEntries: true,
     createCaller: (id, onlyEntry) => createCaller({ id, onlyEntry, customer: deployment.customer, entries: deployment.entries })
@@ -49,10 +48,18 @@
   const notes = await readNotes(deployment.targets)
   const elapsedMs = performance.now() - startedMs
   const costs = Object.entries(deployment.services).map(([service, { measuring }]) => computeMeasuringCost(service, measuring, notes, elapsedMs))
-  const exitCodes = await system.stop()
+  const stopped = new Set(trace.faults.filter(({ what }) => what === 'stop').map(({ where }) => where))
+  const exitCodes = Object.fromEntries(await Promise.all([...stopped].map(async (id) => [id, await system.getProgram(id)?.waitForEnd()] as const)))
   return { played, report: buildPolicyReport('entry', played, costs, checkInvariants({ trace: played, notes, costs, exitCodes })) }
 }
 
+async function runEntries (options: ReplayOptions, system: System): Promise<PolicyRun> {
+  const startedMs = performance.now()
+  await system.startEntries()
+  await system.publishContract()
+  return replayThroughEntries(options.trace, system, startedMs)
+}
+
 async function runBaseline (options: ReplayOptions, system: System, policy: DirectPolicy): Promise<PolicyRun> {
   const { deployment } = system
   const callers = createDirectCallers({ policy, targets: deployment.targets, entryCount: deployment.entries.length, random: options.random })
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,8 +11,17 @@
   demo: 'replay/demo-main.ts',
   bench: 'bench/main.ts'
 }
-// Optional native parts that the libraries load when present; each has a fallback in JavaScript.
-const OPTIONAL_PACKAGES = ['dtrace-provider', 'source-map-support', 'mv', 'cbor-extract', 'safe-json-stringify']
+// Optional parts that the libraries load when present; each has a fallback in JavaScript.
+const OPTIONAL_PACKAGES = /^(dtrace-provider|source-map-support|mv|cbor-extract|safe-json-stringify)$/
+
+/** Makes optional packages missing everywhere, so that the binary, which cannot load files, behaves like the bundle and prints no warning. */
+const withoutOptionalPackages = {
+  name: 'without-optional-packages',
+  setup (build) {
+    build.onResolve({ filter: OPTIONAL_PACKAGES }, ({ path }) => ({ path, namespace: 'missing' }))
+    build.onLoad({ filter: /.*/, namespace: 'missing' }, ({ path }) => ({ contents: `throw new Error('${path} is not bundled')` }))
+  }
+}
 
 const present = Object.entries(ENTRY_POINTS).filter(([, file]) => existsSync(file))
 const result = await build({
@@ -24,7 +33,7 @@
   format: 'cjs',
   target: 'node20',
   mainFields: ['module', 'main'],
-  external: OPTIONAL_PACKAGES,
+  plugins: [withoutOptionalPackages],
   write: false,
   logLevel: 'warning'
 })
