--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,32 @@
+/**
+ * The benches, one subcommand each.
+ */
+import { runRelayBench, runRelayTarget } from './relay.ts'
+
+const HELP = `Usage: npm run bench -- NAME [options]
+
+  relay         what an entry adds to a small request, requests a second on one core, memory
+  relay-target  the target that the relay bench starts
+
+Each bench prints its options with --help.`
+const EXIT_USAGE = 2
+
+/** Runs a bench by its name; returns the exit code. */
+async function runBench (name: string | undefined, args: string[]): Promise<number> {
+  switch (name) {
+    case 'relay': return runRelayBench(args)
+    case 'relay-target': return runRelayTarget(args)
+    case '--help':
+      console.log(HELP)
+      return 0
+    default:
+      console.error(HELP)
+      return EXIT_USAGE
+  }
+}
+
+const [name, ...args] = process.argv.slice(2)
+runBench(name, args).then((exitCode) => { process.exitCode = exitCode }, (cause: unknown) => {
+  console.error(cause instanceof Error ? cause.message : cause)
+  process.exitCode = 1
+})
--- a/replay/deployment.ts
+++ b/replay/deployment.ts
@@ -67,6 +67,7 @@
 export function createDeployment (options: DeploymentOptions): Deployment {
   const { network, entryCount, targetCount } = options
   const contract = readSample(options.root, options.sample)
+  options.changeContract?.(contract)
   const zones = new Set<string>()
   const targets: TargetHost[] = []
   for (const [service, serviceContract] of Object.entries(contract.services)) {
@@ -78,7 +79,6 @@
       targets.push({ service, slots: serviceContract.slotsPerTarget, ...target })
     }
   }
-  options.changeContract?.(contract)
   const zoneList = [...zones]
   const entries = Array.from({ length: entryCount }, (_, index) => ({
     id: `entry-${index + 1}`,
--- a/replay/system.ts
+++ b/replay/system.ts
@@ -27,6 +27,8 @@
   files: ProgramFiles
   /** Mean work of a request at a target, in ms. */
   workMs?: number
+  /** Whether to start target stand-ins; true when left out. */
+  hasTargets?: boolean
   /** Called for each line that a process prints. */
   handleLine?: (process: string, line: string) => void
 }
@@ -121,11 +123,12 @@
     return programs.start(name, process.execPath, [path.join(files.dist, bundle), '--address', address, '--port', String(port), ...args], readyText)
   }
   const hosts = programs.writeText('hosts.json', formatHostList(deployment))
+  const targets = options.hasTargets ?? true ? deployment.targets : []
   const workArgs = workMs === undefined ? [] : ['--work-ms', String(workMs)]
   await Promise.all([
     startOne('log', 'stand-in-log.cjs', deployment.logAddress, deployment.logPort, [], 'ready'),
     startOne('host-list', 'stand-in-host-list.cjs', deployment.logAddress, deployment.hostListPort, ['--hosts', hosts], 'listens'),
-    ...deployment.targets.map(({ id, address, port, slots }) => startOne(id, 'stand-in-target.cjs', address, port, ['--id', id, '--slots', String(slots), ...workArgs], 'listens'))
+    ...targets.map(({ id, address, port, slots }) => startOne(id, 'stand-in-target.cjs', address, port, ['--id', id, '--slots', String(slots), ...workArgs], 'listens'))
   ])
 }
 
