--- /dev/null
+++ b/src/process/targets/local-target-set.ts
@@ -0,0 +1,160 @@
+/**
+ * The targets of one service, chosen from what this process knows by itself.
+ */
+import { err } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createError } from '../../errors.ts'
+import type { AppError } from '../../errors.ts'
+import { createRatioBudget } from '../../request/balancing/ratio-budget.ts'
+import type { TargetId } from '../../types.ts'
+import type { ServiceContract } from '../../version/contract.ts'
+import { findProbeTarget } from './probe-need.ts'
+import { serveWaiting, tryTakeSlot } from './slot-choice.ts'
+import { createSlotQueue } from './slot-queue.ts'
+import { addFailed, removeEjectionsOverShare } from './target-health.ts'
+import { applyHostList, markLeaving, tryReturn } from './target-leaving.ts'
+import { startTargetProber } from './target-prober.ts'
+import type { ProbeResult, SendProbe, TargetProber } from './target-prober.ts'
+import type { TargetRecord } from './target-record.ts'
+import type { TargetReport, TargetSet, TargetSlot, TargetWish } from './target-set.ts'
+import type { SetState, TargetSetOptions } from './target-set-state.ts'
+import { updateShares } from './target-shares.ts'
+
+// So that a process that has just started can still pass over one dead target.
+const FIRST_RETRIES = 1
+
+function createState (options: TargetSetOptions): SetState {
+  const { clock, service } = options
+  return {
+    options,
+    service,
+    entries: options.entries,
+    largestEntries: options.largestEntries,
+    records: new Map(),
+    parked: new Map(),
+    listedIds: new Set(service.targets.map((target) => target.id)),
+    queue: createSlotQueue({ clock, longest: service.queue.longest, longestWaitMs: service.queue.longestWaitMs }),
+    hedges: createRatioBudget({ share: service.hedging.budgetShare }),
+    retries: createRatioBudget({ share: service.retries.budgetShare, initial: FIRST_RETRIES }),
+    random: options.random ?? Math.random,
+    typicalMs: service.hedging.afterMs
+  }
+}
+
+async function takeSlot (state: SetState, wish: TargetWish): Promise<Result<TargetSlot, AppError>> {
+  if (wish.signal.aborted) return err(createError('deadline-passed', 'The caller has left.'))
+  if (wish.deadlineMs <= state.options.clock.monotonicMs()) {
+    return err(createError('deadline-passed', 'The deadline has passed.'))
+  }
+  if (wish.exclude.size === 0) state.hedges.add()
+  const result = tryTakeSlot(state, wish)
+  if (result) return result
+  if (!wish.mayWait) return err(createError('queue-full', 'All targets are busy.'))
+  return state.queue.wait(wish)
+}
+
+/** Applies what a probe found. */
+function applyProbe (state: SetState, id: TargetId, result: ProbeResult): void {
+  const record = state.records.get(id)
+  if (!record) return
+  const nowMs = state.options.clock.monotonicMs()
+  record.isProbing = false
+  switch (result.kind) {
+    case 'ready':
+      record.lastAnswerMs = nowMs
+      applyReady(state, record)
+      return
+    case 'leaving':
+      record.lastAnswerMs = nowMs
+      markLeaving(state, id, 'probe')
+      return
+    case 'unreachable':
+      record.wasUnreachable = true
+      addFailed(state, record, nowMs, 'unreachable')
+      return
+    case 'silent':
+      addFailed(state, record, nowMs, 'silent')
+  }
+}
+
+/** A ready probe allows trials and returns; it proves no good work, so it ends no ejection by itself. */
+function applyReady (state: SetState, record: TargetRecord): void {
+  switch (record.state.kind) {
+    case 'ejected':
+      record.trial.isConfirmed = true
+      return
+    case 'leaving':
+      tryReturn(state, record)
+      return
+    case 'cold':
+    case 'serving':
+      record.wasUnreachable = false
+  }
+}
+
+function startProber (state: SetState, sendProbe: SendProbe): TargetProber {
+  const { clock, largestEntries } = state.options
+  return startTargetProber({
+    clock,
+    measuring: state.service.measuring,
+    largestEntries,
+    sendProbe,
+    findNext: () => findProbeTarget(state.records.values(), clock.monotonicMs())?.target,
+    start (target) {
+      const record = state.records.get(target.id)
+      if (!record) return
+      record.isProbing = true
+      record.lastProbeMs = clock.monotonicMs()
+    },
+    settle (target, result) {
+      applyProbe(state, target.id, result)
+      serveWaiting(state)
+    }
+  })
+}
+
+/** Follows a new version of the contract. */
+function updateContract (state: SetState, prober: TargetProber | undefined, service: ServiceContract, largestEntries: number): void {
+  state.service = service
+  state.largestEntries = largestEntries
+  updateShares(state)
+  removeEjectionsOverShare(state)
+  state.queue.update(service.queue)
+  state.hedges.updateShare(service.hedging.budgetShare)
+  state.retries.updateShare(service.retries.budgetShare)
+  prober?.update(service.measuring, largestEntries)
+  serveWaiting(state)
+}
+
+function toReport (record: TargetRecord): TargetReport {
+  const { target, state, inFlight, homeSlots } = record
+  return { id: target.id, zone: target.zone, state: state.kind, inFlight, homeSlots }
+}
+
+/** Creates the targets of a service; with `sendProbe` it probes until it is closed. */
+export function createTargetSet (options: TargetSetOptions): TargetSet {
+  const state = createState(options)
+  updateShares(state)
+  const prober = options.sendProbe && startProber(state, options.sendProbe)
+  return {
+    takeSlot: (wish) => takeSlot(state, wish),
+    takeHedge: () => state.hedges.take(),
+    takeRetry: () => state.retries.take(),
+    markLeaving: (target, source) => markLeaving(state, target, source),
+    updateContract: (next, largestEntries) => updateContract(state, prober, next, largestEntries ?? state.largestEntries),
+    updateEntries (entries) {
+      state.entries = entries
+      updateShares(state)
+      serveWaiting(state)
+    },
+    updateHosts: (hosts) => applyHostList(state, hosts),
+    listTargets: () => [...state.records.values()].map(toReport),
+    report: () => ({
+      waiting: state.queue.count(),
+      hedges: state.hedges.countTaken(),
+      retries: state.retries.countTaken(),
+      ...(prober?.report() ?? { probes: 0, probeCostMs: 0 })
+    }),
+    close: () => prober?.stop()
+  }
+}
