Give repeated attempts the answer in progress; freeze and kill real entries between claim and send

Cause: an attempt repeated right after the first one's answer got 409, since the outcome was still on its way to the log; a caller who refreshes deserves the answer. Real processes: entries frozen or killed between claim and send, the log down, slow, late and losing answers; the ledger of the target judges.

--- a/src/process/claims/claim-attempts.ts
+++ b/src/process/claims/claim-attempts.ts
@@ -11,6 +11,7 @@
 import type { ClaimDecision, HeldClaim } from './claim-index.ts'
 import type { ClaimQueue } from './claim-queue.ts'
 import { buildKeptOutcome } from './claim-record.ts'
+import type { OutcomeWatch } from './outcome-watch.ts'
 
 type Verdict = Result<ClaimVerdict, AppError>
 type QueuePart = Pick<ClaimQueue, 'addClaim' | 'addNotice' | 'removeClaim'>
@@ -23,6 +24,7 @@
   /** The longest that an attempt waits for its verdict, in ms. */
   claimWaitMs: number
   queue: QueuePart
+  watch: OutcomeWatch
 }
 
 /** Attempts that wait for their verdict. */
@@ -62,7 +64,7 @@
 
 interface GrantedClaim { seq: number, key: KeyHash, windowMs: number, sendBeforeMs: number }
 
-function buildClaim (granted: GrantedClaim, clock: Clock, queue: QueuePart): Claim {
+function buildClaim (granted: GrantedClaim, { clock, queue, watch }: WaitingAttemptsOptions): Claim {
   const { seq, key, windowMs, sendBeforeMs } = granted
   let state: 'open' | 'void' | 'answered' = 'open'
   return {
@@ -71,11 +73,14 @@
       if (state !== 'open') return
       state = 'void'
       queue.addNotice({ kind: 'void', seq, key, windowMs })
+      watch.handleVoid(key)
     },
     recordOutcome (outcome) {
       if (state !== 'open') return
       state = 'answered'
-      queue.addNotice({ kind: 'outcome', seq, key, outcome: buildKeptOutcome(outcome) })
+      const kept = buildKeptOutcome(outcome)
+      queue.addNotice({ kind: 'outcome', seq, key, outcome: kept })
+      watch.addOutcome(key, seq, kept)
     }
   }
 }
@@ -113,7 +118,7 @@
     if (!found) return queue.addNotice({ kind: 'void', seq, key, windowMs })
     const sendBeforeMs = found.attempt.deadlineMs
     if (clock.monotonicMs() >= sendBeforeMs) return refuse(seq, 'deadline-passed', 'The deadline passed before the claim was granted.')
-    settle(seq, ok({ kind: 'admitted', claim: buildClaim({ seq, key, windowMs, sendBeforeMs }, clock, queue) }))
+    settle(seq, ok({ kind: 'admitted', claim: buildClaim({ seq, key, windowMs, sendBeforeMs }, options) }))
   }
   const handleLost = (seq: number, holder: HeldClaim): void => {
     const found = waiting.get(seq)
--- a/src/process/claims/claim-partition.ts
+++ b/src/process/claims/claim-partition.ts
@@ -10,7 +10,10 @@
 import { createClaimQueue } from './claim-queue.ts'
 import { createClaimReader } from './claim-reader.ts'
 import type { ClaimReader, ReaderState } from './claim-reader.ts'
+import type { ClaimEntry } from './claim-record.ts'
 import type { ClaimStreamOptions } from './claim-stream.ts'
+import { createOutcomeWatch } from './outcome-watch.ts'
+import type { OutcomeWatch } from './outcome-watch.ts'
 
 const FAILURES_TO_REFUSE = 3
 
@@ -20,6 +23,8 @@
   claimWaitMs: number
   /** How long a read waits for new records, in ms. */
   pollMs: number
+  /** The longest that a repeated attempt waits for the answer of the one that was admitted, in ms. */
+  outcomeWaitMs: number
   /** How long voids and outcomes wait for company, in ms. */
   noticeLingerMs: number
   /** Entries that one append may hold. */
@@ -67,9 +72,18 @@
   return undefined
 }
 
+function isElsewhere (verdict: Result<ClaimVerdict, AppError>): boolean {
+  return verdict.isOk() && verdict.value.kind === 'elsewhere'
+}
+
+/** Wakes up the repeated attempts that wait for these entries. */
+function releaseRepeated (entries: readonly ClaimEntry[], watch: OutcomeWatch): void {
+  for (const entry of entries) if (entry.kind !== 'claim') watch.handleRead(entry.key)
+}
+
 /** Creates a partition and starts reading. */
 export function createClaimPartition (options: ClaimPartitionOptions): ClaimPartition {
-  const { clock, writer, largestKeyCount } = options
+  const { clock, writer, largestKeyCount, outcomeWaitMs } = options
   let unsettled = 0
   let isClosed = false
 
@@ -78,30 +92,49 @@
     handleRefused: (seqs, error) => attempts.refuseUntaken(seqs, error.message),
     handleUnknown: (seqs) => { unsettled += seqs.length }
   })
-  const attempts = createWaitingAttempts({ ...options, queue })
+  const watch = createOutcomeWatch(clock)
+  const attempts = createWaitingAttempts({ ...options, queue, watch })
   const checkpoints = createCheckpointWriter({ ...options, takeSnapshot: () => reader.buildSnapshot() })
   const reader = createClaimReader({
     ...options,
     handleRecord (record, decisions) {
-      if (record.type !== 'claims') checkpoints.handleRecord(record)
+      if (record.type === 'claims') releaseRepeated(record.entries, watch)
+      else checkpoints.handleRecord(record)
       if (record.writer === writer) for (const decision of decisions) attempts.handleDecision(decision)
     },
     // A later claim could otherwise be judged without records that are gone.
-    handleReload: () => attempts.refuseAll('The claims are being read anew.'),
+    handleReload () {
+      attempts.refuseAll('The claims are being read anew.')
+      watch.reset()
+    },
     requestCheckpoint: () => checkpoints.requestCheckpoint()
   })
   const checkAdmission = (attempt: ClaimAttempt): Result<ClaimVerdict, AppError> | undefined => {
     if (isClosed) return refuseAttempt('platform-down', 'This process is stopping.')
     if (clock.monotonicMs() >= attempt.deadlineMs) return refuseAttempt('deadline-passed', 'The deadline has passed.')
     const holder = reader.getIndex()?.findHolder(attempt.keyHash)
-    if (holder && holder.untilMs > clock.wallMs()) return buildLostVerdict(attempt, holder)
+    if (holder && holder.untilMs > clock.wallMs()) {
+      const unread = holder.writer === writer ? watch.findOutcome(attempt.keyHash, holder.seq) : undefined
+      return buildLostVerdict(attempt, { ...holder, outcome: holder.outcome ?? unread })
+    }
     const refusal = describeRefusal(reader, attempt, largestKeyCount)
     if (refusal) return refuseAttempt('platform-down', refusal)
     if (!queue.canTryClaim()) return refuseAttempt('platform-down', 'The log takes no records.')
     return undefined
   }
+  const claimKey = async (attempt: ClaimAttempt): Promise<Result<ClaimVerdict, AppError>> => {
+    const waitUntilMs = Math.min(attempt.deadlineMs, clock.monotonicMs() + outcomeWaitMs)
+    for (;;) {
+      const verdict = checkAdmission(attempt) ?? await attempts.claimKey(attempt)
+      const waitMs = waitUntilMs - clock.monotonicMs()
+      if (!isElsewhere(verdict) || waitMs <= 0) return verdict
+      const latest = checkAdmission(attempt)
+      if (latest && !isElsewhere(latest)) return latest
+      if (!await watch.waitForNews(attempt.keyHash, waitMs)) return verdict
+    }
+  }
   return {
-    claimKey: async (attempt) => checkAdmission(attempt) ?? await attempts.claimKey(attempt),
+    claimKey,
     getState: () => reader.getState(),
     waitUntilReady: () => reader.waitUntilReady(),
     waitForNotices: () => queue.waitForNotices(),
@@ -117,6 +150,7 @@
     async close () {
       isClosed = true
       attempts.refuseAll('This process is stopping.')
+      watch.reset()
       queue.close()
       checkpoints.close()
       await reader.close()
--- a/src/process/claims/log-claim-book.ts
+++ b/src/process/claims/log-claim-book.ts
@@ -21,12 +21,14 @@
   incarnation: Incarnation
   /** Number of claim streams; all processes must use the same number for ever. */
   partitions: number
-  /** Appends a second that this process may use. Default 60. */
+  /** Appends a second that this process may use. Default 30. */
   appendsPerSecond?: number
   /** Entries that one append may hold. 1 turns group commit off. Default 500. */
   largestBatch?: number
   /** The longest that an attempt waits for its verdict, in ms. Default 2,000. */
   claimWaitMs?: number
+  /** The longest that a repeated attempt waits for the answer of the one that was admitted, in ms. Default 1,000. */
+  outcomeWaitMs?: number
   /** How long a read of the log waits for new records, in ms. Default 10,000. */
   pollMs?: number
   /** How long voids and outcomes wait for company, in ms. Default 50. */
@@ -60,9 +62,10 @@
 }
 
 const DEFAULTS = {
-  appendsPerSecond: 60,
+  appendsPerSecond: 30,
   largestBatch: 500,
   claimWaitMs: 2_000,
+  outcomeWaitMs: 1_000,
   pollMs: 10_000,
   noticeLingerMs: 50,
   largestKeyCount: 1_000_000,
--- /dev/null
+++ b/test/claim-processes.test.ts
@@ -0,0 +1,135 @@
+import { afterAll, beforeAll, expect, test } from 'vitest'
+import { startClaimSystem } from './support/claim-system.ts'
+import type { ClaimSystem, TicketAnswer } from './support/claim-system.ts'
+
+const SLOW_FACTOR = 60
+const PAST_DEADLINE_MS = 5_500
+
+let claims: ClaimSystem
+
+beforeAll(async () => { claims = await startClaimSystem() })
+afterAll(async () => {
+  for (const entry of claims.entries) claims.sendSignal(entry, 'SIGCONT')
+  await claims.stop()
+})
+
+function wait (ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+/** Asserts what the ledger of the target must say about all attempts at one lot. */
+async function expectTruthful (lot: string, answers: readonly TicketAnswer[]): Promise<number> {
+  const runs = await claims.countRuns(lot)
+  expect(runs, `${lot} ${JSON.stringify(answers)}`).toBeLessThanOrEqual(1)
+  if (answers.every(({ fate }) => fate === 'not-run')) expect(runs, `${lot} ${JSON.stringify(answers)}`).toBe(0)
+  if (answers.some(({ fate }) => fate === 'ran')) expect(runs, `${lot} ${JSON.stringify(answers)}`).toBe(1)
+  return runs
+}
+
+/** Brings an entry to where a claim is granted and its request waits unsent, and stops it there by a signal. */
+async function stopBetweenClaimAndSend (signal: 'SIGSTOP' | 'SIGKILL') {
+  const [owner] = claims.entries
+  await claims.setSlowFactor(SLOW_FACTOR)
+  const fillers = claims.fillSlots(owner!)
+  const lot = claims.createLot(owner!)
+  await wait(100)
+  const first = claims.askTicket(owner!, lot)
+  await claims.waitForClaim(lot)
+  claims.sendSignal(owner!, signal)
+  await claims.setSlowFactor(1)
+  return { owner: owner!, lot, first, fillers }
+}
+
+test('one ticket for each lot, whichever clerk asks through whichever entry', async () => {
+  const lot = claims.createLot(claims.entries[1]!)
+  const answers = await Promise.all(claims.entries.flatMap((entry) => [1, 2, 3].map(() => claims.askTicket(entry, lot))))
+  expect(await expectTruthful(lot, answers)).toBe(1)
+  for (const entry of claims.entries) {
+    expect(await claims.askTicket(entry, lot)).toMatchObject({ status: 200, fate: 'ran', isRepeated: true })
+    expect(await claims.askTicket(entry, lot, 'another clerk')).toMatchObject({ status: 422, fate: 'not-run', kind: 'key-reused' })
+  }
+  expect(await claims.countRuns(lot)).toBe(1)
+})
+
+test('an entry frozen between claim and send sends nothing when it resumes after its deadline', async () => {
+  const { owner, lot, first, fillers } = await stopBetweenClaimAndSend('SIGSTOP')
+  const [retries] = await Promise.all([
+    Promise.all(claims.entries.slice(1).map((entry) => claims.askTicket(entry, lot))),
+    wait(PAST_DEADLINE_MS)
+  ])
+  claims.sendSignal(owner, 'SIGCONT')
+  const answers = [await first, ...retries]
+  console.log('frozen past the deadline:', JSON.stringify(answers))
+  await Promise.all(fillers)
+  expect(answers[0]!.fate).toBe('not-run')
+  for (const retry of retries) expect(['unknown', 'not-run']).toContain(retry.fate)
+  expect(await expectTruthful(lot, [answers[0]!])).toBe(0)
+  await wait(500)
+  answers.push(await claims.askTicket(claims.entries[1]!, lot))
+  expect(answers.at(-1)).toMatchObject({ status: 200, fate: 'ran' })
+  expect(await expectTruthful(lot, answers)).toBe(1)
+})
+
+test('an entry frozen for a moment between claim and send runs the request once, while callers retry elsewhere', async () => {
+  const { owner, lot, first, fillers } = await stopBetweenClaimAndSend('SIGSTOP')
+  const retries = Promise.all(claims.entries.slice(1).map((entry) => claims.askTicket(entry, lot)))
+  await wait(500)
+  claims.sendSignal(owner, 'SIGCONT')
+  const answers = [await first, ...await retries]
+  console.log('frozen for a moment:', JSON.stringify(answers))
+  await Promise.all(fillers)
+  await expectTruthful(lot, answers)
+})
+
+test('while the log is down work that may not be repeated is refused as not-run, and other work goes on', async () => {
+  const [entry] = claims.entries
+  const lots = Array.from({ length: 5 }, () => claims.createLot(entry!))
+  for (const outage of ['refuse', 'reset', 'hang']) {
+    await claims.setLogFaults({ outage })
+    const [answers, states] = await Promise.all([
+      Promise.all(lots.flatMap((lot) => claims.entries.map((each) => claims.askTicket(each, lot)))),
+      Promise.all(lots.flatMap((lot) => claims.entries.map((each) => claims.askStatus(each, lot))))
+    ])
+    expect(answers.map(({ fate }) => fate).filter((fate) => fate !== 'not-run')).toEqual([])
+    expect(states.filter((status) => status !== 200)).toEqual([])
+    for (const lot of lots) expect(await claims.countRuns(lot)).toBe(0)
+  }
+  await claims.setLogFaults({ outage: 'none' })
+  await wait(5_000)
+  for (const lot of lots) {
+    const answer = await claims.askTicket(entry!, lot)
+    expect(answer).toMatchObject({ status: 200, fate: 'ran' })
+    expect(await expectTruthful(lot, [answer])).toBe(1)
+  }
+})
+
+test('with a log that is slow, late and loses answers, every fate is true and nothing runs twice', async () => {
+  await claims.setLogFaults({ slowMs: 30, loseAnswersShare: 0.3, delayAppendsMs: 2_500, delayAppendsShare: 0.2 })
+  const lots = claims.entries.flatMap((entry) => Array.from({ length: 10 }, () => claims.createLot(entry)))
+  const answers = await Promise.all(lots.map(async (lot) => ({
+    lot, answers: await Promise.all(claims.entries.map((entry) => claims.askTicket(entry, lot)))
+  })))
+  await claims.setLogFaults({ slowMs: 0, loseAnswersShare: 0, delayAppendsMs: 0 })
+  await wait(5_000)
+  let runs = 0
+  for (const each of answers) {
+    await expectTruthful(each.lot, each.answers)
+    const again = await claims.askTicket(claims.entries[0]!, each.lot)
+    runs += await expectTruthful(each.lot, [...each.answers, again])
+    expect(['ran', 'unknown']).toContain(again.fate)
+  }
+  expect(runs).toBeGreaterThan(0)
+})
+
+test('a claim whose entry was killed before it sent stays unknown for ever and never runs', async () => {
+  const { lot, first, fillers } = await stopBetweenClaimAndSend('SIGKILL')
+  expect((await first).fate).toBe('lost')
+  await Promise.all(fillers)
+  for (const entry of claims.entries.slice(1)) {
+    expect(await claims.askTicket(entry, lot)).toMatchObject({ status: 409, fate: 'unknown', kind: 'claim-elsewhere' })
+  }
+  expect(await claims.countRuns(lot)).toBe(0)
+  await claims.system.startEntry(claims.entries[0]!.id)
+  expect((await claims.askTicket(claims.entries[0]!, lot)).fate).toBe('unknown')
+  expect(await claims.countRuns(lot)).toBe(0)
+})
--- /dev/null
+++ b/test/support/claim-system.ts
@@ -0,0 +1,123 @@
+/**
+ * A system of real processes for tests of claims, with what the targets noted as the judge.
+ */
+import path from 'node:path'
+import { request } from 'undici'
+import { createDeployment } from '../../replay/deployment.ts'
+import type { EntryHost } from '../../replay/deployment.ts'
+import { waitFor } from '../../replay/programs.ts'
+import { startSystem } from '../../replay/system.ts'
+import type { System } from '../../replay/system.ts'
+import { computePartition, hashKey } from '../../src/process/claims/claim-keys.ts'
+import { rankEntries } from '../../src/process/claims/rendezvous.ts'
+import type { CustomerId, ServiceId } from '../../src/types.ts'
+import { getLoopbackAddress } from './addresses.ts'
+
+const ENTRY_COUNT = 3
+const WORK_MS = 20
+const READY_TIMEOUT_MS = 20_000
+const QUEUE_WAIT_MS = 5_000
+const CUSTOMER = 'kyushu' as CustomerId
+const SERVICE = 'collection' as ServiceId
+const OPERATION = 'issue-ticket'
+/** Streams of claims, as the daemon has them. */
+const CLAIM_PARTITIONS = 16
+
+/** How a ticket was answered. */
+export interface TicketAnswer { status: number, fate: string, kind: string | undefined, isRepeated: boolean }
+
+/** A system whose collection service issues one ticket for each lot. */
+export interface ClaimSystem {
+  system: System
+  entries: readonly EntryHost[]
+  /** Returns a lot that was not asked for before, whose key the entry ranks first for. */
+  createLot(owner: EntryHost): string
+  /** Asks an entry for the ticket of a lot; the fate is `lost` when the connection breaks. */
+  askTicket(entry: EntryHost, lot: string, clerk?: string): Promise<TicketAnswer>
+  /** Asks for the state of a lot, which may be repeated. */
+  askStatus(entry: EntryHost, lot: string): Promise<number>
+  /** Keeps the targets of the service busy for a while, so that what comes next waits at the entry. */
+  fillSlots(entry: EntryHost): Promise<TicketAnswer>[]
+  /** Resolves when the claim of a lot stands on the log. */
+  waitForClaim(lot: string, claims?: number): Promise<void>
+  setLogFaults(faults: unknown): Promise<void>
+  setSlowFactor(slowFactor: number): Promise<void>
+  /** Counts how often the ticket of a lot was worked on. */
+  countRuns(lot: string): Promise<number>
+  /** Sends a signal to the process of an entry. */
+  sendSignal(entry: EntryHost, signal: NodeJS.Signals): void
+  stop(): Promise<unknown>
+}
+
+function computeLotPartition (lot: string): number {
+  return computePartition(hashKey(CUSTOMER, SERVICE, OPERATION, lot), CLAIM_PARTITIONS)
+}
+
+/** Starts a system and publishes its contract. */
+export async function startClaimSystem (): Promise<ClaimSystem> {
+  const own = getLoopbackAddress(0)
+  const deployment = createDeployment({
+    sample: 'kyushu',
+    root: process.cwd(),
+    network: own.slice(0, own.lastIndexOf('.')),
+    entryCount: ENTRY_COUNT,
+    targetCount: 1,
+    changeContract (contract) {
+      contract.services[SERVICE]!.queue.longestWaitMs = QUEUE_WAIT_MS
+    }
+  })
+  const system = await startSystem({ deployment, files: { dist: path.resolve('dist') }, workMs: WORK_MS })
+  const target = deployment.targets.find(({ service }) => service === SERVICE)!
+  const entries = deployment.entries
+  let lots = 0
+  await system.startEntries()
+  await system.publishContract()
+
+  const sendTicket = async (entry: EntryHost, lot: string, clerk = 'clerk'): Promise<TicketAnswer> => {
+    try {
+      const answer = await request(`http://${entry.address}:${entry.callerPort}/${CUSTOMER}/${SERVICE}/lots/${lot}/ticket`, {
+        method: 'POST', body: JSON.stringify({ clerk }), headers: { 'content-type': 'application/json' }
+      })
+      const text = await answer.body.text()
+      const kind = text.includes('"kind"') ? (JSON.parse(text) as { kind?: string }).kind : undefined
+      return { status: answer.statusCode, fate: String(answer.headers['x-medlarcove-fate']), kind, isRepeated: answer.headers['x-medlarcove-repeated'] === 'true' }
+    } catch {
+      return { status: 0, fate: 'lost', kind: undefined, isRepeated: false }
+    }
+  }
+  const createLot = (owner: EntryHost): string => {
+    for (;;) {
+      const lot = `lot-${lots++}`
+      if (rankEntries(`claims-${computeLotPartition(lot)}`, entries.map(({ id }) => id))[0] === owner.id) return lot
+    }
+  }
+  return {
+    system,
+    entries,
+    createLot,
+    askTicket: sendTicket,
+    async askStatus (entry, lot) {
+      const answer = await request(`http://${entry.address}:${entry.callerPort}/${CUSTOMER}/${SERVICE}/lots/${lot}`)
+      await answer.body.dump()
+      return answer.statusCode
+    },
+    fillSlots: (entry) => Array.from({ length: 12 }, () => sendTicket(entry, createLot(entry))),
+    async waitForClaim (lot, claims = 1) {
+      const url = `${system.logUrl}/streams/claims-${computeLotPartition(lot)}/records?from=0`
+      const keyText = hashKey(CUSTOMER, SERVICE, OPERATION, lot)
+      await waitFor(`the claim of ${lot} stands on the log`, READY_TIMEOUT_MS, async () => {
+        const text = Buffer.from(await (await request(url)).body.arrayBuffer()).toString('latin1')
+        return text.split(keyText).length > claims ? true : undefined
+      })
+    },
+    setLogFaults: (faults) => system.switchFaults('log', faults),
+    setSlowFactor: (slowFactor) => system.switchFaults(target, { slowFactor }),
+    async countRuns (lot) {
+      const answer = await request(`http://${target.address}:${target.port}/ledger-of-runs`)
+      const { runs } = await answer.body.json() as { runs: { operation: string }[] }
+      return runs.filter(({ operation }) => operation.includes(`/lots/${lot}/ticket`)).length
+    },
+    sendSignal: (entry, signal) => system.getProgram(entry.id)?.sendSignal(signal),
+    stop: () => system.stop()
+  }
+}
