--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,12 +1,13 @@
 /**
  * The benches, one subcommand each.
  */
-import { runRelayBench, runRelayTarget } from './relay.ts'
+import { runBareRelay, runRelayTarget } from './relay-programs.ts'
+import { runRelayBench } from './relay.ts'
 
 const HELP = `Usage: npm run bench -- NAME [options]
 
   relay         what an entry adds to a small request, requests a second on one core, memory
-  relay-target  the target that the relay bench starts
+  relay-target, bare-relay  programs that the relay bench starts
 
 Each bench prints its options with --help.`
 const EXIT_USAGE = 2
@@ -16,6 +17,7 @@
   switch (name) {
     case 'relay': return runRelayBench(args)
     case 'relay-target': return runRelayTarget(args)
+    case 'bare-relay': return runBareRelay(args)
     case '--help':
       console.log(HELP)
       return 0
--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -1,18 +1,18 @@
 /**
  * Measures what one entry adds to a small request, against the same caller going to the target directly.
  */
-import { once } from 'node:events'
-import { createServer } from 'node:http'
 import path from 'node:path'
 import { parseArgs } from 'node:util'
 import type { Histogram } from 'hdr-histogram-js'
 import { createDeployment } from '../replay/deployment.ts'
 import type { Deployment } from '../replay/deployment.ts'
 import { startProgram } from '../replay/programs.ts'
+import type { Program } from '../replay/programs.ts'
 import { startSystem } from '../replay/system.ts'
 import { readCpuMs, readResidentKb } from './process-usage.ts'
 import { createLatencyHistogram, createRequestLoad, getPercentileMs } from './request-load.ts'
-import type { RequestLoad } from './request-load.ts'
+import type { LoadTarget, RequestLoad } from './request-load.ts'
+import { RELAY_WAYS } from './relay-programs.ts'
 
 const PARALLEL = 64
 const WARM_UP_MS = 3_000
@@ -23,24 +23,39 @@
 const MS_PER_SECOND = 1000
 const UNLIMITED = 1_000_000
 const LONG_MS = 60_000
+const KB_PER_MB = 1000
+const BARE_RELAY_PORT = 8100
+const NAME_WIDTH = 24
+const NUMBER_WIDTH = 10
+
+/** What one way to the target came to. Latencies in ms; ratios and additions are against the direct way in the same run. */
+export interface WayFigures {
+  name: string
+  medianMs: number
+  p99Ms: number
+  addedMedianMs: number
+  addedP99Ms: number
+  medianRatio: number
+  p99Ratio: number
+}
 
-/** Latency of one way, in ms. */
-export interface WayLatency { medianMs: number, p99Ms: number }
-/** The same requests, directly and through the entry, in alternating slices of one run. */
-export interface Comparison { direct: WayLatency, entry: WayLatency, addedMedianMs: number, addedP99Ms: number, medianRatio: number, p99Ratio: number }
-
-/** What the bench measured. */
-export interface RelayFigures {
-  /** One request at a time. */
-  idle: Comparison
-  /** Requests a second that one entry process took, as fast as it could. */
+/** Throughput of one way, as fast as it goes. */
+export interface WayThroughput {
+  name: string
   requestsPerSecond: number
-  /** Processor time of the entry for one request, in ms. */
+  /** Processor time of the process behind the address for one request, in ms. */
   cpuMsPerRequest: number
   /** Requests a second that one whole core would take. */
   requestsPerCore: number
-  /** At half the load of one core. */
-  halfLoad: Comparison & { perSecond: number, coreShare: number }
+}
+
+/** What the bench measured. */
+export interface RelayFigures {
+  throughput: WayThroughput[]
+  /** One request at a time. */
+  idle: WayFigures[]
+  /** At half the load of one core of the entry. */
+  halfLoad: { perSecond: number, coreShare: number, ways: WayFigures[] }
   residentAtRestMb: number
   residentPerConnectionKb: number
 }
@@ -54,56 +69,61 @@
   binary?: string
 }
 
-function toLatency (histogram: Histogram): WayLatency {
-  return { medianMs: getPercentileMs(histogram, 50), p99Ms: getPercentileMs(histogram, 99) }
-}
-
-function compareWays (directHistogram: Histogram, entryHistogram: Histogram): Comparison {
-  const direct = toLatency(directHistogram)
-  const entry = toLatency(entryHistogram)
-  return {
-    direct,
-    entry,
-    addedMedianMs: entry.medianMs - direct.medianMs,
-    addedP99Ms: entry.p99Ms - direct.p99Ms,
-    medianRatio: entry.medianMs / direct.medianMs,
-    p99Ratio: entry.p99Ms / direct.p99Ms
-  }
+/** A way to the target: its load, the process behind it and the latencies of the slice being measured. */
+interface Way { name: string, load: RequestLoad, pid: number }
+
+interface MeasuredWay { name: string, histogram: Histogram }
+
+function compareWays (measured: readonly MeasuredWay[]): WayFigures[] {
+  const latencies = measured.map(({ name, histogram }) => ({ name, medianMs: getPercentileMs(histogram, 50), p99Ms: getPercentileMs(histogram, 99) }))
+  const direct = latencies[0]!
+  return latencies.map((way) => ({
+    ...way,
+    addedMedianMs: way.medianMs - direct.medianMs,
+    addedP99Ms: way.p99Ms - direct.p99Ms,
+    medianRatio: way.medianMs / direct.medianMs,
+    p99Ratio: way.p99Ms / direct.p99Ms
+  }))
 }
 
-async function measureIdle (direct: RequestLoad, entry: RequestLoad): Promise<Comparison> {
-  const [directHistogram, entryHistogram] = [createLatencyHistogram(), createLatencyHistogram()]
+/** Measures all ways in alternating slices, so that what else the machine does meets all alike. */
+async function measureSlices (ways: readonly Way[], runSlice: (way: Way, histogram: Histogram) => Promise<void>): Promise<WayFigures[]> {
+  const measured = ways.map((way) => ({ name: way.name, way, histogram: createLatencyHistogram() }))
   for (let slice = 0; slice < SLICES; slice++) {
-    for (let sent = 0; sent < BATCH; sent++) await direct.sendOne(directHistogram)
-    for (let sent = 0; sent < BATCH; sent++) await entry.sendOne(entryHistogram)
+    for (const { way, histogram } of measured) await runSlice(way, histogram)
   }
-  return compareWays(directHistogram, entryHistogram)
+  return compareWays(measured)
 }
 
-async function measureHalfLoad (direct: RequestLoad, entry: RequestLoad, perSecond: number, lengthMs: number, pid: number): Promise<RelayFigures['halfLoad']> {
-  const [directHistogram, entryHistogram] = [createLatencyHistogram(), createLatencyHistogram()]
-  let cpuMs = 0
-  let entryMs = 0
-  for (let slice = 0; slice < SLICES; slice++) {
-    await direct.sendOpen(directHistogram, perSecond, lengthMs / SLICES)
-    const [cpuBeforeMs, startMs] = [readCpuMs(pid), performance.now()]
-    await entry.sendOpen(entryHistogram, perSecond, lengthMs / SLICES)
-    cpuMs += readCpuMs(pid) - cpuBeforeMs
-    entryMs += performance.now() - startMs
-  }
-  return { ...compareWays(directHistogram, entryHistogram), perSecond, coreShare: cpuMs / entryMs }
-}
-
-async function measureThroughput (entry: RequestLoad, lengthMs: number, pid: number): Promise<Pick<RelayFigures, 'requestsPerSecond' | 'cpuMsPerRequest' | 'requestsPerCore'>> {
+async function measureThroughput ({ name, load, pid }: Way, lengthMs: number): Promise<WayThroughput> {
   const histogram = createLatencyHistogram()
+  await load.sendClosed(createLatencyHistogram(), PARALLEL, WARM_UP_MS)
   const cpuBeforeMs = readCpuMs(pid)
-  const requestsPerSecond = await entry.sendClosed(histogram, PARALLEL, lengthMs)
+  const requestsPerSecond = await load.sendClosed(histogram, PARALLEL, lengthMs)
   const cpuMsPerRequest = (readCpuMs(pid) - cpuBeforeMs) / histogram.totalCount
-  return { requestsPerSecond, cpuMsPerRequest, requestsPerCore: MS_PER_SECOND / cpuMsPerRequest }
+  return { name, requestsPerSecond, cpuMsPerRequest, requestsPerCore: MS_PER_SECOND / cpuMsPerRequest }
+}
+
+/** Measures every way: throughput, one request at a time, and half the load of a core of the last way. */
+async function measureWays (ways: readonly Way[], lengthMs: number): Promise<Pick<RelayFigures, 'throughput' | 'idle' | 'halfLoad'>> {
+  const throughput: WayThroughput[] = []
+  for (const way of ways) throughput.push(await measureThroughput(way, lengthMs))
+  const idle = await measureSlices(ways, async ({ load }, histogram) => {
+    for (let sent = 0; sent < BATCH; sent++) await load.sendOne(histogram)
+  })
+  const perSecond = throughput.at(-1)!.requestsPerCore / 2
+  const { pid } = ways.at(-1)!
+  let cpuMs = 0
+  const halfLoad = await measureSlices(ways, async (way, histogram) => {
+    const cpuBeforeMs = readCpuMs(way.pid)
+    await way.load.sendOpen(histogram, perSecond, lengthMs / SLICES)
+    if (way.pid === pid) cpuMs += readCpuMs(pid) - cpuBeforeMs
+  })
+  return { throughput, idle, halfLoad: { perSecond, coreShare: cpuMs / lengthMs, ways: halfLoad } }
 }
 
 /** Opens idle connections that have each sent one request, and returns the memory for one, in KB. */
-async function measureConnections (url: { origin: string, path: string }, pid: number): Promise<number> {
+async function measureConnections (url: LoadTarget, pid: number): Promise<number> {
   const beforeKb = readResidentKb(pid)
   const load = createRequestLoad(url, IDLE_CONNECTIONS)
   await Promise.all(Array.from({ length: IDLE_CONNECTIONS }, () => load.sendOne(createLatencyHistogram())))
@@ -135,32 +155,39 @@
   })
 }
 
-/** Measures one entry process. */
+/** Starts one of the bench's own programs. */
+function startOwnProgram (name: string, args: string[]): Promise<Program> {
+  return startProgram({ name, file: process.execPath, args: [process.argv[1] ?? '', ...args], readyText: 'listens' })
+}
+
+/** Measures one entry process, the direct way and two bare relays. */
 export async function measureRelay (options: RelayOptions): Promise<RelayFigures> {
   const deployment = createBenchDeployment(options)
   const [target, entryHost] = [deployment.targets[0]!, deployment.entries[0]!]
   const system = await startSystem({ deployment, hasTargets: false, files: { dist: path.join(options.root, 'dist'), binary: options.binary } })
-  const targetArgs = ['relay-target', '--address', target.address, '--port', String(target.port)]
-  const program = await startProgram({ name: 'target', file: process.execPath, args: [process.argv[1] ?? '', ...targetArgs], readyText: 'listens' })
+  const targetUrl = `http://${target.address}:${target.port}`
+  const programs = [await startOwnProgram('target', ['relay-target', '--address', target.address, '--port', String(target.port)])]
   try {
+    const ways: Way[] = [{ name: 'direct', load: createRequestLoad({ origin: targetUrl, path: '/slots/1' }, PARALLEL), pid: programs[0]!.pid }]
+    for (const [index, way] of RELAY_WAYS.entries()) {
+      const port = String(BARE_RELAY_PORT + index)
+      const program = await startOwnProgram(way, ['bare-relay', '--address', target.address, '--port', port, '--to', targetUrl, '--way', way])
+      programs.push(program)
+      ways.push({ name: `bare relay by ${way}`, load: createRequestLoad({ origin: `http://${target.address}:${port}`, path: '/slots/1' }, PARALLEL), pid: program.pid })
+    }
     await system.startEntries()
     await system.publishContract()
     const pid = system.getProgram(entryHost.id)?.pid ?? 0
-    const residentAtRestMb = readResidentKb(pid) / 1000
-    const direct = createRequestLoad({ origin: `http://${target.address}:${target.port}`, path: '/slots/1' }, PARALLEL)
-    const entryUrl = { origin: `http://${entryHost.address}:${entryHost.callerPort}`, path: '/kyushu/booking/slots/1' }
-    const entry = createRequestLoad(entryUrl, PARALLEL)
-    await direct.sendClosed(createLatencyHistogram(), PARALLEL, WARM_UP_MS)
-    await entry.sendClosed(createLatencyHistogram(), PARALLEL, WARM_UP_MS)
-    const idle = await measureIdle(direct, entry)
-    const throughput = await measureThroughput(entry, options.lengthMs, pid)
-    const halfLoad = await measureHalfLoad(direct, entry, throughput.requestsPerCore / 2, options.lengthMs, pid)
+    const residentAtRestMb = readResidentKb(pid) / KB_PER_MB
+    const entryUrl: LoadTarget = { origin: `http://${entryHost.address}:${entryHost.callerPort}`, path: '/kyushu/booking/slots/1' }
+    ways.push({ name: 'entry', load: createRequestLoad(entryUrl, PARALLEL), pid })
+    const figures = await measureWays(ways, options.lengthMs)
+    await Promise.all(ways.map(({ load }) => load.close()))
     await new Promise((resolve) => setTimeout(resolve, SETTLE_MS))
     const residentPerConnectionKb = await measureConnections(entryUrl, pid)
-    await Promise.all([direct.close(), entry.close()])
-    return { idle, ...throughput, halfLoad, residentAtRestMb, residentPerConnectionKb }
+    return { ...figures, residentAtRestMb, residentPerConnectionKb }
   } finally {
-    await program.stop()
+    await Promise.all(programs.map((program) => program.stop()))
     await system.stop()
   }
 }
@@ -169,9 +196,21 @@
 
 Measures what one entry adds to a small request, requests a second on one core, and memory.`
 
-function formatComparison (name: string, { direct, entry, addedMedianMs, addedP99Ms, medianRatio, p99Ratio }: Comparison): string {
-  const format = (value: number): string => value.toFixed(3)
-  return `${name}: direct ${format(direct.medianMs)} / ${format(direct.p99Ms)} ms, entry ${format(entry.medianMs)} / ${format(entry.p99Ms)} ms, added ${format(addedMedianMs)} / ${format(addedP99Ms)} ms, ratio ${medianRatio.toFixed(2)} / ${p99Ratio.toFixed(2)} (median / 99th)`
+function formatWays (title: string, ways: readonly WayFigures[]): string[] {
+  const format = (value: number): string => value.toFixed(3).padStart(NUMBER_WIDTH)
+  const rows = ways.map((way) => `  ${way.name.padEnd(NAME_WIDTH)}${[way.medianMs, way.p99Ms, way.addedMedianMs, way.addedP99Ms, way.medianRatio, way.p99Ratio].map(format).join('')}`)
+  return [title, `  ${''.padEnd(NAME_WIDTH)}${['median', '99th', 'added', 'added 99', 'ratio', 'ratio 99'].map((name) => name.padStart(NUMBER_WIDTH)).join('')}`, ...rows]
+}
+
+function formatFigures (figures: RelayFigures): string {
+  const { throughput, idle, halfLoad } = figures
+  return [
+    'As fast as it goes:',
+    ...throughput.map((way) => `  ${way.name.padEnd(NAME_WIDTH)}${way.requestsPerSecond.toFixed(0)} requests a second, ${way.cpuMsPerRequest.toFixed(3)} ms of processor time each, ${way.requestsPerCore.toFixed(0)} a second on one whole core`),
+    ...formatWays('One at a time, in ms:', idle),
+    ...formatWays(`At half the load of one core of the entry (${halfLoad.perSecond.toFixed(0)} a second, ${(halfLoad.coreShare * 100).toFixed(0)}% of a core used), in ms:`, halfLoad.ways),
+    `Memory of the entry: ${figures.residentAtRestMb.toFixed(0)} MB at rest, ${figures.residentPerConnectionKb.toFixed(1)} KB for each connection of a caller`
+  ].join('\n')
 }
 
 /** Runs the bench from the command line; returns the exit code. */
@@ -192,26 +231,6 @@
     return 0
   }
   const figures = await measureRelay({ root: path.resolve(values.root), network: values.network, lengthMs: Number(values['length-ms']), binary: values.binary && path.resolve(values.binary) })
-  if (values.json) console.log(JSON.stringify(figures, undefined, 2))
-  else {
-    console.log(formatComparison('one at a time', figures.idle))
-    console.log(`as fast as it goes: ${figures.requestsPerSecond.toFixed(0)} requests a second, ${figures.cpuMsPerRequest.toFixed(3)} ms of processor time each, ${figures.requestsPerCore.toFixed(0)} a second on one whole core`)
-    console.log(`${formatComparison(`half load of a core (${figures.halfLoad.perSecond.toFixed(0)} a second)`, figures.halfLoad)}, ${(figures.halfLoad.coreShare * 100).toFixed(0)}% of a core used`)
-    console.log(`memory: ${figures.residentAtRestMb.toFixed(0)} MB at rest, ${figures.residentPerConnectionKb.toFixed(1)} KB for each connection of a caller`)
-  }
-  return 0
-}
-
-/** Runs the target of the bench, which answers at once. */
-export async function runRelayTarget (args: string[]): Promise<number> {
-  const { values } = parseArgs({ args, options: { address: { type: 'string' }, port: { type: 'string' } } })
-  const body = JSON.stringify({ slot: 1, state: 'booked' })
-  const server = createServer((request, response) => {
-    response.writeHead(200, { 'content-type': 'application/json', 'content-length': body.length, 'x-request-id': request.headers['x-request-id'] ?? '' })
-    response.end(body)
-  })
-  server.keepAliveTimeout = LONG_MS
-  server.listen(Number(values.port), values.address, () => console.log('listens'))
-  await once(server, 'close')
+  console.log(values.json ? JSON.stringify(figures, undefined, 2) : formatFigures(figures))
   return 0
 }
