Let tests of the once-window wait for answers in progress, and wait for them in one place

Cause: since repeated attempts wait for the answer in progress, five tests in claim-window waited for ever on a clock that nobody moved: they timed out after 120 s each. Ruled out: a slow machine (a book idle for a minute of test time took 21 ms). Change: the fixture moves the clock until the attempt is settled; the same wait in the request path is removed, since the claim book has it.

--- a/src/request/once-request.ts
+++ b/src/request/once-request.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'neverthrow'
 import { createError } from '../errors.ts'
 import type { AppError } from '../errors.ts'
-import type { Claim, ClaimAttempt, ClaimBook, ClaimVerdict, RecordedOutcome } from '../process/claims/claim-book.ts'
+import type { Claim, ClaimBook, RecordedOutcome } from '../process/claims/claim-book.ts'
 import type { Fate, KeyHash } from '../types.ts'
 import { isShed, startAttempt } from './attempt.ts'
 import type { Attempt } from './attempt.ts'
@@ -19,9 +19,6 @@
 /** The largest body kept for repeated attempts, in bytes. */
 const LARGEST_KEPT_BODY_BYTES = 4_096
 const FIRST_SERVER_ERROR_STATUS = 500
-/** How long an attempt waits for the answer of the one that was admitted, in ms. */
-const OUTCOME_WAIT_MS = 1_000
-const OUTCOME_CHECK_MS = 20
 
 /** A whole answer, held in memory. */
 export interface WholeAnswer {
@@ -117,24 +114,12 @@
   return err(lastError)
 }
 
-/** Claims a key; while another attempt holds it, waits a little for that one's answer. Errors: those of `claimKey`. */
-async function claimOrWait (call: Call, claims: ClaimBook, attempt: ClaimAttempt): Promise<Result<ClaimVerdict, AppError>> {
-  const { clock } = call
-  const untilMs = Math.min(call.deadlineMs, clock.monotonicMs() + OUTCOME_WAIT_MS)
-  let verdict = await claims.claimKey(attempt)
-  while (verdict.isOk() && verdict.value.kind === 'elsewhere' && clock.monotonicMs() < untilMs && !call.gone.aborted) {
-    await clock.wait(OUTCOME_CHECK_MS, call.gone)
-    verdict = await claims.claimKey(attempt)
-  }
-  return verdict
-}
-
 /**
  * Claims the key and runs the request at most once.
  * Errors: those of claims and attempts, each with a true fate.
  */
 export async function runOnce (call: Call, options: OnceOptions): Promise<Result<WholeAnswer, AppError>> {
-  const verdict = await claimOrWait(call, options.claims, {
+  const verdict = await options.claims.claimKey({
     customer: call.customer,
     service: call.serviceId,
     keyHash: options.keyHash,
--- a/test/claim-window.test.ts
+++ b/test/claim-window.test.ts
@@ -36,8 +36,9 @@
     }
   }
   const claim = async (book: LogClaimBook, key: string) => {
-    const running = book.claimKey(createAttempt(clock, key))
-    await clock.advance(200)
+    const progress = { isSettled: false }
+    const running = book.claimKey(createAttempt(clock, key)).finally(() => { progress.isSettled = true })
+    while (!progress.isSettled) await clock.advance(200)
     return running
   }
   const claimKind = async (book: LogClaimBook, key: string): Promise<string> => describeVerdict(await claim(book, key))
