Grant half of each limit by window from the demand stream

Cause: an even static split refuses a busy entry while others are idle, and anything that lends between entries must not exceed the contract when an entry is cut off, paused or replaced. Change: each entry keeps a fixed half share; the rest is a pool that is granted window by window. A window is opened by the first record on the log that follows on from the opening before it, so all readers split the pool by the same prefix. Nobody opens a window sooner than its length after reading the one before, and a holder dates its window by the last read that did not show it, so no grant outlives its window, by monotonic clocks alone. In its first second a grant is no more than the one before. Slots are given back only by the holder's own promise, or after the longest request. Ruled out: leases by wall clock; dating a window by when it was read (a paused reader keeps a grant that has gone to another).

--- /dev/null
+++ b/src/process/limits/demand-meter.ts
@@ -0,0 +1,63 @@
+/**
+ * Measures what each customer asks of this entry.
+ */
+import type { Clock } from '../../clock.ts'
+import type { CustomerId } from '../../types.ts'
+import type { Contract } from '../../version/contract.ts'
+import type { Arrival } from './local-customer-limiter.ts'
+
+/** What a customer asked for since the last reading. */
+export interface DemandReading {
+  contract: Contract
+  /** Requests a second, refused ones included. */
+  requestsPerSecond: number
+  /** The most requests in progress at once. */
+  mostInProgress: number
+  /** Requests refused because too many were in progress. */
+  refusedForSlots: number
+}
+
+/** Counts arrivals until they are read. */
+export interface DemandMeter {
+  addArrival(contract: Contract, arrival: Arrival): void
+  /** For how long arrivals have been counted, in ms. */
+  getAgeMs(): number
+  listReadings(): DemandReading[]
+  /** Starts to count afresh. */
+  reset(): void
+}
+
+interface CustomerCount { contract: Contract, arrivals: number, mostInProgress: number, refusedForSlots: number }
+
+const MS_PER_SECOND = 1_000
+/** Arrivals of a shorter span count as those of this one, in ms, so that a single burst is no rate. */
+const SHORTEST_SPAN_MS = 1_000
+
+/** Creates a meter. */
+export function createDemandMeter (clock: Clock): DemandMeter {
+  const counts = new Map<CustomerId, CustomerCount>()
+  let startedMs = clock.monotonicMs()
+  const getAgeMs = () => clock.monotonicMs() - startedMs
+  return {
+    addArrival (contract, { verdict, inProgress }) {
+      const known = counts.get(contract.customer)
+      const count = known ?? { contract, arrivals: 0, mostInProgress: 0, refusedForSlots: 0 }
+      if (!known) counts.set(contract.customer, count)
+      count.contract = contract
+      count.arrivals += 1
+      count.mostInProgress = Math.max(count.mostInProgress, inProgress)
+      if (verdict === 'over-concurrency') count.refusedForSlots += 1
+    },
+    getAgeMs,
+    listReadings () {
+      const spanMs = Math.max(SHORTEST_SPAN_MS, getAgeMs())
+      return [...counts.values()].map(({ contract, arrivals, mostInProgress, refusedForSlots }) => ({
+        contract, mostInProgress, refusedForSlots, requestsPerSecond: arrivals * MS_PER_SECOND / spanMs
+      }))
+    },
+    reset () {
+      startedMs = clock.monotonicMs()
+      for (const count of counts.values()) Object.assign(count, { arrivals: 0, mostInProgress: 0, refusedForSlots: 0 })
+    }
+  }
+}
--- /dev/null
+++ b/src/process/limits/grant-holder.ts
@@ -0,0 +1,80 @@
+/**
+ * The grants of this run, and for how long it may use them by its own monotonic clock.
+ */
+import type { Clock } from '../../clock.ts'
+import type { CustomerId, Incarnation } from '../../types.ts'
+import { computeGrant } from './grant-fold.ts'
+import type { Grant, GrantWindow } from './grant-fold.ts'
+import { RATE_WINDOW_MS } from './rate-window.ts'
+
+/** How to create a holder; times in ms. */
+export interface GrantHolderOptions {
+  clock: Clock
+  run: Incarnation
+  /** No window opens sooner than this after the one before. */
+  windowMs: number
+}
+
+/** Holds the grants of the newest window. */
+export interface GrantHolder {
+  /**
+   * Takes a window that has been read. It was certainly opened after `openedAfterMs`, by the monotonic clock,
+   * so nobody opens the next one before `openedAfterMs` plus the length of a window.
+   */
+  setWindow(window: GrantWindow, openedAfterMs: number): void
+  /** What may be used now; nothing once the window may be over. */
+  getGrant(customer: CustomerId): Grant
+  /** What the newest window grants, over or not. */
+  getGrantedSlots(customer: CustomerId): number
+  /** The most granted slots that may still be taken into use, after promises. */
+  getPromisedSlots(customer: CustomerId): number
+  /** Promises to use no more granted slots than this until the next window is read. */
+  setPromise(customer: CustomerId, slots: number): void
+  /** When the newest window was read; undefined when there is none. */
+  getReadMs(): number | undefined
+  isActive(): boolean
+}
+
+interface HeldWindow { window: GrantWindow, readMs: number, openedAfterMs: number, untilMs: number }
+
+/** Clocks of two hosts may run at rates that differ by this share. */
+const CLOCK_DRIFT_SHARE = 0.001
+
+/** Creates a holder without grants. */
+export function createGrantHolder (options: GrantHolderOptions): GrantHolder {
+  const { clock, run, windowMs } = options
+  const promises = new Map<CustomerId, number>()
+  let held: HeldWindow | undefined
+  let previous: HeldWindow | undefined
+
+  const computePreviousRate = (customer: CustomerId, now: HeldWindow): number => {
+    if (now.window.window === 1) return Infinity
+    if (previous?.window.window !== now.window.window - 1) return 0
+    const isLongOver = now.openedAfterMs >= previous.readMs + windowMs + RATE_WINDOW_MS
+    return isLongOver ? Infinity : computeGrant(previous.window, customer, run).rate
+  }
+  const getGrantedSlots = (customer: CustomerId): number => held ? computeGrant(held.window, customer, run).slots : 0
+  const getPromisedSlots = (customer: CustomerId): number => Math.min(getGrantedSlots(customer), promises.get(customer) ?? Infinity)
+  const isActive = (): boolean => held !== undefined && clock.monotonicMs() < held.untilMs
+  return {
+    setWindow (window, openedAfterMs) {
+      previous = held
+      const readMs = clock.monotonicMs()
+      held = { window, readMs, openedAfterMs, untilMs: openedAfterMs + windowMs * (1 - CLOCK_DRIFT_SHARE) }
+      promises.clear()
+    },
+    getGrant (customer) {
+      if (!held || !isActive()) return { rate: 0, slots: 0 }
+      const { rate } = computeGrant(held.window, customer, run)
+      // In the first second others' requests of the window before still count.
+      const isYoung = clock.monotonicMs() - held.readMs < RATE_WINDOW_MS
+      const allowedRate = isYoung ? Math.min(rate, computePreviousRate(customer, held)) : rate
+      return { rate: allowedRate, slots: getPromisedSlots(customer) }
+    },
+    getGrantedSlots,
+    getPromisedSlots,
+    setPromise: (customer, slots) => { promises.set(customer, slots) },
+    getReadMs: () => held?.readMs,
+    isActive
+  }
+}
--- /dev/null
+++ b/src/process/limits/granted-limiter.ts
@@ -0,0 +1,117 @@
+/**
+ * Limits of customers over all entries: a fixed share each, and a pool that is granted window by window
+ * by what the `demand` stream says, the same at every reader.
+ */
+import type { Clock } from '../../clock.ts'
+import { toBrand } from '../../types.ts'
+import type { CustomerId, EntryId, Incarnation, StreamName } from '../../types.ts'
+import type { Contract } from '../../version/contract.ts'
+import type { LogClient } from '../log-client.ts'
+import type { CustomerLimiter } from './customer-limiter.ts'
+import { createDemandMeter } from './demand-meter.ts'
+import { computeFixedShare } from './fixed-share.ts'
+import { createGrantHolder } from './grant-holder.ts'
+import type { GrantHolder } from './grant-holder.ts'
+import { createDemandReader } from './demand-reader.ts'
+import { createDemandWriter } from './demand-writer.ts'
+import { createCustomerLimiter } from './local-customer-limiter.ts'
+import type { EntryShare } from './local-customer-limiter.ts'
+
+/** Takes the limiter's log lines. */
+export interface LimiterLogger { info(message: string): void, warn(message: string): void }
+
+/** How to create a limiter; times in ms. */
+export interface GrantedLimiterOptions {
+  clock: Clock
+  log: LogClient
+  entry: EntryId
+  run: Incarnation
+  logger?: LimiterLogger
+  /** Length of a grant window. It must be the same at every entry. */
+  windowMs?: number
+  /** How long a read may wait at the log while grants are in use. */
+  readWaitMs?: number
+  /** Between two looks at whether a record is due. */
+  tickMs?: number
+  /** Another holder of grants; the default ends them by the monotonic clock. */
+  holder?: GrantHolder
+  /** Live entries; beyond the contract's largest count an entry takes no fixed share. */
+  listLiveEntries?: () => readonly EntryId[]
+}
+
+/** Figures of the grants. */
+export interface GrantReport {
+  /** The newest window; 0 before the first. */
+  window: number
+  isActive: boolean
+  appends: number
+  failedAppends: number
+  reads: number
+  skippedRecords: number
+  mismatches: number
+}
+
+/** A limiter that uses grants once it has been started. */
+export type GrantedLimiter = CustomerLimiter & {
+  start(): void
+  reportGrants(): GrantReport
+}
+
+/** The stream of demand records. */
+export const DEMAND_STREAM = toBrand<StreamName>('demand')
+
+const DEFAULT_WINDOW_MS = 2_000
+const DEFAULT_READ_WAIT_MS = 100
+const DEFAULT_TICK_MS = 25
+const NO_SHARE: EntryShare = { requestsPerSecond: 0, concurrentRequests: 0 }
+
+/** Whether more entries run than the contract allows for and this one is among those beyond. */
+function isBeyondLargestCount (contract: Contract, entry: EntryId, live: readonly EntryId[]): boolean {
+  return live.length > contract.entries.largestCount && live.indexOf(entry) >= contract.entries.largestCount
+}
+
+/** Creates the limiter; before `start`, and while the log is down, only the fixed share is used. */
+export function createGrantedLimiter (options: GrantedLimiterOptions): GrantedLimiter {
+  const { clock, log, entry, run, logger } = options
+  const windowMs = options.windowMs ?? DEFAULT_WINDOW_MS
+  const readWaitMs = options.readWaitMs ?? DEFAULT_READ_WAIT_MS
+  const stop = new AbortController()
+  const meter = createDemandMeter(clock)
+  const holder = options.holder ?? createGrantHolder({ clock, run, windowMs })
+  const shared = { clock, log, run, windowMs, holder, signal: stop.signal }
+  const reader = createDemandReader({ ...shared, logger, readWaitMs })
+  const getFixedShare = (contract: Contract): EntryShare => {
+    const live = options.listLiveEntries?.() ?? []
+    return isBeyondLargestCount(contract, entry, live) ? NO_SHARE : computeFixedShare(contract)
+  }
+  const getShare = (contract: Contract): EntryShare => {
+    const fixed = getFixedShare(contract)
+    const grant = holder.getGrant(contract.customer)
+    return {
+      requestsPerSecond: fixed.requestsPerSecond + grant.rate,
+      concurrentRequests: fixed.concurrentRequests + grant.slots
+    }
+  }
+  const limiter = createCustomerLimiter({ clock, getShare, handleArrival: (contract, arrival) => meter.addArrival(contract, arrival) })
+  const getInProgress = (customer: CustomerId): number =>
+    limiter.report().find((figures) => figures.customer === customer)?.inProgress ?? 0
+  const writer = createDemandWriter({ ...shared, entry, reader, meter, getFixedShare, getInProgress, tickMs: options.tickMs ?? DEFAULT_TICK_MS })
+  const startTask = (name: string, task: () => Promise<void>): void => {
+    task().catch((cause) => logger?.warn(`limits: ${name} failed: ${String(cause)}`))
+  }
+  return {
+    takePermit: limiter.takePermit,
+    report: limiter.report,
+    start () {
+      startTask('reading demand', reader.runTask)
+      startTask('writing demand', writer.runTask)
+    },
+    reportGrants: () => ({
+      window: reader.getFold()?.getWindow()?.window ?? 0, isActive: holder.isActive(), ...reader.report(), ...writer.report()
+    }),
+    close () {
+      stop.abort()
+      limiter.close()
+    }
+  }
+}
--- a/src/process/limits/local-customer-limiter.ts
+++ b/src/process/limits/local-customer-limiter.ts
@@ -18,13 +18,16 @@
   concurrentRequests: number
 }
 
+/** What became of a request that arrived. */
+export interface Arrival { verdict: 'admitted' | 'over-rate' | 'over-concurrency', inProgress: number }
+
 /** How to create a limiter. */
 export interface CustomerLimiterOptions {
   clock: Clock
   /** The entry's share; the even static split unless another is given. */
   getShare?: (contract: Contract) => EntryShare
-  /** Told of every request that arrives, refused ones included. */
-  handleDemand?: (contract: Contract) => void
+  /** Told of every request that arrives. */
+  handleArrival?: (contract: Contract, arrival: Arrival) => void
 }
 
 interface CustomerUse { window: RateWindow, inProgress: number, refused: number, share: EntryShare }
@@ -53,19 +56,23 @@
     uses.set(contract.customer, created)
     return created
   }
+  const refuseArrival = (contract: Contract, use: CustomerUse, verdict: Arrival['verdict']): void => {
+    use.refused += 1
+    options.handleArrival?.(contract, { verdict, inProgress: use.inProgress })
+  }
   return {
     takePermit (contract) {
-      options.handleDemand?.(contract)
       const use = getUse(contract)
       if (use.inProgress >= use.share.concurrentRequests) {
-        use.refused += 1
+        refuseArrival(contract, use, 'over-concurrency')
         return err(createError('over-concurrency', `${contract.customer} has ${use.inProgress} requests in progress at this entry`))
       }
       if (!use.window.takeOne(use.share.requestsPerSecond)) {
-        use.refused += 1
+        refuseArrival(contract, use, 'over-rate')
         return err(createError('over-rate', `${contract.customer} may send ${use.share.requestsPerSecond} requests a second to this entry`))
       }
       use.inProgress += 1
+      options.handleArrival?.(contract, { verdict: 'admitted', inProgress: use.inProgress })
       let isReleased = false
       return ok({
         release () {
--- a/src/process/membership/tcp-peer-mesh.ts
+++ b/src/process/membership/tcp-peer-mesh.ts
@@ -1,6 +1,7 @@
 /**
  * The links of an entry to all others over TCP, and what it learns of them.
  */
+import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
 import { err, ok } from 'neverthrow'
@@ -141,6 +142,9 @@
 
 function createMeshParts (options: PeerMeshOptions): MeshParts {
   const { self, clock } = options
+  const stop = new AbortController()
+  // Every peer's task waits on this signal.
+  setMaxListeners(0, stop.signal)
   const shared = {
     options,
     timing: { ...DEFAULT_LINK_TIMING, ...options.timing },
@@ -150,7 +154,7 @@
     counts: { refused: 0, malformedFrames: 0, silentLinks: 0, listFailures: 0 },
     messages: createListeners<[never, never]>(),
     entries: createListeners<[never]>(),
-    stop: new AbortController(),
+    stop,
     handler: undefined,
     contractOffset: NO_OFFSET,
     isLeaving: false,
