--- a/test/peer-mesh.test.ts
+++ b/test/peer-mesh.test.ts
@@ -1,6 +1,8 @@
 import { connect } from 'node:net'
+import { err } from 'neverthrow'
 import { afterEach, expect, test, vi } from 'vitest'
 import { encodeFrame } from '../src/connection/frame-codec.ts'
+import { createError } from '../src/errors.ts'
 import type { ForwardedRequest, PeerMessage } from '../src/process/membership/peer-mesh.ts'
 import type { TcpPeerMesh } from '../src/process/membership/tcp-peer-mesh.ts'
 import { toBrand } from '../src/types.ts'
@@ -104,6 +106,21 @@
   expect(first.listPeers().find((peer) => peer.id === 'entry-1')?.incarnation).toBe(createIdentity(1, 2).incarnation)
 })
 
+test('during an outage of the list an entry starts from a seed, meets the rest by its word, and keeps its peers', async () => {
+  const identities = [0, 1, 2].map((index) => createIdentity(index))
+  const list = createFakeHostList(identities.slice(0, 2).map((entry) => toListed(entry)))
+  const [first, second] = await Promise.all(identities.slice(0, 2).map((entry) => startMesh(createTestMesh(entry, list))))
+  await expect.poll(() => getState(first!, 1), PATIENCE).toBe('live')
+  const noList = { readHosts: async () => err(createError('host-list-unavailable', 'down')) }
+  list.readHosts = noList.readHosts
+  const { address, peerPort } = identities[0]!
+  const third = await startMesh(createTestMesh(identities[2]!, noList, { seeds: [{ address, peerPort }] }))
+  for (const mesh of [first!, second!, third]) {
+    await expect.poll(() => mesh.listLiveEntries(), PATIENCE).toEqual(['entry-0', 'entry-1', 'entry-2'])
+    await expect.poll(() => mesh.report().listFailures, PATIENCE).toBeGreaterThan(0)
+  }
+})
+
 test('strangers without the key are refused and counted', async () => {
   const list = createFakeHostList([0, 1].map((index) => toListed(createIdentity(index))))
   const first = await startMesh(createTestMesh(createIdentity(0), list))
--- a/test/support/mesh.ts
+++ b/test/support/mesh.ts
@@ -33,7 +33,7 @@
 
 /** A host list that a test changes by hand. */
 export function createFakeHostList (hosts: ListedHost[]): HostListClient & { hosts: ListedHost[] } {
-  const list = { hosts, readHosts: async () => ok(list.hosts) }
+  const list: HostListClient & { hosts: ListedHost[] } = { hosts, readHosts: async () => ok(list.hosts) }
   return list
 }
 
