--- /dev/null
+++ b/src/process/claims/claim-reader.ts
@@ -0,0 +1,178 @@
+/**
+ * The task that reads one claim stream and keeps its state.
+ */
+import { toBrand } from '../../types.ts'
+import type { Offset } from '../../types.ts'
+import type { LogPage } from '../log-client.ts'
+import type { ClaimDecision, ClaimIndex, IndexSnapshot } from './claim-index.ts'
+import { loadClaimState } from './claim-loader.ts'
+import { decodeClaimRecord } from './claim-record.ts'
+import type { ClaimRecord } from './claim-record.ts'
+import type { ClaimStreamOptions } from './claim-stream.ts'
+
+const FIRST_BACKOFF_MS = 20
+const LONGEST_BACKOFF_MS = 1_000
+const LARGEST_DOUBLINGS = 6
+const PAGE_LIMIT = 200
+const FIRST_REQUEST_INTERVAL_MS = 2_000
+const LONGEST_REQUEST_INTERVAL_MS = 60_000
+
+/** Options of a reader. */
+export interface ClaimReaderOptions extends ClaimStreamOptions {
+  /** How long a read waits for new records, in ms. */
+  pollMs: number
+  /** The longest once-window of any contract, in ms. */
+  largestWindowMs: number
+  /** Gets each record that counts, with what its claims came to. */
+  handleRecord: (record: ClaimRecord, decisions: ClaimDecision[]) => void
+  /** Tells of a record that all readers skip. */
+  handleSkipped: (offset: Offset) => void
+  /** Tells that the state is about to be read anew. */
+  handleReload: () => void
+  /** Asks the other processes for a checkpoint. */
+  requestCheckpoint: () => Promise<void>
+}
+
+/** How far a reader is. `unproven`: it has read all there is, but keys in their window may have aged out before. */
+export type ReaderState = 'loading' | 'unproven' | 'ready'
+
+/** The state of one claim stream as read so far. */
+export interface ClaimReader {
+  getState(): ReaderState
+  /** The state; undefined until it is known in full. */
+  getIndex(): ClaimIndex | undefined
+  /** Copies the state; undefined until it is known in full. */
+  buildSnapshot(): IndexSnapshot | undefined
+  /** Reads that failed since the last good one. */
+  countFailures(): number
+  countSkipped(): number
+  /** Resolves when the stream has been read as far as it went at the start, or the reader is closed. */
+  waitUntilReady(): Promise<void>
+  close(): Promise<void>
+}
+
+interface Reading {
+  index: ClaimIndex | undefined
+  position: Offset
+  isCaughtUp: boolean
+  /** A checkpoint has come that the state may be read from. */
+  hasCheckpoint: boolean
+  nextRequestMs: number
+  requests: number
+  failures: number
+  skipped: number
+}
+
+function createReading (): Reading {
+  return { index: undefined, position: toBrand<Offset>(0), isCaughtUp: false, hasCheckpoint: false, nextRequestMs: 0, requests: 0, failures: 0, skipped: 0 }
+}
+
+/** Applies a page in offset order; records that came twice are passed over. */
+function applyPage (reading: Reading, page: LogPage, options: ClaimReaderOptions): void {
+  for (const { offset, appendedAtMs, data } of page.records) {
+    if (offset < reading.position || !reading.index) continue
+    reading.position = toBrand<Offset>(offset + 1)
+    const record = decodeClaimRecord(data)
+    if (record) {
+      if (record.type === 'checkpoint') reading.hasCheckpoint = true
+      options.handleRecord(record, reading.index.applyRecord(record, appendedAtMs))
+    } else {
+      reading.skipped += 1
+      options.handleSkipped(offset)
+    }
+  }
+  reading.position = toBrand<Offset>(Math.max(reading.position, page.nextOffset))
+}
+
+function getReaderState ({ index, isCaughtUp }: Reading): ReaderState {
+  if (!index || !isCaughtUp) return 'loading'
+  return index.isWhole() ? 'ready' : 'unproven'
+}
+
+function computeRequestIntervalMs (requests: number): number {
+  return Math.min(LONGEST_REQUEST_INTERVAL_MS, FIRST_REQUEST_INTERVAL_MS * 2 ** Math.min(requests, LARGEST_DOUBLINGS))
+}
+
+function computeBackoffMs (failures: number): number {
+  return Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** Math.min(failures, LARGEST_DOUBLINGS))
+}
+
+/** Finds the place from which to read; returns false when the log cannot be read. */
+async function loadState (reading: Reading, options: ClaimReaderOptions): Promise<boolean> {
+  const loaded = await loadClaimState(options.log, options.stream, options.largestWindowMs)
+  if (loaded.isErr()) return false
+  // What a partial view has learned is kept until something better is found.
+  if (reading.index && !loaded.value.index.isWhole()) return true
+  if (reading.index) options.handleReload()
+  Object.assign(reading, loaded.value, { isCaughtUp: false, failures: 0 })
+  return true
+}
+
+/** Looks for a checkpoint while the start of the stream is not known. */
+async function tryCheckpoint (reading: Reading, options: ClaimReaderOptions): Promise<void> {
+  const { clock, random } = options
+  if (reading.hasCheckpoint) {
+    reading.hasCheckpoint = false
+    await loadState(reading, options)
+    return
+  }
+  if (clock.monotonicMs() < reading.nextRequestMs) return
+  reading.nextRequestMs = clock.monotonicMs() + computeRequestIntervalMs(reading.requests) * (1 + random()) / 2
+  reading.requests += 1
+  await options.requestCheckpoint()
+}
+
+/** Creates a reader and starts its task. */
+export function createClaimReader (options: ClaimReaderOptions): ClaimReader {
+  const { log, clock, stream, random, pollMs } = options
+  const stop = new AbortController()
+  const reading = createReading()
+  const readyWaiters: (() => void)[] = []
+
+  const releaseReadyWaiters = (): void => {
+    for (const resolve of readyWaiters.splice(0)) resolve()
+  }
+  const waitAfterFailure = async (): Promise<void> => {
+    const backoffMs = computeBackoffMs(reading.failures)
+    reading.failures += 1
+    await clock.wait(backoffMs * (1 + random()) / 2, stop.signal)
+  }
+  const loadOrWait = async (): Promise<void> => {
+    if (!await loadState(reading, options)) await waitAfterFailure()
+  }
+  const readOnce = async (): Promise<void> => {
+    // After a failure the next answer comes at once, so that claims are taken again as soon as the log works.
+    const waitMs = reading.isCaughtUp && reading.failures === 0 ? pollMs : 0
+    const page = await log.read(stream, reading.position, { limit: PAGE_LIMIT, waitMs, signal: stop.signal })
+    if (stop.signal.aborted) return
+    if (page.isErr()) {
+      if (page.error.kind === 'log-gap') {
+        reading.index = undefined
+        options.handleReload()
+      }
+      return waitAfterFailure()
+    }
+    reading.failures = 0
+    applyPage(reading, page.value, options)
+    reading.isCaughtUp ||= reading.position >= page.value.bounds.next
+    if (getReaderState(reading) === 'unproven') return tryCheckpoint(reading, options)
+    if (getReaderState(reading) === 'ready') releaseReadyWaiters()
+  }
+  const run = async (): Promise<void> => {
+    while (!stop.signal.aborted) await (reading.index ? readOnce() : loadOrWait())
+  }
+  const running = run()
+  return {
+    getState: () => getReaderState(reading),
+    getIndex: () => reading.index,
+    buildSnapshot: () => (getReaderState(reading) === 'ready' ? reading.index?.buildSnapshot(reading.position) : undefined),
+    countFailures: () => reading.failures,
+    countSkipped: () => reading.skipped,
+    waitUntilReady: () => (getReaderState(reading) === 'ready' ? Promise.resolve() : new Promise((resolve) => readyWaiters.push(resolve))),
+    async close () {
+      stop.abort()
+      releaseReadyWaiters()
+      await running
+    }
+  }
+}
--- a/src/process/targets/target-set.ts
+++ b/src/process/targets/target-set.ts
@@ -42,6 +42,8 @@
   mayWait: boolean
   /** Aborted when the caller has gone. */
   signal: AbortSignal
+  /** Whether the request may be repeated; only such requests try an ejected target. Default true. */
+  isRepeatable?: boolean
 }
 
 /** The right to send one request to a target. It must be released exactly once. */
@@ -59,12 +61,15 @@
   takeSlot(wish: TargetWish): Promise<Result<TargetSlot, AppError>>
   /** Takes budget for one hedge; false when it is used up. */
   takeHedge(): boolean
-  /** Takes budget for one retry; false when it is used up. */
-  takeRetry(): boolean
+  /**
+   * Takes budget for one retry; false when it is used up, or when `attempts` (those before this process, by the
+   * passed-on count, and those here) have reached the contract's largest number.
+   */
+  takeRetry(attempts?: number): boolean
   /** Marks a target as leaving for good. */
   markLeaving(target: TargetId, source: LeavingSource): void
-  /** Follows a new version of the contract. */
-  updateContract(service: ServiceContract): void
+  /** Follows a new version of the contract; `largestEntries` is its largest number of entry processes. */
+  updateContract(service: ServiceContract, largestEntries?: number): void
   /** Tells which entries are live, for home slots and probing shares. */
   updateEntries(entries: readonly EntryId[]): void
   /** Applies the platform's list. */
