--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,14 +4,15 @@
 import { runCapacityBench } from './capacity.ts'
 import { runCapacityPeers } from './capacity-peers.ts'
 import { runLimitsBench } from './limits-split.ts'
-import { runRelayBench, runRelayTarget } from './relay.ts'
+import { runBareRelay, runRelayTarget } from './relay-programs.ts'
+import { runRelayBench } from './relay.ts'
 
 const HELP = `Usage: npm run bench -- NAME [options]
 
   relay         what an entry adds to a small request, requests a second on one core, memory
-  relay-target  the target that the relay bench starts
   capacity      what each role costs by its size: processor time, bytes, memory
   limits        what a skewed load loses by how a customer's limit is split
+  relay-target, bare-relay  programs that the relay bench starts
   capacity-peers  the peers that the capacity bench starts
 
 Each bench prints its options with --help.`
@@ -25,6 +26,7 @@
     case 'capacity': return runCapacityBench(args)
     case 'capacity-peers': return runCapacityPeers(args)
     case 'limits': return runLimitsBench()
+    case 'bare-relay': return runBareRelay(args)
     case '--help':
       console.log(HELP)
       return 0
--- a/src/process/claims/log-claim-book.ts
+++ b/src/process/claims/log-claim-book.ts
@@ -21,16 +21,20 @@
   incarnation: Incarnation
   /** Number of claim streams; all processes must use the same number for ever. */
   partitions: number
-  /** Appends a second that this process may use. Default 60. */
+  /** Appends a second that this process may use. Default 30. */
   appendsPerSecond?: number
   /** Entries that one append may hold. 1 turns group commit off. Default 500. */
   largestBatch?: number
   /** The longest that an attempt waits for its verdict, in ms. Default 2,000. */
   claimWaitMs?: number
+  /** The longest that a repeated attempt waits for the answer of the one that was admitted, in ms. Default 1,000. */
+  outcomeWaitMs?: number
   /** How long a read of the log waits for new records, in ms. Default 10,000. */
   pollMs?: number
-  /** How long voids and outcomes wait for company, in ms. Default 50. */
-  noticeLingerMs?: number
+  /** How long voids wait for claims to travel with, in ms. Default 50. */
+  voidLingerMs?: number
+  /** How long outcomes wait for claims to travel with, in ms; this process gives them out at once. Default 500. */
+  outcomeLingerMs?: number
   /** Keys that this process remembers before it refuses claims. Default 1,000,000. */
   largestKeyCount?: number
   /** The longest once-window of any contract, in ms; an upper bound does. Default seven days. */
@@ -60,11 +64,13 @@
 }
 
 const DEFAULTS = {
-  appendsPerSecond: 60,
+  appendsPerSecond: 30,
   largestBatch: 500,
   claimWaitMs: 2_000,
+  outcomeWaitMs: 1_000,
   pollMs: 10_000,
-  noticeLingerMs: 50,
+  voidLingerMs: 50,
+  outcomeLingerMs: 500,
   largestKeyCount: 1_000_000,
   largestWindowMs: 604_800_000,
   retentionMs: 86_400_000,
