Count a wait past the hedging time as load of its target

Cause: a hedge cancels the slow target's request, so the target that just let a request wait looks idle to this entry and is chosen again. Change: takeHedge names the slow target; it counts one request more, decaying with a half-life of five typical times, whether the hedge is granted or not. Smoothed typical time now comes from the first byte, so that downloads do not stretch it.

--- a/bench/targets-balancers.ts
+++ b/bench/targets-balancers.ts
@@ -1,9 +1,11 @@
 /**
  * The balancers that the bench compares: the product's target set, the baselines and an all-knowing reference.
  */
+import { setMaxListeners } from 'node:events'
 import { createTargetSet } from '../src/process/targets/local-target-set.ts'
 import type { ExchangeOutcome, TargetSet } from '../src/process/targets/target-set.ts'
 import { createBaselinePolicy } from '../src/request/balancing/baseline-policies.ts'
+import { createRatioBudget } from '../src/request/balancing/ratio-budget.ts'
 import type { BaselineKind } from '../src/request/balancing/baseline-policies.ts'
 import { toBrand } from '../src/types.ts'
 import type { CustomerId, EntryId, ServiceId, TargetId } from '../src/types.ts'
@@ -21,8 +23,10 @@
 export interface BenchBalancer {
   /** Takes a place; undefined when refused. */
   take(exclude: ReadonlySet<TargetId>, mayWait: boolean): Promise<BenchPlace | undefined>
-  takeHedge(): boolean
+  takeHedge(slow: TargetId): boolean
   takeRetry(): boolean
+  /** Counts a new request for the budgets. */
+  addRequest(): void
   /** The product's target set, when this is the product. */
   set?: TargetSet
 }
@@ -54,6 +58,7 @@
     random
   })
   const { signal } = new AbortController()
+  setMaxListeners(0, signal)
   return {
     set,
     async take (exclude, mayWait) {
@@ -62,8 +67,23 @@
       const server = byId.get(slot.value.target.id)!
       return { server, release: (outcome) => slot.value.release(outcome) }
     },
-    takeHedge: () => set.takeHedge(),
-    takeRetry: () => set.takeRetry()
+    takeHedge: (slow) => set.takeHedge(slow),
+    takeRetry: () => set.takeRetry(),
+    addRequest () {}
+  }
+}
+
+/** Gives the others the product's budgets, so that all are compared at the same extra work. */
+function createBudgets ({ service }: BalancerInput): Pick<BenchBalancer, 'takeHedge' | 'takeRetry' | 'addRequest'> {
+  const hedges = createRatioBudget({ share: service.hedging.budgetShare })
+  const retries = createRatioBudget({ share: service.retries.budgetShare, initial: 1 })
+  return {
+    addRequest () {
+      hedges.add()
+      retries.add()
+    },
+    takeHedge: () => hedges.take(),
+    takeRetry: () => retries.take()
   }
 }
 
@@ -80,8 +100,7 @@
         policy.finish(server.id, outcome.kind === 'answered' ? clock.monotonicMs() - takenMs : undefined)
       return { server, release }
     },
-    takeHedge: () => true,
-    takeRetry: () => true
+    ...createBudgets(input)
   }
 }
 
@@ -95,8 +114,7 @@
       const server = best[Math.floor(input.random() * best.length)]
       return server && { server, release: () => {} }
     },
-    takeHedge: () => true,
-    takeRetry: () => true
+    ...createBudgets(input)
   }
 }
 
--- a/bench/targets-scenario.ts
+++ b/bench/targets-scenario.ts
@@ -130,6 +130,7 @@
   const request: Request = {
     run, balancer, startMs: clock.monotonicMs(), workMs: computeExponential(random, scenario.workMs), isOver: false, tried: new Set(), open: new Map(), isCounted: clock.monotonicMs() >= scenario.warmUpMs
   }
+  balancer.addRequest()
   if (scenario.hedgeAfterMs !== undefined) {
     clock.startTimer(scenario.hedgeAfterMs, () => startHedge(request))
   }
@@ -139,7 +140,9 @@
 }
 
 function startHedge (request: Request): void {
-  if (request.isOver || request.open.size !== 1 || !request.balancer.takeHedge()) return
+  const [place] = request.open.keys()
+  if (request.isOver || !place || request.open.size > 1) return
+  if (!request.balancer.takeHedge(toBrand<TargetId>(place.server.id))) return
   sendAttempt(request, false).then((isSent) => {
     if (isSent && request.isCounted) request.run.counts.hedges += 1
   }, () => {})
--- a/src/process/targets/local-target-set.ts
+++ b/src/process/targets/local-target-set.ts
@@ -11,7 +11,7 @@
 import { findProbeTarget } from './probe-need.ts'
 import { serveWaiting, tryTakeSlot } from './slot-choice.ts'
 import { createSlotQueue } from './slot-queue.ts'
-import { addFailed, removeEjectionsOverShare } from './target-health.ts'
+import { addFailed, addFailureLoad, removeEjectionsOverShare } from './target-health.ts'
 import { applyHostList, markLeaving, tryReturn } from './target-leaving.ts'
 import { startTargetProber } from './target-prober.ts'
 import type { ProbeResult, SendProbe, TargetProber } from './target-prober.ts'
@@ -53,6 +53,13 @@
   return state.queue.wait(wish)
 }
 
+/** Takes a hedge; the target that let the request wait counts as more loaded, granted or not. */
+function takeHedge (state: SetState, slowTarget: TargetId | undefined): boolean {
+  const record = slowTarget === undefined ? undefined : state.records.get(slowTarget)
+  if (record) addFailureLoad(state, record, state.options.clock.monotonicMs())
+  return state.hedges.take()
+}
+
 /** Applies what a probe found. */
 function applyProbe (state: SetState, id: TargetId, result: ProbeResult): void {
   const record = state.records.get(id)
@@ -138,7 +145,7 @@
   const prober = options.sendProbe && startProber(state, options.sendProbe)
   return {
     takeSlot: (wish) => takeSlot(state, wish),
-    takeHedge: () => state.hedges.take(),
+    takeHedge: (slowTarget) => takeHedge(state, slowTarget),
     takeRetry: (attempts = 0) => attempts < state.service.retries.largestAttempts && state.retries.take(),
     markLeaving: (target, source) => markLeaving(state, target, source),
     updateContract: (next, largestEntries) => updateContract(state, prober, next, largestEntries ?? state.largestEntries),
--- a/src/process/targets/slot-choice.ts
+++ b/src/process/targets/slot-choice.ts
@@ -78,8 +78,6 @@
 
 /** Hands out a slot of a target; the first release counts, later ones do nothing. */
 function createSlot (state: SetState, record: TargetRecord, isTrial: boolean): TargetSlot {
-  const { clock } = state.options
-  const takenMs = clock.monotonicMs()
   let isReleased = false
   record.inFlight += 1
   if (isTrial) record.trial.isRunning = true
@@ -89,7 +87,7 @@
       if (isReleased) return
       isReleased = true
       record.inFlight -= 1
-      applyOutcome(state, record, outcome, clock.monotonicMs() - takenMs, isTrial)
+      applyOutcome(state, record, outcome, isTrial)
       serveWaiting(state)
     }
   }
--- a/src/process/targets/target-health.ts
+++ b/src/process/targets/target-health.ts
@@ -11,7 +11,7 @@
 
 const FIRST_ERROR_STATUS = 500
 const ANSWER_HALF_LIFE_MS = 5_000
-/** How many times longer than good work a failure counts as load. */
+/** How many times longer than good work a failure, or a wait past the hedging time, counts as load. */
 const FAILURE_LOAD_FACTOR = 5
 const TYPICAL_SMOOTHING = 0.05
 const FIRST_BACKOFF_MS = 2_000
@@ -39,12 +39,13 @@
   return computeDecayed(record.failureLoad, nowMs, state.typicalMs * FAILURE_LOAD_FACTOR)
 }
 
-function addFailureLoad (state: SetState, record: TargetRecord, nowMs: number): void {
+/** Counts a failure, or a wait past the hedging time, as a request in flight for a while. */
+export function addFailureLoad (state: SetState, record: TargetRecord, nowMs: number): void {
   addDecayed(record.failureLoad, 1, nowMs, state.typicalMs * FAILURE_LOAD_FACTOR)
 }
 
-/** Applies the outcome of an exchange that took `durationMs`. */
-export function applyOutcome (state: SetState, record: TargetRecord, outcome: ExchangeOutcome, durationMs: number, isTrial: boolean): void {
+/** Applies the outcome of an exchange. */
+export function applyOutcome (state: SetState, record: TargetRecord, outcome: ExchangeOutcome, isTrial: boolean): void {
   const nowMs = state.options.clock.monotonicMs()
   if (isTrial) record.trial.isRunning = false
   if (outcome.kind === 'answered' || outcome.kind === 'shed') record.lastAnswerMs = nowMs
@@ -52,7 +53,7 @@
   switch (verdict) {
     case 'good':
       state.retries.add()
-      state.typicalMs += (durationMs - state.typicalMs) * TYPICAL_SMOOTHING
+      if (outcome.kind === 'answered') state.typicalMs += (outcome.firstByteMs - state.typicalMs) * TYPICAL_SMOOTHING
       addGood(state, record, nowMs, isTrial)
       break
     case 'failed':
--- a/src/process/targets/target-set.ts
+++ b/src/process/targets/target-set.ts
@@ -59,8 +59,11 @@
 export interface TargetSet {
   /** Chooses a target and takes a slot. Errors: `no-target`, `queue-full`, `queue-timeout`, `deadline-passed`. */
   takeSlot(wish: TargetWish): Promise<Result<TargetSlot, AppError>>
-  /** Takes budget for one hedge; false when it is used up. */
-  takeHedge(): boolean
+  /**
+   * Takes budget for one hedge; false when it is used up. `slowTarget` is the one that let the request wait; it gets
+   * less work for a while, whether the hedge is granted or not.
+   */
+  takeHedge(slowTarget?: TargetId): boolean
   /**
    * Takes budget for one retry; false when it is used up, or when `attempts` (those before this process, by the
    * passed-on count, and those here) have reached the contract's largest number.
