--- a/src/process/targets/local-target-set.ts
+++ b/src/process/targets/local-target-set.ts
@@ -11,7 +11,7 @@
 import { findProbeTarget } from './probe-need.ts'
 import { serveWaiting, tryTakeSlot } from './slot-choice.ts'
 import { createSlotQueue } from './slot-queue.ts'
-import { addFailed, addFailureLoad, removeEjectionsOverShare } from './target-health.ts'
+import { addFailed, addSlowWait, removeEjectionsOverShare } from './target-health.ts'
 import { applyHostList, markLeaving, tryReturn } from './target-leaving.ts'
 import { startTargetProber } from './target-prober.ts'
 import type { ProbeResult, SendProbe, TargetProber } from './target-prober.ts'
@@ -56,7 +56,7 @@
 /** Takes a hedge; the target that let the request wait counts as more loaded, granted or not. */
 function takeHedge (state: SetState, slowTarget: TargetId | undefined): boolean {
   const record = slowTarget === undefined ? undefined : state.records.get(slowTarget)
-  if (record) addFailureLoad(state, record, state.options.clock.monotonicMs())
+  if (record) addSlowWait(state, record)
   return state.hedges.take()
 }
 
--- a/src/process/targets/target-health.ts
+++ b/src/process/targets/target-health.ts
@@ -13,6 +13,8 @@
 const ANSWER_HALF_LIFE_MS = 5_000
 /** How many times longer than good work a failure, or a wait past the hedging time, counts as load. */
 const FAILURE_LOAD_FACTOR = 5
+/** How much of a slow wait counts for each other target of the zone. */
+const ZONE_SHARE_OF_SLOW_WAIT = 0.3
 const TYPICAL_SMOOTHING = 0.05
 const FIRST_BACKOFF_MS = 2_000
 const LARGEST_BACKOFF_MS = 30_000
@@ -40,8 +42,20 @@
 }
 
 /** Counts a failure, or a wait past the hedging time, as a request in flight for a while. */
-export function addFailureLoad (state: SetState, record: TargetRecord, nowMs: number): void {
-  addDecayed(record.failureLoad, 1, nowMs, state.typicalMs * FAILURE_LOAD_FACTOR)
+function addFailureLoad (state: SetState, record: TargetRecord, nowMs: number, amount = 1): void {
+  addDecayed(record.failureLoad, amount, nowMs, state.typicalMs * FAILURE_LOAD_FACTOR)
+}
+
+/**
+ * Counts a wait past the hedging time as load of its target, and a part of it as load of the zone's other targets:
+ * neighbours often slow a whole zone.
+ */
+export function addSlowWait (state: SetState, slow: TargetRecord): void {
+  const nowMs = state.options.clock.monotonicMs()
+  addFailureLoad(state, slow, nowMs)
+  for (const record of state.records.values()) {
+    if (record !== slow && record.target.zone === slow.target.zone) addFailureLoad(state, record, nowMs, ZONE_SHARE_OF_SLOW_WAIT)
+  }
 }
 
 /** Applies the outcome of an exchange. */
--- a/test/target-ejection.test.ts
+++ b/test/target-ejection.test.ts
@@ -156,3 +156,12 @@
   expect(perSecond[9]).toBeGreaterThan(60)
   expect(setup.set.listTargets().find((target) => target.id === toTargetId('t9'))?.state).toBe('cold')
 })
+
+test('a target that let a request wait gets less work for a while, and its zone a little less', async () => {
+  const setup = setupTargetSet(buildService(8))
+  setup.set.takeHedge(toTargetId('t0'))
+  const chosen: string[] = []
+  for (let count = 0; count < 7; count++) chosen.push((await setup.take()).target.id)
+  expect(chosen.slice(0, 6).toSorted()).toEqual(['t1', 't2', 't3', 't5', 't6', 't7'])
+  expect(chosen[6]).toBe('t4')
+})
