Choose in one pass without intermediate lists

Cause: a choice built three lists of targets. Ruled out for now: buckets by score, which would make it constant, since subsets bound the targets held.

--- a/src/process/targets/local-target-set.ts
+++ b/src/process/targets/local-target-set.ts
@@ -31,6 +31,8 @@
     entries: options.entries,
     largestEntries: options.largestEntries,
     records: new Map(),
+    list: [],
+    largestInFlight: 1,
     parked: new Map(),
     listedIds: new Set(service.targets.map((target) => target.id)),
     queue: createSlotQueue({ clock, longest: service.queue.longest, longestWaitMs: service.queue.longestWaitMs }),
--- a/src/process/targets/slot-choice.ts
+++ b/src/process/targets/slot-choice.ts
@@ -5,40 +5,48 @@
 import type { Result } from 'neverthrow'
 import { createError } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
-import { chooseTarget } from '../../request/balancing/choose-target.ts'
+import { addCandidate, createPick } from '../../request/balancing/choose-target.ts'
+import type { Pick } from '../../request/balancing/choose-target.ts'
 import { computeColdBound, computeRampShare } from '../../request/balancing/cold-ramp.ts'
 import { applyOutcome, canTry, computePenalty } from './target-health.ts'
 import type { TargetRecord } from './target-record.ts'
 import type { TargetSlot, TargetWish } from './target-set.ts'
 import type { SetState } from './target-set-state.ts'
 
-/** The targets that a request may go to, the wanted ones apart from those that only help out. */
+/** What a request may go to, the best of each group; one pass over the targets fills it. */
 interface Choices {
   /** Serving targets, and cold ones as often as their ramp allows. */
-  wanted: TargetRecord[]
+  wanted: Pick<TargetRecord>
   /** Cold targets out of their turn, used when the wanted ones are full. */
-  spare: TargetRecord[]
+  spare: Pick<TargetRecord>
+  /** Ejected targets, used when there are no others. */
+  ejected: Pick<TargetRecord>
   /** An ejected target whose trial is due. */
   trial: TargetRecord | undefined
-  /** Ejected targets, used when there are no others. */
-  ejected: TargetRecord[]
+  /** Targets that are neither ejected nor leaving. */
+  ordinaryCount: number
+  ejectedCount: number
 }
 
-/** Lists what a request may go to. */
-function listChoices (state: SetState, wish: TargetWish, nowMs: number): Choices {
-  const choices: Choices = { wanted: [], spare: [], trial: undefined, ejected: [] }
-  for (const record of state.records.values()) {
-    if (wish.exclude.has(record.target.id)) continue
+/** Compares all targets that a request has not tried. */
+function findChoices (state: SetState, wish: TargetWish, nowMs: number): Choices {
+  const choices: Choices = { wanted: createPick(), spare: createPick(), ejected: createPick(), trial: undefined, ordinaryCount: 0, ejectedCount: 0 }
+  const hasExcluded = wish.exclude.size > 0
+  for (const record of state.list) {
+    if (hasExcluded && wish.exclude.has(record.target.id)) continue
     record.penalty = record.failureLoad.value === 0 ? 0 : computePenalty(state, record, nowMs)
     switch (record.state.kind) {
       case 'serving':
-        choices.wanted.push(record)
+        choices.ordinaryCount += 1
+        addCandidate(choices.wanted, record, state.random)
         break
       case 'cold':
-        addCold(state, choices, record, nowMs)
+        choices.ordinaryCount += 1
+        addCold(state, choices, record, record.state.sinceMs, nowMs)
         break
       case 'ejected':
-        choices.ejected.push(record)
+        choices.ejectedCount += 1
+        addCandidate(choices.ejected, record, state.random)
         if (canTry(state, record, nowMs)) choices.trial = record
         break
       case 'leaving':
@@ -47,14 +55,12 @@
   return choices
 }
 
-function addCold (state: SetState, choices: Choices, record: TargetRecord, nowMs: number): void {
-  if (record.state.kind !== 'cold') return
-  const share = computeRampShare(record.state.sinceMs, nowMs, state.service.coldRampMs)
-  const isInTurn = share >= 1 || state.random() < share
+function addCold (state: SetState, choices: Choices, record: TargetRecord, sinceMs: number, nowMs: number): void {
+  const share = computeRampShare(sinceMs, nowMs, state.service.coldRampMs)
   if (share >= 1) record.state = { kind: 'serving' }
-  record.largestInFlight = computeColdBound(state.service.slotsPerTarget, share)
-  if (isInTurn) choices.wanted.push(record)
-  else choices.spare.push(record)
+  record.largestInFlight = computeColdBound(state.largestInFlight, share)
+  const isInTurn = share >= 1 || state.random() < share
+  addCandidate(isInTurn ? choices.wanted : choices.spare, record, state.random)
 }
 
 /** Tells whether a request may try an ejected target: the first attempt of one that may be repeated. */
@@ -64,15 +70,13 @@
 
 /** Takes a slot now; undefined when all targets that would do are busy. Errors: `no-target`. */
 export function tryTakeSlot (state: SetState, wish: TargetWish): Result<TargetSlot, AppError> | undefined {
-  const choices = listChoices(state, wish, state.options.clock.monotonicMs())
+  const choices = findChoices(state, wish, state.options.clock.monotonicMs())
   if (choices.trial && canBeTrial(wish)) return ok(createSlot(state, choices.trial, true))
-  const hasOrdinary = choices.wanted.length + choices.spare.length > 0
-  if (!hasOrdinary && (choices.ejected.length === 0 || wish.exclude.size > 0)) {
+  const hasOrdinary = choices.ordinaryCount > 0
+  if (!hasOrdinary && (choices.ejectedCount === 0 || wish.exclude.size > 0)) {
     return err(createError('no-target', 'No target of this service can take the request.'))
   }
-  const record = hasOrdinary
-    ? chooseTarget(choices.wanted, state.random) ?? chooseTarget(choices.spare, state.random)
-    : chooseTarget(choices.ejected, state.random)
+  const record = hasOrdinary ? choices.wanted.best ?? choices.spare.best : choices.ejected.best
   return record && ok(createSlot(state, record, false))
 }
 
@@ -95,7 +99,7 @@
 
 /** Tells whether any target has room. */
 function hasRoom (state: SetState): boolean {
-  for (const record of state.records.values()) {
+  for (const record of state.list) {
     if (record.state.kind !== 'leaving' && record.inFlight < record.largestInFlight) return true
   }
   return false
--- a/src/process/targets/target-set-state.ts
+++ b/src/process/targets/target-set-state.ts
@@ -42,6 +42,10 @@
   largestEntries: number
   /** Every target that this process serves. */
   records: Map<TargetId, TargetRecord>
+  /** The same records, in an array for the choice. */
+  list: TargetRecord[]
+  /** The largest number of requests that this process may have at one warm target. */
+  largestInFlight: number
   /** Leaving targets that this process does not serve now; a target that comes back is still leaving. */
   parked: Map<TargetId, TargetRecord>
   /** Every target of the contract, served by this process or not. */
--- a/src/process/targets/target-shares.ts
+++ b/src/process/targets/target-shares.ts
@@ -79,9 +79,10 @@
     self: options.self
   })
   const connections = Math.floor(service.connectionsPerTarget / entriesPerTarget)
-  const largestInFlight = Math.max(1, Math.min(service.slotsPerTarget, connections))
+  state.largestInFlight = Math.max(1, Math.min(service.slotsPerTarget, connections))
+  state.list = [...state.records.values()]
   for (const record of state.records.values()) {
     record.homeSlots = homeSlots.get(record.target.id) ?? 0
-    record.largestInFlight = largestInFlight
+    record.largestInFlight = state.largestInFlight
   }
 }
--- a/src/request/balancing/choose-target.ts
+++ b/src/request/balancing/choose-target.ts
@@ -23,18 +23,25 @@
   return load < candidate.homeSlots ? load - HOME_PREFERENCE : load
 }
 
-/** Chooses the candidate with the lowest score; `random` in [0, 1) breaks ties. Undefined when all are full. */
-export function chooseTarget<C extends Candidate> (candidates: Iterable<C>, random: () => number): C | undefined {
-  let best: C | undefined
-  let bestScore = Infinity
-  let ties = 0
-  for (const candidate of candidates) {
-    if (candidate.inFlight >= candidate.largestInFlight) continue
-    const score = computeScore(candidate)
-    if (score > bestScore) continue
-    ties = score < bestScore ? 1 : ties + 1
-    if (ties === 1 || random() * ties < 1) best = candidate
-    bestScore = score
-  }
-  return best
+/** The best candidate so far. */
+export interface Pick<C extends Candidate> {
+  best: C | undefined
+  score: number
+  /** Candidates with the best score so far. */
+  ties: number
+}
+
+/** Creates a pick of nothing yet. */
+export function createPick<C extends Candidate> (): Pick<C> {
+  return { best: undefined, score: Infinity, ties: 0 }
+}
+
+/** Compares one more candidate: full ones are passed over, `random` in [0, 1) breaks ties evenly. */
+export function addCandidate<C extends Candidate> (pick: Pick<C>, candidate: C, random: () => number): void {
+  if (candidate.inFlight >= candidate.largestInFlight) return
+  const score = computeScore(candidate)
+  if (score > pick.score) return
+  pick.ties = score < pick.score ? 1 : pick.ties + 1
+  pick.score = score
+  if (pick.ties === 1 || random() * pick.ties < 1) pick.best = candidate
 }
