--- a/bench/targets-balancers.ts
+++ b/bench/targets-balancers.ts
@@ -3,6 +3,8 @@
  */
 import { setMaxListeners } from 'node:events'
 import { createTargetSet } from '../src/process/targets/local-target-set.ts'
+import { computeProbeCost } from '../src/process/targets/target-prober.ts'
+import type { SendProbe } from '../src/process/targets/target-prober.ts'
 import type { ExchangeOutcome, TargetSet } from '../src/process/targets/target-set.ts'
 import { createBaselinePolicy } from '../src/request/balancing/baseline-policies.ts'
 import { createRatioBudget } from '../src/request/balancing/ratio-budget.ts'
@@ -41,6 +43,15 @@
   random: () => number
   /** The longest that a request waits for a place, in ms. */
   deadlineMs: number
+  /** Whether the product probes. */
+  isProbing: boolean
+}
+
+/** Probes cost the server the work that the contract names, and see that it is there. */
+function createProbe (byId: Map<string, BenchServer>, service: ServiceContract): SendProbe {
+  return (target) => new Promise((resolve) => {
+    byId.get(target.id)!.send(computeProbeCost(service.measuring), () => resolve({ kind: 'ready' }))
+  })
 }
 
 function createProductBalancer (input: BalancerInput): BenchBalancer {
@@ -55,6 +66,7 @@
     largestEntries: entries.length,
     clock,
     audit: { record: () => {} },
+    sendProbe: input.isProbing ? createProbe(byId, service) : undefined,
     random
   })
   const { signal } = new AbortController()
--- a/bench/targets-scenario.ts
+++ b/bench/targets-scenario.ts
@@ -36,6 +36,8 @@
   failing: number
   warmUpMs: number
   durationMs: number
+  /** Whether the product probes. Default false: the choice takes nothing from probes. */
+  isProbing?: boolean
   service?: Partial<ServiceContract>
 }
 
@@ -53,6 +55,8 @@
   refusedShare: number
   /** Share of attempts that went to a failing server. */
   failingShare: number
+  /** Cost of probes as a share of all server time, from the start on. */
+  probeShare: number
 }
 
 interface Run {
@@ -160,7 +164,9 @@
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0
 }
 
-function buildResult (run: Run): ScenarioResult {
+function buildResult (run: Run, balancers: readonly BenchBalancer[]): ScenarioResult {
+  const { servers, warmUpMs, durationMs } = run.scenario
+  const probeMs = balancers.reduce((sum, balancer) => sum + (balancer.set?.report().probeCostMs ?? 0), 0)
   const { counts } = run
   const sorted = Float64Array.from(run.latencies).sort()
   const requests = sorted.length + counts.failed + counts.refused
@@ -173,7 +179,8 @@
     retryShare: counts.retries / requests,
     failedShare: counts.failed / requests,
     refusedShare: counts.refused / requests,
-    failingShare: counts.toFailing / counts.attempts
+    failingShare: counts.toFailing / counts.attempts,
+    probeShare: probeMs / ((warmUpMs + durationMs) * servers * SLOTS)
   }
 }
 
@@ -191,13 +198,15 @@
     for (const server of servers.slice(0, scenario.failing)) server.isFailing = true
   })
   const requestsPerMs = scenario.load * scenario.servers * SLOTS / scenario.workMs
-  entries.forEach((self, index) => {
-    const balancer = createBalancer(scenario.policy, { clock, servers, service, entries, self, random: createSeededRandom(scenario.seed + 100 + index), deadlineMs: REFUSED_AFTER_MS })
+  const balancers = entries.map((self, index) => {
+    const balancer = createBalancer(scenario.policy, { clock, servers, service, entries, self, random: createSeededRandom(scenario.seed + 100 + index), deadlineMs: REFUSED_AFTER_MS, isProbing: scenario.isProbing ?? false })
     const share = index === 0 ? scenario.firstEntryShare : (1 - scenario.firstEntryShare) / (scenario.entries - 1)
     startCallers(run, balancer, requestsPerMs * share)
+    return balancer
   })
   await clock.runUntil(scenario.warmUpMs + scenario.durationMs)
-  return buildResult(run)
+  for (const balancer of balancers) balancer.set?.close()
+  return buildResult(run, balancers)
 }
 
 /** The scenario of the brief's slot booking: others are made by changing it. */
--- a/bench/targets.ts
+++ b/bench/targets.ts
@@ -71,3 +71,38 @@
     }
   }
 }
+
+const OVERLOADS = [0.8, 0.95, 1, 1.5, 2]
+const OVERLOAD_MS = 15_000
+const OVERLOAD_WARM_UP_MS = 4_000
+const SLOTS = 4
+
+/** Runs the product below and above capacity: what is answered, as a share of all slots, and what is refused. */
+export async function runOverloadBench (print: (line: string) => void): Promise<void> {
+  for (const servers of [LARGE_SERVICE, 6]) {
+    for (const load of OVERLOADS) {
+      const scenario: Scenario = { ...BASE_SCENARIO, servers, load, durationMs: OVERLOAD_MS, warmUpMs: OVERLOAD_WARM_UP_MS }
+      const result = await runScenario(scenario)
+      const answered = result.requests * (1 - result.failedShare - result.refusedShare)
+      const capacity = OVERLOAD_MS * servers * SLOTS / scenario.workMs
+      print(`${servers} servers, load ${load}: answered ${(answered / capacity).toFixed(3)} of capacity, ` +
+        `refused ${(result.refusedShare * 100).toFixed(1)}%, p99.9 ${result.p999.toFixed(0)} ms`)
+    }
+  }
+}
+
+const ONE_IN_THOUSAND = 0.001
+
+/** Compares a measuring budget of 0.1% of all server time with one of ten times as much, under traffic and nearly without. */
+export async function runMeasuringBench (print: (line: string) => void): Promise<void> {
+  for (const load of [0.5, 0.002]) {
+    for (const factor of [1, 10]) {
+      const { servers } = BASE_SCENARIO
+      const budgetMsPerSecond = servers * SLOTS * 1_000 * ONE_IN_THOUSAND * factor
+      const measuring = { budgetMsPerSecond, probeCostMs: 6, connectCostMs: 1, probePath: '/health' }
+      const result = await runScenario({ ...BASE_SCENARIO, load, isProbing: true, failing: 1, service: { measuring } })
+      print(`load ${load}, budget ${(ONE_IN_THOUSAND * factor * 100).toFixed(1)}%: spent ${(result.probeShare * 100).toFixed(4)}%, ` +
+        `p99.9 ${result.p999.toFixed(0)} ms, errors ${(result.failedShare * 100).toFixed(2)}%`)
+    }
+  }
+}
