Make the test of the measuring budget bind

Cause: its targets were silent for less than the time after which they are probed, so hardly a probe went out, and a bucket that starts full passed. Change: the targets are new and unreachable and wanted at once, and the test asserts that probes went out. Shown to fail with a full bucket at the start and with a share by fewer entries.

--- a/test/target-prober.test.ts
+++ b/test/target-prober.test.ts
@@ -13,9 +13,10 @@
 
 interface Spending { clock: TestClock, probes: number }
 
-/** Starts one entry process on a shared clock; all its targets are silent, so it probes as much as it may. */
+/** Starts one entry process on a shared clock; its targets are new and unreachable, so it probes as much as it may. */
 function startEntry (spending: Spending, self: string, believed: string[]) {
-  const { set } = setupTargetSet(buildService(8, { measuring: MEASURING }), {
+  const changes = { measuring: MEASURING, ejectedShare: 0 }
+  const { set } = setupTargetSet(buildService(1, changes), {
     clock: spending.clock,
     self: toEntryIds(self)[0]!,
     entries: toEntryIds(...believed),
@@ -25,6 +26,7 @@
       return { kind: 'unreachable' }
     }
   })
+  set.updateContract(buildService(8, changes))
   return set
 }
 
@@ -38,6 +40,7 @@
     believed: fc.subarray(['e0', 'e1', 'e2', 'e3', 'e4', 'e5']),
     passMs: fc.integer({ min: 1, max: 4_000 })
   })
+  let mostProbes = 0
   await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 3, maxLength: 12 }), async (steps) => {
     const spending: Spending = { clock: createTestClock(), probes: 0 }
     const sets = Array.from({ length: LARGEST_ENTRIES }, (_, index) => startEntry(spending, `e${index}`, ['e0']))
@@ -49,7 +52,10 @@
       expect(computeSpentMs(spending)).toBeLessThanOrEqual(MEASURING.budgetMsPerSecond * spending.clock.monotonicMs() / 1000 + 1e-6)
     }
     for (const set of sets) set.close()
+    mostProbes = Math.max(mostProbes, spending.probes)
   }), { seed: 41, numRuns: 25 })
+  // Otherwise the bound would hold for want of probes.
+  expect(mostProbes).toBeGreaterThan(50)
 }, 40_000)
 
 test('a share by the live entries that each one believes in would overspend', async () => {
