--- a/bench/targets.ts
+++ b/bench/targets.ts
@@ -12,6 +12,8 @@
   seeds?: number
   /** Measured time of a run with 30 servers, in simulated ms; smaller services run longer. Default 20 000. */
   durationMs?: number
+  /** Runs only the cases whose name holds this text. */
+  only?: string
   /** Called with each finished row. */
   print: (line: string) => void
 }
@@ -31,6 +33,7 @@
   { name: '30 servers, load 0.5, slow 300 ms', changes: { slow: SLOW_300 } },
   { name: '30 servers, load 0.75, 40% of callers at one entry', changes: { load: 0.75, firstEntryShare: 0.4 } },
   { name: '30 servers, load 0.5, zones slow 300 ms', changes: { slow: { ...SLOW_300, byZone: true } } },
+  { name: '30 servers, load 0.5, hedges repeat the same work', changes: { isWorkOfRequest: true } },
   { name: '30 servers, load 0.5, one fails fast', changes: { failing: 1 } },
   { name: '8 servers, load 0.75, slow 150 ms', changes: { servers: 8, load: 0.75 } },
   { name: '6 servers, load 0.5, slow 150 ms', changes: { servers: 6, zones: 3 } },
@@ -55,8 +58,8 @@
 
 /** Runs every case with every policy, hedged with equal budgets, and two plain ones without hedges. */
 export async function runTargetBench (options: TargetBenchOptions): Promise<void> {
-  const { seeds = 2, durationMs = 20_000, print } = options
-  for (const { name, changes } of CASES) {
+  const { seeds = 2, durationMs = 20_000, only = '', print } = options
+  for (const { name, changes } of CASES.filter((entry) => entry.name.includes(only))) {
     print(`-- ${name}`)
     const scenario = { ...BASE_SCENARIO, ...changes }
     scenario.durationMs = durationMs * (scenario.servers < LARGE_SERVICE ? 3 : 1)
