--- a/test/support/contract-histories.ts
+++ b/test/support/contract-histories.ts
@@ -61,21 +61,21 @@
 const faults: AppendFault[] = ['none', 'none', 'answer-lost', 'late-lost', 'never-landed', 'refused']
 
 const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
-  { weight: 6, arbitrary: fc.record({ kind: fc.constant('publish' as const), isStale: fc.boolean(), delayMs: fc.constantFrom(-1_000, 0, 0, 3_000), fault: fc.constantFrom(...faults) }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('publish' as const), isStale: fc.boolean(), delayMs: fc.constantFrom(-30_000, -1_000, 0, 3_000), fault: fc.constantFrom(...faults) }) },
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('advance' as const), ms: fc.constantFrom(1, 50, 700, 4_000) }) },
-  { weight: 1, arbitrary: fc.record({ kind: fc.constant('outage' as const), isOut: fc.boolean() }) },
-  { weight: 1, arbitrary: fc.record({ kind: fc.constant('restart' as const), reader }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('outage' as const), isOut: fc.boolean() }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('restart' as const), reader }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom('pause' as const, 'resume' as const), reader }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('jump' as const), reader, ms: fc.constantFrom(-60_000, -4_000, 4_000) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('append-fault' as const), reader, fault: fc.constantFrom(...faults) }) },
-  { weight: 4, arbitrary: fc.record({ kind: fc.constant('pass' as const), from: reader, to: reader, isBlankPull: fc.boolean(), later: fc.integer({ min: 0, max: 4 }) }) },
+  { weight: 5, arbitrary: fc.record({ kind: fc.constant('pass' as const), from: reader, to: reader, isBlankPull: fc.boolean(), later: fc.constantFrom(0, 0, 1, 4, 9) }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('late-append' as const) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('retention' as const), keep: fc.integer({ min: 0, max: 6 }) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('garbage' as const), shape: fc.constantFrom('bytes' as const, 'foreign' as const, 'text' as const, 'large' as const) }) }
 )
 
 /** Any order of changes, faults and repairs. */
-export const historyArbitrary = fc.array(stepArbitrary, { minLength: 4, maxLength: 30 })
+export const historyArbitrary = fc.array(stepArbitrary, { minLength: 4, maxLength: 40, size: 'max' })
 
 interface ReaderSlot { reader: HistoryReader, client: FakeLogClient, gate: ProcessGate, jumpMs: number, lastVersion: number }
 interface Change { version: number, mark: number, result: PublishResult | 'open' }
