Prove contracts and audit on faults, and let publishers wait out a slow log

Cause: 'contract publish' gave up with exit 4 on a log that took 1.2 s for each answer: its first read had an entry's limit of 1 s (seen by test/contract-processes.test.ts, 'expected 4 to be 0'). It now reads again until its own time is up, and the operators' client waits 5 s. Audit: a batch whose answer was lost was counted as lost although it stood on the log. It is now written again under the same id, and readers take an id once.

--- a/src/cli/audit.ts
+++ b/src/cli/audit.ts
@@ -67,13 +67,16 @@
   const canPrint = createFilter(values)
   const bounds = await log.readBounds(AUDIT_STREAM)
   if (bounds.isErr()) return printFailure(io, bounds.error, values.json)
+  const seen = new Set<string>()
   let from = bounds.value.earliest
   while (from < bounds.value.next) {
     const page = await log.read(AUDIT_STREAM, from)
     if (page.isErr()) return printFailure(io, page.error, values.json)
     for (const { data } of page.value.records) {
-      const records = decodeAuditBatch(data) ?? []
-      for (const record of records.filter(canPrint)) printLine(io, values.json ? JSON.stringify(record) : formatRecord(record))
+      const batch = decodeAuditBatch(data)
+      if (!batch || seen.has(batch.id)) continue
+      seen.add(batch.id)
+      for (const record of batch.records.filter(canPrint)) printLine(io, values.json ? JSON.stringify(record) : formatRecord(record))
     }
     from = page.value.nextOffset
   }
--- a/src/cli/contract-io.ts
+++ b/src/cli/contract-io.ts
@@ -14,6 +14,9 @@
 import { printFailure } from './command.ts'
 import type { CommandIo } from './command.ts'
 
+/** An operator waits longer than an entry may, in ms. */
+const OPERATOR_LIMITS = { readTimeoutMs: 5_000, appendTimeoutMs: 5_000 }
+
 /** Arguments that name the log. */
 export interface LogArguments { log?: string, settings?: string }
 
@@ -35,7 +38,7 @@
   if (url.isErr()) return err(url.error)
   if (url.value === undefined) return err(createError('usage', 'No log is named; pass --log URL or --settings FILE.'))
   if (!URL.canParse(url.value)) return err(createError('usage', `"${url.value}" is not a URL; write it as http://address:port.`))
-  return ok(createHttpLogClient({ url: url.value, clock: createHostClock() }))
+  return ok(createHttpLogClient({ url: url.value, clock: createHostClock(), ...OPERATOR_LIMITS }))
 }
 
 /** Runs `action` with the log that the arguments name and closes it afterwards; returns the exit code. */
--- a/src/process/audit/audit-log.ts
+++ b/src/process/audit/audit-log.ts
@@ -1,6 +1,7 @@
 /**
  * Writes the audit trail to its stream, in batches, within a bounded buffer and rate.
  */
+import { randomUUID } from 'node:crypto'
 import { decode, encode } from 'cbor-x'
 import { z } from 'zod'
 import type { Clock } from '../../clock.ts'
@@ -34,11 +35,14 @@
 const DEFAULT_LARGEST_WAITING = 2_000
 const DEFAULT_INTERVAL_MS = 1_000
 const LARGEST_BATCH = 200
+const LONGEST_ID = 128
 const FLUSH_RETRY_MS = 200
 
 const batchSchema = z.object({
   type: z.literal('audit'),
   v: z.literal(1),
+  /** Names the batch; one that stands twice is one batch. */
+  id: z.string().min(1).max(LONGEST_ID),
   records: z.array(z.object({
     atMs: z.number(),
     entry: z.string(),
@@ -46,11 +50,14 @@
   }))
 })
 
+/** Events that were written in one append. */
+export interface AuditBatch { id: string, records: AuditRecord[] }
+
 /** Decodes a record of the audit stream; undefined when it is not one. */
-export function decodeAuditBatch (data: Uint8Array): AuditRecord[] | undefined {
+export function decodeAuditBatch (data: Uint8Array): AuditBatch | undefined {
   try {
     const parsed = batchSchema.safeParse(decode(data))
-    return parsed.success ? parsed.data.records as unknown as AuditRecord[] : undefined
+    return parsed.success ? parsed.data as unknown as AuditBatch : undefined
   } catch {
     return undefined
   }
@@ -61,25 +68,22 @@
   add(event: AuditEvent): void
   /** Takes a batch out; the first event states what was lost since the last one that was written. */
   takeBatch(): AuditRecord[]
-  /** Puts a batch back that was certainly not written. */
-  returnBatch(records: AuditRecord[]): void
-  markLost(count: number): void
   isEmpty(): boolean
   report(): { waiting: number, lost: number }
 }
 
 function createEventBuffer (toRecord: (event: AuditEvent) => AuditRecord, largestWaiting: number): EventBuffer {
-  let waiting: AuditRecord[] = []
+  const waiting: AuditRecord[] = []
   let lost = 0
   let lostUntold = 0
-  const markLost = (count: number): void => {
-    lost += count
-    lostUntold += count
-  }
   return {
     add (event) {
-      if (waiting.length >= largestWaiting) markLost(1)
-      else waiting.push(toRecord(event))
+      if (waiting.length < largestWaiting) {
+        waiting.push(toRecord(event))
+        return
+      }
+      lost += 1
+      lostUntold += 1
     },
     takeBatch () {
       const batch = waiting.splice(0, LARGEST_BATCH)
@@ -88,10 +92,6 @@
       lostUntold = 0
       return [told, ...batch]
     },
-    returnBatch (records) {
-      waiting = [...records, ...waiting]
-    },
-    markLost,
     isEmpty: () => waiting.length === 0 && lostUntold === 0,
     report: () => ({ waiting: waiting.length, lost })
   }
@@ -106,18 +106,21 @@
   const buffer = createEventBuffer(toRecord, options.largestWaiting ?? DEFAULT_LARGEST_WAITING)
   let running: Promise<void> | undefined
   let writing: Promise<boolean> | undefined
+  let batch: AuditBatch | undefined
   let written = 0
 
-  /** Writes one batch; false when the log took nothing. */
+  const hasWaiting = (): boolean => batch !== undefined || !buffer.isEmpty()
+
+  /** Writes one batch; false when it is not known to be written. */
   const writeBatch = async (): Promise<boolean> => {
-    const records = buffer.takeBatch()
-    if (records.length === 0) return true
-    const appended = await log.append(AUDIT_STREAM, encode({ type: 'audit', v: 1, records }))
-    if (appended.isOk()) written += records.length
-    else if (appended.error.kind === 'log-unavailable') buffer.returnBatch(records)
-    // Not repeated: an event told twice misleads more than a gap that is counted.
-    else buffer.markLost(records.length)
-    return appended.isOk()
+    if (!hasWaiting()) return true
+    batch ??= { id: randomUUID(), records: buffer.takeBatch() }
+    const appended = await log.append(AUDIT_STREAM, encode({ type: 'audit', v: 1, ...batch }))
+    // Written again under its id when the answer was lost; readers take one batch once.
+    if (appended.isErr()) return false
+    written += batch.records.length
+    batch = undefined
+    return true
   }
 
   const writeOnce = (): Promise<boolean> => {
@@ -135,11 +138,14 @@
   return {
     record: buffer.add,
     async flush (deadlineMs) {
-      while (!buffer.isEmpty() && clock.monotonicMs() < deadlineMs) {
+      while (hasWaiting() && clock.monotonicMs() < deadlineMs) {
         if (!await writeOnce()) await clock.wait(FLUSH_RETRY_MS)
       }
     },
-    report: () => ({ written, ...buffer.report() }),
+    report () {
+      const { waiting, lost } = buffer.report()
+      return { written, waiting: waiting + (batch?.records.length ?? 0), lost }
+    },
     start () {
       running ??= run()
     },
--- a/src/process/contracts/publish-contract.ts
+++ b/src/process/contracts/publish-contract.ts
@@ -18,7 +18,7 @@
 import type { LogClient, LogRecord } from '../log-client.ts'
 import { CONTRACT_STREAM } from './contract-book.ts'
 import { foldRecords, readContractStream } from './read-contracts.ts'
-import type { StreamPosition } from './read-contracts.ts'
+import type { StreamPosition, WatchVerdict } from './read-contracts.ts'
 
 /** What publishing needs. */
 export interface PublishOptions {
@@ -78,10 +78,18 @@
   return err(createError('contract-rejected', `The contract is based on version ${contract.basedOn}, but ${known}.`))
 }
 
+/** Reads the stream, again and again while the log is slow or away. */
+async function readUntil ({ log, clock }: PublishOptions, deadlineMs: number, watchVerdict: WatchVerdict): Promise<Result<StreamPosition, AppError>> {
+  for (;;) {
+    const read = await readContractStream(log, { watchVerdict })
+    const isFinal = read.isOk() || read.error.kind === 'log-gap'
+    if (isFinal || clock.monotonicMs() >= deadlineMs) return read
+    await clock.wait(RETRY_MS)
+  }
+}
+
 /** Appends until the stream shows what became of the change or the time is up. */
-async function settlePublish (options: PublishOptions, position: StreamPosition, record: PublishRecord): Promise<Settlement> {
-  const { log, clock } = options
-  const deadlineMs = clock.monotonicMs() + (options.timeoutMs ?? DEFAULT_TIMEOUT_MS)
+async function settlePublish ({ log, clock }: PublishOptions, deadlineMs: number, position: StreamPosition, record: PublishRecord): Promise<Settlement> {
   const data = encodeStreamRecord(record)
   let isAppended = false
   let mayBeWritten = false
@@ -121,10 +129,9 @@
   const contract = checked.value
   const packed = encodeText(options.text)
   let earlier: AcceptedVersion | undefined
-  const read = await readContractStream(options.log, {
-    watchVerdict: (record, verdict) => {
-      if (verdict.kind === 'accepted' && Buffer.compare(record.packed, packed) === 0) earlier = verdict.version
-    }
+  const deadlineMs = options.clock.monotonicMs() + (options.timeoutMs ?? DEFAULT_TIMEOUT_MS)
+  const read = await readUntil(options, deadlineMs, (record, verdict) => {
+    if (verdict.kind === 'accepted' && Buffer.compare(record.packed, packed) === 0) earlier = verdict.version
   })
   if (read.isErr()) return err(createError('log-unavailable', `Nothing was written: ${read.error.message}`, read.error))
   const position = read.value
@@ -146,5 +153,5 @@
   if (encodeStreamRecord(record).length > LARGEST_RECORD_BYTES) {
     return err(createError('contract-invalid', `The contract is larger than ${LARGEST_RECORD_BYTES} bytes when compressed; list fewer targets.`))
   }
-  return toResult(await settlePublish(options, position, record), contract, record.nonce)
+  return toResult(await settlePublish(options, deadlineMs, position, record), contract, record.nonce)
 }
