--- a/src/process/claims/claim-attempts.ts
+++ b/src/process/claims/claim-attempts.ts
@@ -11,6 +11,7 @@
 import type { ClaimDecision, HeldClaim } from './claim-index.ts'
 import type { ClaimQueue } from './claim-queue.ts'
 import { buildKeptOutcome } from './claim-record.ts'
+import type { OutcomeWatch } from './outcome-watch.ts'
 
 type Verdict = Result<ClaimVerdict, AppError>
 type QueuePart = Pick<ClaimQueue, 'addClaim' | 'addNotice' | 'removeClaim'>
@@ -23,6 +24,7 @@
   /** The longest that an attempt waits for its verdict, in ms. */
   claimWaitMs: number
   queue: QueuePart
+  watch: OutcomeWatch
 }
 
 /** Attempts that wait for their verdict. */
@@ -55,9 +57,14 @@
   return ok(holder.outcome ? { kind: 'repeated', outcome: holder.outcome } : { kind: 'elsewhere' })
 }
 
+/** Returns how long the log must remember the claim: the window of the key from the last instant at which it may be sent. */
+function computeWindowMs (attempt: ClaimAttempt, startedMs: number): number {
+  return Math.ceil(attempt.onceWindowMs + attempt.deadlineMs - startedMs)
+}
+
 interface GrantedClaim { seq: number, key: KeyHash, windowMs: number, sendBeforeMs: number }
 
-function buildClaim (granted: GrantedClaim, clock: Clock, queue: QueuePart): Claim {
+function buildClaim (granted: GrantedClaim, { clock, queue, watch }: WaitingAttemptsOptions): Claim {
   const { seq, key, windowMs, sendBeforeMs } = granted
   let state: 'open' | 'void' | 'answered' = 'open'
   return {
@@ -66,11 +73,14 @@
       if (state !== 'open') return
       state = 'void'
       queue.addNotice({ kind: 'void', seq, key, windowMs })
+      watch.handleVoid(key)
     },
     recordOutcome (outcome) {
       if (state !== 'open') return
       state = 'answered'
-      queue.addNotice({ kind: 'outcome', seq, key, outcome: buildKeptOutcome(outcome) })
+      const kept = buildKeptOutcome(outcome)
+      queue.addNotice({ kind: 'outcome', seq, key, outcome: kept })
+      watch.addOutcome(key, seq, kept)
     }
   }
 }
@@ -93,7 +103,8 @@
     if (!found) return
     settle(seq, refuseAttempt(kind, message))
     if (queue.removeClaim(seq)) return
-    queue.addNotice({ kind: 'void', seq, key: found.attempt.keyHash, windowMs: found.attempt.onceWindowMs })
+    const { attempt, startedMs } = found
+    queue.addNotice({ kind: 'void', seq, key: attempt.keyHash, windowMs: computeWindowMs(attempt, startedMs) })
   }
   const stopWaiting = (seq: number): void => {
     const deadlineMs = waiting.get(seq)?.attempt.deadlineMs ?? 0
@@ -105,9 +116,9 @@
     const found = waiting.get(seq)
     // Its attempt was answered long ago and will never be sent.
     if (!found) return queue.addNotice({ kind: 'void', seq, key, windowMs })
-    const sendBeforeMs = Math.min(found.attempt.deadlineMs, found.startedMs + windowMs)
+    const sendBeforeMs = found.attempt.deadlineMs
     if (clock.monotonicMs() >= sendBeforeMs) return refuse(seq, 'deadline-passed', 'The deadline passed before the claim was granted.')
-    settle(seq, ok({ kind: 'admitted', claim: buildClaim({ seq, key, windowMs, sendBeforeMs }, clock, queue) }))
+    settle(seq, ok({ kind: 'admitted', claim: buildClaim({ seq, key, windowMs, sendBeforeMs }, options) }))
   }
   const handleLost = (seq: number, holder: HeldClaim): void => {
     const found = waiting.get(seq)
@@ -119,13 +130,14 @@
       const startedMs = clock.monotonicMs()
       const waitMs = Math.min(claimWaitMs, attempt.deadlineMs - startedMs)
       waiting.set(seq, { attempt, startedMs, resolve, cancelTimer: clock.startTimer(waitMs, () => stopWaiting(seq)) })
-      const { keyHash: key, requestDigest: digest, onceWindowMs: windowMs } = attempt
-      queue.addClaim({ kind: 'claim', seq, key, digest, windowMs })
+      const { keyHash: key, requestDigest: digest } = attempt
+      queue.addClaim({ kind: 'claim', seq, key, digest, windowMs: computeWindowMs(attempt, startedMs) })
     }),
     handleDecision (decision) {
       switch (decision.kind) {
         case 'granted': return handleGranted(decision)
         case 'lost': return handleLost(decision.seq, decision.holder)
+        case 'uncertain': return refuse(decision.seq, 'platform-down', 'Claims have aged out unread; the once-window cannot be proved yet.')
         case 'void': return settle(decision.seq, refuseAttempt('platform-down', 'The claim was void before it came.'))
       }
     },
--- a/test/support/process-gate.ts
+++ b/test/support/process-gate.ts
@@ -33,15 +33,13 @@
     }
     const wait: Clock['wait'] = (delayMs, signal) => new Promise((resolve) => {
       if (signal?.aborted) return resolve()
-      const stopEarly = (): void => {
+      const stopWaiting = (): void => {
         cancel()
+        signal?.removeEventListener('abort', stopWaiting)
         resolve()
       }
-      const cancel = startTimer(delayMs, () => {
-        signal?.removeEventListener('abort', stopEarly)
-        resolve()
-      })
-      signal?.addEventListener('abort', stopEarly, { once: true })
+      const cancel = startTimer(delayMs, stopWaiting)
+      signal?.addEventListener('abort', stopWaiting, { once: true })
     })
     return { ...clock, startTimer, wait }
   }
