--- a/replay/write-traces.ts
+++ b/replay/write-traces.ts
@@ -169,7 +169,7 @@
     about: 'The log is down for two seconds.',
     perSecond: STEADY_PER_SECOND,
     weights: (sample) => STEADY[sample],
-    faults: () => [createFault(1_500, 'log', { isDown: true }), createFault(3_500, 'log', { isDown: false })],
+    faults: () => [createFault(1_500, 'log', { outage: 'refuse' }), createFault(3_500, 'log', { outage: 'none' })],
     answeredShare: 0.9,
     tail: []
   }
--- /dev/null
+++ b/test/demo.test.ts
@@ -0,0 +1,15 @@
+import { execFile } from 'node:child_process'
+import { promisify } from 'node:util'
+import { expect, test } from 'vitest'
+import { getLoopbackAddress } from './support/addresses.ts'
+
+const run = promisify(execFile)
+
+test('the demo makes its path through six entries, replays a trace and ends cleanly', async () => {
+  const network = getLoopbackAddress(0).split('.').slice(0, 3).join('.')
+  const { stdout, stderr } = await run(process.execPath, ['dist/demo.cjs', '--once', '--network', network])
+  expect(stderr).toBe('')
+  expect(stdout).not.toMatch(/WRONG|BROKEN/)
+  expect(stdout).toContain('Every step went as it should and every invariant held.')
+  expect(stdout.match(/entry-\d with 0/g)).toHaveLength(6)
+})
