--- a/replay/system.ts
+++ b/replay/system.ts
@@ -39,7 +39,7 @@
   logUrl: string
   /** Runs `medlarcove` with arguments and returns what it prints; throws when it fails. */
   runCommand(...args: string[]): Promise<string>
-  /** Publishes the contract of the deployment, and resolves when every entry has it in force. */
+  /** Publishes the contract of the deployment, and resolves when every entry has it in force and lists all entries. */
   publishContract(): Promise<void>
   startEntries(): Promise<void>
   startEntry(id: string): Promise<void>
@@ -51,13 +51,14 @@
   stop(): Promise<Record<string, number | null>>
 }
 
-/** Reads the contract version that an entry has in force; undefined while it has none or does not answer. */
-async function readVersion (entry: EntryHost, customer: string): Promise<number | undefined> {
+/** Whether an entry has a version in force and lists as many entries; undefined when not, or when it does not answer. */
+async function isServing (entry: EntryHost, customer: string, version: number, entryCount: number): Promise<true | undefined> {
   const url = `http://${entry.address}:${entry.callerPort}/.medlarcove/addresses?customer=${customer}&caller=replay`
   const answer = await request(url)
   const text = await answer.body.text()
   if (answer.statusCode !== SUCCESS) return undefined
-  return (JSON.parse(text) as { version?: number }).version
+  const listed = JSON.parse(text) as { version: number, addresses: unknown[] }
+  return listed.version === version && listed.addresses.length === entryCount ? true : undefined
 }
 
 async function sendControl (address: string, port: number, control: unknown): Promise<void> {
@@ -169,9 +170,10 @@
     async publishContract () {
       await runCommand('contract', 'publish', programs.writeText('contract.jsonc', deployment.contractText), '--log', logUrl)
       const { version } = JSON.parse(deployment.contractText) as { version: number }
-      await Promise.all(deployment.entries.map((entry) => waitFor(`${entry.id} has version ${version} in force`, READY_TIMEOUT_MS, async () => {
-        return await readVersion(entry, deployment.customer) === version ? true : undefined
-      })))
+      const { customer, entries } = deployment
+      await Promise.all(entries.map((entry) => {
+        return waitFor(`${entry.id} has version ${version} in force and lists all entries`, READY_TIMEOUT_MS, () => isServing(entry, customer, version, entries.length))
+      }))
     },
     getProgram: programs.get,
     async switchFaults (of, control) {
