--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -6,6 +6,7 @@
 import { EXIT_CODES, EXIT_CODES_HELP, printFailure } from './command.ts'
 import type { CommandIo } from './command.ts'
 import { fetchJson } from './entry-request.ts'
+import { formatStatus } from './status-text.ts'
 
 const HELP = `Usage: medlarcove status --entry HOST:PORT
 
@@ -33,6 +34,6 @@
   if (!entry) return printFailure(io, createError('usage', 'Give --entry HOST:PORT, the address for operators.'), json)
   const answer = await fetchJson(`http://${entry}/status`)
   if (answer.isErr()) return printFailure(io, answer.error, json)
-  io.stdout(json ? `${JSON.stringify(answer.value)}\n` : `${JSON.stringify(answer.value, undefined, 2)}\n`)
+  io.stdout(json ? `${JSON.stringify(answer.value)}\n` : `${formatStatus(answer.value)}\n`)
   return EXIT_CODES.ok
 }
--- a/test/entry-bad-input.test.ts
+++ b/test/entry-bad-input.test.ts
@@ -86,6 +86,9 @@
 test('status and metrics tell what was refused', async () => {
   const status = JSON.parse(await system.runCommand('status', '--json', '--entry', `${entry?.address}:${entry?.operatorPort}`))
   expect(status).toMatchObject({ contracts: [{ customer: 'kyushu', accepted: 1, inForce: 1 }] })
+  const text = await system.runCommand('status', '--entry', `${entry?.address}:${entry?.operatorPort}`)
+  expect(text).toContain('kyushu: version 1 in force, 1 accepted')
+  expect(text).toMatch(/slot-01 {2}zone-a {2}(cold|serving) {2}0 in flight/)
   const metrics = await (await fetch(`http://${entry?.address}:${entry?.operatorPort}/metrics`)).text()
   expect(metrics).toMatch(/medlarcove_requests_total\{customer="unlisted",service="unlisted",fate="not-run",kind="unknown-customer"\} 1/)
 })
