--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -15,7 +15,7 @@
 import { createContractFollower } from './contracts/contract-follower.ts'
 import { createHostListHttpClient } from './host-list-http-client.ts'
 import type { HostListClient } from './host-list-client.ts'
-import { createCustomerLimiter } from './limits/local-customer-limiter.ts'
+import { createGrantedLimiter } from './limits/granted-limiter.ts'
 import { createHttpLogClient } from './log-http-client.ts'
 import { createLogger } from './logger.ts'
 import { canServe } from './membership/address-order.ts'
@@ -71,7 +71,9 @@
   const audit = createAuditLog({ log, clock, entry: self })
   const contracts = createContractFollower({ log, clock, audit })
   const mesh = createPeerMesh({ self: { ...settings.entry, port: settings.entry.callerPort, incarnation }, peerKey: settings.peerKey, hostList, clock })
-  const limiter = createCustomerLimiter({ clock })
+  const limiter = createGrantedLimiter({
+    clock, log, entry: self, run: incarnation, logger: logger.forPart('limits'), listLiveEntries: () => mesh.listLiveEntries()
+  })
   const claims = createLogClaimBook({ log, clock, entry: self, incarnation, partitions: CLAIM_PARTITIONS, retentionMs: settings.log.retentionMs })
   const services = createServiceDirectory({
     self,
@@ -118,6 +120,7 @@
   const listening = await mesh.start()
   if (listening.isErr()) throw new Error(listening.error.message)
   contracts.start()
+  parts.limiter.start()
   const readiness = watchReadiness(parts)
   const stopPassing = startContractPassing({ clock, contracts, mesh, isServing: () => readiness.isServing })
   const watching = watchHosts(clock, parts.hostList, services, stopSignal.signal)
--- a/src/process/request-service.ts
+++ b/src/process/request-service.ts
@@ -8,6 +8,8 @@
 import { createError, getErrorAnswer } from '../errors.ts'
 import type { AppError } from '../errors.ts'
 import type { Call } from '../request/call.ts'
+import { createPresence, watchCaller } from '../request/caller-presence.ts'
+import type { CallerPresence } from '../request/caller-presence.ts'
 import { buildErrorAnswer, sendError } from '../request/error-answer.ts'
 import { forwardAnswer, getRelayedFate } from '../request/forward-answer.ts'
 import { ATTEMPT_HEADER, filterCallerHeaders } from '../request/headers.ts'
@@ -61,7 +63,7 @@
 type OnceOperation = Extract<Operation, { repeatable: false }>
 
 /** What a route needs to become a call. */
-interface CallSource { method: string, route: CallerPath, headers: Record<string, string>, gone: AbortSignal, remainingMs?: number }
+interface CallSource { method: string, route: CallerPath, headers: Record<string, string>, caller: CallerPresence }
 
 const PATH_PATTERN = /^\/([^/?]+)\/([^/?]+)(\/[^#]*)$/
 const EMPTY_BODY = new Uint8Array()
@@ -80,13 +82,6 @@
   return Number.isSafeInteger(value) && value > 0 ? value : 1
 }
 
-/** Returns a signal that aborts when the caller's connection closes before its answer is whole. */
-function watchCaller (outgoing: ServerResponse): AbortSignal {
-  const gone = new AbortController()
-  outgoing.on('close', () => { if (!outgoing.writableFinished) gone.abort() })
-  return gone.signal
-}
-
 function toForwardedAnswer (result: Result<WholeAnswer, AppError>): ForwardedAnswer {
   if (result.isErr()) return { ...buildErrorAnswer(result.error), fate: getErrorAnswer(result.error.kind).fate }
   const headers: Record<string, string> = {}
@@ -102,7 +97,7 @@
 
   const createId = (): RequestId => toBrand<RequestId>(`${options.idPrefix}-${(sequence++).toString(36)}`)
 
-  const findRoute = (method: string, route: CallerPath): Result<{ call: Omit<Call, 'headers' | 'body' | 'gone' | 'method'>, match: RouteMatch }, AppError> => {
+  const findRoute = (method: string, route: CallerPath): Result<{ call: Omit<Call, 'headers' | 'body' | 'caller' | 'method'>, match: RouteMatch }, AppError> => {
     const contract = contracts.getContract(route.customer)
     if (contract.isErr()) return err(contract.error)
     const service: ServiceContract | undefined = contract.value.services[route.serviceId]
@@ -181,7 +176,7 @@
     const permit = limiter.takePermit(partial.contract)
     if (permit.isErr()) return err(permit.error)
     const deadlineMs = clock.monotonicMs() + match.operation.deadlineMs
-    const call: Call = { ...partial, deadlineMs, body: body.value, headers: source.headers, gone: source.gone, method: source.method, firstAttempt: parseAttempt(incoming.headers) }
+    const call: Call = { ...partial, deadlineMs, body: body.value, headers: source.headers, caller: source.caller, method: source.method, firstAttempt: parseAttempt(incoming.headers) }
     try {
       return match.operation.repeatable
         ? await serveRepeatable(call, outgoing)
@@ -197,8 +192,7 @@
     const { operation } = found.value.match
     if (operation.repeatable) return err(createError('malformed-request', 'Only requests that may not be repeated are passed on.'))
     const deadlineMs = Math.min(found.value.call.deadlineMs, clock.monotonicMs() + request.remainingMs)
-    const gone = new AbortController().signal
-    const call: Call = { ...found.value.call, deadlineMs, body: request.body, headers: request.headers, gone, method: request.method }
+    const call: Call = { ...found.value.call, deadlineMs, body: request.body, headers: request.headers, caller: createPresence(), method: request.method }
     return runKeyed(call, operation, true)
   }
 
@@ -222,7 +216,7 @@
     async handleRequest (incoming, outgoing) {
       inProgress += 1
       const route = parseCallerPath(incoming.url ?? '')
-      const source = route.map((parsed) => ({ method: incoming.method ?? 'GET', route: parsed, headers: filterCallerHeaders(incoming.headers), gone: watchCaller(outgoing) }))
+      const source = route.map((parsed) => ({ method: incoming.method ?? 'GET', route: parsed, headers: filterCallerHeaders(incoming.headers), caller: watchCaller(outgoing) }))
       const result = source.isErr() ? err(source.error) : await runSafely(serveCaller(incoming, outgoing, source.value))
       if (result.isErr()) sendError(outgoing, result.error)
       countEnd(route.isOk() ? route.value : undefined, outgoing, result.isErr() ? result.error : undefined)
--- a/src/process/status.ts
+++ b/src/process/status.ts
@@ -27,6 +27,7 @@
       connections: service.listPools().reduce((sum, pool) => sum + pool.countConnections().open, 0)
     })),
     limits: limiter.report(),
+    grants: limiter.reportGrants(),
     claims: claims.report(),
     audit: audit.report(),
     callers: { connections: await callers.countConnections(), inProgress: requests.countInProgress() }
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -107,12 +107,12 @@
     exclude: call.tried,
     deadlineMs: call.deadlineMs,
     mayWait: options.mayWait,
-    signal: call.gone
+    get signal () { return call.caller.getSignal() }
   })
   if (slot.isErr()) return err(slot.error)
   const { target } = slot.value
   const remainingMs = call.deadlineMs - call.clock.monotonicMs()
-  if (remainingMs <= 0 || call.gone.aborted) {
+  if (remainingMs <= 0 || call.caller.isGone()) {
     slot.value.release({ kind: 'cancelled' })
     return err(createError('deadline-passed', 'The deadline passed before a target was free.'))
   }
@@ -130,7 +130,7 @@
     headers,
     body: call.body,
     firstByteTimeoutMs: remainingMs,
-    canSend: () => !call.gone.aborted && call.clock.monotonicMs() < call.deadlineMs && (options.canSend?.() ?? true)
+    canSend: () => !call.caller.isGone() && call.clock.monotonicMs() < call.deadlineMs && (options.canSend?.() ?? true)
   }, call.clock)
   return ok(createAttempt(call, slot.value, exchange, connection.isFresh, options.number))
 }
--- a/src/request/call.ts
+++ b/src/request/call.ts
@@ -6,6 +6,7 @@
 import type { AppError } from '../errors.ts'
 import type { TargetSet } from '../process/targets/target-set.ts'
 import type { CustomerId, RequestId, ServiceId, TargetId } from '../types.ts'
+import type { CallerPresence } from './caller-presence.ts'
 import type { Contract, ContractTarget, Operation, ServiceContract } from '../version/contract.ts'
 
 /** The targets of a service with the connections to them. */
@@ -32,8 +33,7 @@
   firstAttempt: number
   /** The latest instant for the first byte of the answer, by the monotonic clock in ms. */
   deadlineMs: number
-  /** Aborted when the caller has gone. */
-  gone: AbortSignal
+  caller: CallerPresence
   clock: Clock
   /** Targets that were tried. */
   tried: Set<TargetId>
--- a/src/request/idempotent-request.ts
+++ b/src/request/idempotent-request.ts
@@ -5,6 +5,7 @@
 import type { Result } from 'neverthrow'
 import { createError, getErrorAnswer } from '../errors.ts'
 import type { AppError } from '../errors.ts'
+import type { Cancel } from '../types.ts'
 import { isShed, startAttempt } from './attempt.ts'
 import type { Attempt } from './attempt.ts'
 import type { Call } from './call.ts'
@@ -40,10 +41,13 @@
   return head.isOk() ? { kind: 'answered', answer: { attempt, head: head.value } } : { kind: 'failed', attempt, error: head.error }
 }
 
-/** Waits until the hedge is due; never settles once `stop` has aborted. */
-async function waitForHedge (call: Call, stop: AbortSignal): Promise<Ending> {
-  await call.clock.wait(call.service.hedging.afterMs, stop)
-  return stop.aborted ? new Promise<Ending>(() => undefined) : { kind: 'hedge-due' }
+/** Starts the timer of the hedge; the promise never settles when it is cancelled before. */
+function startHedgeTimer (call: Call): { due: Promise<Ending>, cancel: Cancel } {
+  let cancel: Cancel = () => undefined
+  const due = new Promise<Ending>((resolve) => {
+    cancel = call.clock.startTimer(call.service.hedging.afterMs, () => resolve({ kind: 'hedge-due' }))
+  })
+  return { due, cancel }
 }
 
 /** The attempts of one call. */
@@ -69,7 +73,7 @@
 }
 
 function canRetry (call: Call, race: Race): boolean {
-  if (call.gone.aborted || race.running.size > 0) return false
+  if (call.caller.isGone() || race.running.size > 0) return false
   if (call.firstAttempt + race.attempts > call.service.retries.largestAttempts) return false
   if (call.clock.monotonicMs() >= call.deadlineMs) return false
   return call.links.targets.takeRetry()
@@ -132,12 +136,11 @@
  */
 export async function fetchAnswer (call: Call): Promise<Result<BegunAnswer, AppError>> {
   const race: Race = { running: new Map(), errors: [], spare: undefined, attempts: 0, mayHaveRun: false }
-  const stopHedge = new AbortController()
-  const cancelAll = () => cancelOthers(race, undefined)
-  call.gone.addEventListener('abort', cancelAll)
-  const good = await runRace(call, race, waitForHedge(call, stopHedge.signal))
-  call.gone.removeEventListener('abort', cancelAll)
-  stopHedge.abort()
+  const hedge = startHedgeTimer(call)
+  const stopWatching = call.caller.watchLeaving(() => cancelOthers(race, undefined))
+  const good = await runRace(call, race, hedge.due)
+  stopWatching()
+  hedge.cancel()
   const answer = good ?? race.spare
   cancelOthers(race, answer?.attempt)
   return answer ? ok(answer) : err(chooseError(race.errors, race.mayHaveRun))
--- a/src/request/once-request.ts
+++ b/src/request/once-request.ts
@@ -94,7 +94,7 @@
 async function sendOnce (call: Call, claim: Claim): Promise<Result<WholeAnswer, AppError>> {
   let lastError = createError('deadline-passed', 'The caller left or the deadline passed before the request was sent.')
   for (let number = call.firstAttempt; number <= call.service.retries.largestAttempts; number++) {
-    if (call.gone.aborted || call.clock.monotonicMs() >= call.deadlineMs) break
+    if (call.caller.isGone() || call.clock.monotonicMs() >= call.deadlineMs) break
     const started = await startAttempt(call, { number, mayWait: true, needsProof: true, canSend: () => claim.canSend?.() ?? true })
     if (started.isErr()) {
       lastError = started.error
