--- /dev/null
+++ b/bench/contracts.ts
@@ -0,0 +1,242 @@
+/**
+ * Measures the contract stream: time to come into force, time for a blank follower, memory and processor time.
+ */
+import { createHash } from 'node:crypto'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { parseArgs } from 'node:util'
+import { createHostClock } from '../src/clock.ts'
+import { buildCheckpoint } from '../src/process/contracts/checkpoint-writer.ts'
+import { CONTRACT_STREAM } from '../src/process/contracts/contract-book.ts'
+import { createContractFollower } from '../src/process/contracts/contract-follower.ts'
+import type { ContractFollower } from '../src/process/contracts/contract-follower.ts'
+import { createHttpLogClient } from '../src/process/log-http-client.ts'
+import { toBrand } from '../src/types.ts'
+import type { Nonce, Offset } from '../src/types.ts'
+import { buildState, foldPublish } from '../src/version/contract-fold.ts'
+import type { FoldState } from '../src/version/contract-fold.ts'
+import { decodeStreamRecord, encodeStreamRecord, encodeText } from '../src/version/contract-record.ts'
+import type { PublishRecord } from '../src/version/contract-record.ts'
+import { startLogServer } from '../stand-ins/log-server.ts'
+import type { LogServer } from '../stand-ins/log-server.ts'
+
+const HELP = `Usage: npm run bench -- contracts [--address ADDRESS]
+
+Prints one JSON value a line: the time from the append to in force on the last of 6 followers against one bare reader,
+the time for a blank follower with and without a checkpoint, and fold time and memory of contracts of several sizes.`
+const FOLLOWERS = 6
+const VERSIONS = 200
+const WARM_UP = 20
+const STREAM_LENGTHS = [1_000, 5_000, 20_000]
+const TARGETS_PER_SERVICE = 12
+const SERVICE_COUNTS = [1, 10, 100]
+const FOLDS = 200
+/** Buffers are freed only some rounds after what held them. */
+const GC_ROUNDS = 4
+const FULL_SIZE = { customers: 100, servicesEach: 28 }
+const CHANGES_PER_DAY = 55_000
+const DAY_S = 86_400
+const clock = createHostClock()
+
+/** Builds a target whose address and port follow no pattern, so that texts compress as real ones do. */
+function buildTarget (name: string): object {
+  const [a = 0, b = 0, c = 0, d = 0] = createHash('sha256').update(name).digest()
+  return { id: `${a.toString(16)}${b.toString(16)}-${name}`, address: `10.${a}.${b}.${c}`, port: 8_000 + d, zone: `z${d % 4}` }
+}
+
+function buildService (name: string): object {
+  return {
+    targets: Array.from({ length: TARGETS_PER_SERVICE }, (_value, index) => buildTarget(`${name}-${index}`)),
+    slotsPerTarget: 4,
+    connectionsPerTarget: 250,
+    measuring: { budgetMsPerSecond: 10, probeCostMs: 6, connectCostMs: 1 },
+    hedging: { afterMs: 90, budgetShare: 0.02 },
+    retries: { budgetShare: 0.1, largestAttempts: 2 },
+    ejectedShare: 0.3,
+    queue: { longest: 20, longestWaitMs: 200 },
+    coldRampMs: 1000,
+    shedSignal: { status: 503, header: 'x-shed' },
+    operations: [
+      { name: 'status', method: 'GET', path: '/slots/:slot', deadlineMs: 1000, repeatable: true },
+      { name: 'charge', method: 'POST', path: '/slots/:slot/charge', deadlineMs: 1000, repeatable: false, key: { from: 'header' } }
+    ]
+  }
+}
+
+function buildServices (customer: string, count: number): object {
+  return Object.fromEntries(Array.from({ length: count }, (_value, index) => [`service-${index}`, buildService(`${customer}-${index}`)]))
+}
+
+function createRecord (customer: string, version: number, serviceCount: number): PublishRecord {
+  const text = JSON.stringify({
+    customer,
+    version,
+    basedOn: version - 1,
+    effectiveAt: '2020-01-01T00:00:00Z',
+    limits: { requestsPerSecond: 100 + version, concurrentRequests: 50 },
+    entries: { largestCount: 6, addressLifetimeMs: 5000 },
+    onceWindowMs: 86_400_000,
+    services: buildServices(customer, serviceCount)
+  }, undefined, 2)
+  return {
+    type: 'contract',
+    v: 1,
+    nonce: toBrand<Nonce>(`${customer}-${version}`),
+    basedOnNonce: version === 1 ? '' : toBrand<Nonce>(`${customer}-${version - 1}`),
+    operator: 'bench',
+    publishedAtMs: clock.wallMs(),
+    packed: encodeText(text)
+  }
+}
+
+function getQuantile (values: readonly number[], share: number): number {
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0
+}
+
+function printFigures (name: string, figures: object): void {
+  const rounded = Object.entries(figures).map(([key, value]) => [key, typeof value === 'number' ? Math.round(value * 1_000) / 1_000 : value])
+  console.log(JSON.stringify({ name, ...Object.fromEntries(rounded) }))
+}
+
+function waitForVersion (follower: ContractFollower, version: number): Promise<void> {
+  return new Promise((resolve) => {
+    const stop = follower.watchContracts((contract) => {
+      if (contract.version < version) return
+      stop()
+      resolve()
+    })
+  })
+}
+
+async function measureInForce (server: LogServer): Promise<void> {
+  const logs = Array.from({ length: FOLLOWERS + 1 }, () => createHttpLogClient({ url: server.url, clock, appendsPerSecond: 1_000 }))
+  const [bare, ...rest] = logs
+  if (!bare) return
+  const followers = rest.map((log) => createContractFollower({ log, clock, audit: { record: () => {} } }))
+  for (const follower of followers) follower.start()
+  await Promise.all(followers.map((follower) => follower.waitUntilReady()))
+  const toLast: number[] = []
+  const toBare: number[] = []
+  for (let version = 1; version <= VERSIONS; version++) {
+    const reading = bare.read(CONTRACT_STREAM, toBrand<Offset>(version - 1), { waitMs: 2_000 })
+    const inForce = followers.map((follower) => waitForVersion(follower, version))
+    await clock.wait(5)
+    const startMs = clock.monotonicMs()
+    const bareDone = reading.then(() => clock.monotonicMs() - startMs)
+    await bare.append(CONTRACT_STREAM, encodeStreamRecord(createRecord('c', version, 1)))
+    await Promise.all(inForce)
+    if (version <= WARM_UP) continue
+    toLast.push(clock.monotonicMs() - startMs)
+    toBare.push(await bareDone)
+  }
+  printFigures('append to in force on the last of 6, ms', {
+    median: getQuantile(toLast, 0.5),
+    p99: getQuantile(toLast, 0.99),
+    bareReaderMedian: getQuantile(toBare, 0.5),
+    ratioOfMedians: getQuantile(toLast, 0.5) / getQuantile(toBare, 0.5)
+  })
+  await Promise.all(followers.map((follower) => follower.close()))
+  await Promise.all(logs.map((log) => log.close()))
+}
+
+async function measureBlankStart (address: string): Promise<void> {
+  for (const hasCheckpoint of [false, true]) {
+    for (const length of STREAM_LENGTHS) {
+      const server = await startLogServer({ address, port: 0 })
+      for (let version = 1; version <= length; version++) server.store.appendRecord(CONTRACT_STREAM, encodeStreamRecord(createRecord('c', version, 1)))
+      const log = createHttpLogClient({ url: server.url, clock })
+      if (hasCheckpoint) await appendCheckpoint(server, log)
+      const follower = createContractFollower({ log, clock, audit: { record: () => {} }, scanLength: hasCheckpoint ? 500 : length + 1 })
+      const startMs = clock.monotonicMs()
+      follower.start()
+      await follower.waitUntilReady()
+      printFigures('blank follower ready, ms', { versions: length, hasCheckpoint, ms: clock.monotonicMs() - startMs })
+      await follower.close()
+      await log.close()
+      await server.close()
+    }
+  }
+}
+
+/** Lets a follower that has read everything write the checkpoint. */
+async function appendCheckpoint (server: LogServer, log: ReturnType<typeof createHttpLogClient>): Promise<void> {
+  const before = server.store.readBounds(CONTRACT_STREAM).next
+  const writer = createContractFollower({ log, clock, audit: { record: () => {} }, scanLength: before + 1, checkpointEveryRecords: 1, checkpointJitterMs: 0 })
+  writer.start()
+  while (server.store.readBounds(CONTRACT_STREAM).next === before) await clock.wait(20)
+  await writer.close()
+}
+
+function measureHeap (): number {
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc')
+  for (let round = 0; round < GC_ROUNDS; round++) collect()
+  const { heapUsed, arrayBuffers } = process.memoryUsage()
+  return heapUsed + arrayBuffers
+}
+
+function measureSizes (): void {
+  // Lets the libraries set up what they keep.
+  foldPublish(new Map(), createRecord('warm-up', 1, 1), toBrand<Offset>(0))
+  for (const services of SERVICE_COUNTS) {
+    const data = Array.from({ length: FOLDS }, (_value, index) => encodeStreamRecord(createRecord(`c${index}`, 1, services)))
+    const state: FoldState = new Map()
+    const beforeBytes = measureHeap()
+    const times = data.map((bytes, index) => {
+      const startMs = clock.monotonicMs()
+      const record = decodeStreamRecord(bytes)._unsafeUnwrap()
+      if (record.type === 'contract') foldPublish(state, record, toBrand<Offset>(index))
+      return clock.monotonicMs() - startMs
+    })
+    const bytes = (measureHeap() - beforeBytes) / FOLDS
+    printFigures('one contract', { targets: services * TARGETS_PER_SERVICE, foldMedianMs: getQuantile(times, 0.5), foldP99Ms: getQuantile(times, 0.99), memoryKb: bytes / 1_024, recordBytes: data[0]?.length, held: state.size })
+  }
+}
+
+function measureFullSize (): void {
+  const { customers, servicesEach } = FULL_SIZE
+  const state: FoldState = new Map()
+  const beforeBytes = measureHeap()
+  let recordBytes = 0
+  const startMs = clock.monotonicMs()
+  for (let index = 0; index < customers; index++) {
+    const record = createRecord(`c${index}`, 1, servicesEach)
+    recordBytes += record.packed.length
+    foldPublish(state, record, toBrand<Offset>(index))
+  }
+  const foldMs = clock.monotonicMs() - startMs
+  const memoryBytes = measureHeap() - beforeBytes
+  const parts = buildCheckpoint(state, toBrand<Offset>(customers), 'bench', 'x')
+  const encoded = parts.map(encodeStreamRecord)
+  const buildStartMs = clock.monotonicMs()
+  buildState(parts.flatMap((part) => part.schedules), parts[0]?.digest ?? '')._unsafeUnwrap()
+  const changesPerSecond = CHANGES_PER_DAY / DAY_S
+  printFigures('full size', {
+    services: customers * servicesEach,
+    targets: customers * servicesEach * TARGETS_PER_SERVICE,
+    memoryMb: memoryBytes / 1_048_576,
+    checkpointParts: parts.length,
+    checkpointKb: encoded.reduce((sum, { length }) => sum + length, 0) / 1_024,
+    loadCheckpointMs: clock.monotonicMs() - buildStartMs,
+    coreShareOfChanges: changesPerSecond * foldMs / customers / 1_000,
+    bytesPerSecondOfChanges: changesPerSecond * recordBytes / customers
+  })
+}
+
+/** Runs the bench; returns the exit code. */
+export async function runContractsBench (args: string[]): Promise<number> {
+  const { values } = parseArgs({ args, options: { address: { type: 'string', default: '127.0.0.1' }, help: { type: 'boolean', default: false } } })
+  if (values.help) {
+    console.log(HELP)
+    return 0
+  }
+  // Memory first, while nothing else is held.
+  measureSizes()
+  measureFullSize()
+  const server = await startLogServer({ address: values.address, port: 0 })
+  await measureInForce(server)
+  await server.close()
+  await measureBlankStart(values.address)
+  return 0
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,11 +1,13 @@
 /**
  * The benches, one subcommand each.
  */
+import { runContractsBench } from './contracts.ts'
 import { runBareRelay, runRelayTarget } from './relay-programs.ts'
 import { runRelayBench } from './relay.ts'
 
 const HELP = `Usage: npm run bench -- NAME [options]
 
+  contracts     time of a contract to come into force, of a blank follower, memory and fold time
   relay         what an entry adds to a small request, requests a second on one core, memory
   relay-target, bare-relay  programs that the relay bench starts
 
@@ -15,6 +17,7 @@
 /** Runs a bench by its name; returns the exit code. */
 async function runBench (name: string | undefined, args: string[]): Promise<number> {
   switch (name) {
+    case 'contracts': return runContractsBench(args)
     case 'relay': return runRelayBench(args)
     case 'relay-target': return runRelayTarget(args)
     case 'bare-relay': return runBareRelay(args)
--- a/src/process/contracts/checkpoint-writer.ts
+++ b/src/process/contracts/checkpoint-writer.ts
@@ -106,6 +106,24 @@
     audit.record({ type: 'checkpoint-written', offset: coversTo })
   }
 
+  const appendVote = async ({ checkpoint, isRight }: CheckpointFinding): Promise<void> => {
+    const { checkpoints } = intake
+    const said = isRight ? checkpoints.countRight(checkpoint.id) - 1 : checkpoints.countWrong(checkpoint.id)
+    if (checkpoint.writer === writer || said > 0) return
+    await log.append(CONTRACT_STREAM, encodeStreamRecord({ type: 'checkpoint-vote', v: 1, id: checkpoint.id, writer, isRight }))
+  }
+
+  let isConfirming = false
+  /** Confirms the newest of the checkpoints that were found right during the pause. */
+  const appendConfirmation = async (signal: AbortSignal): Promise<void> => {
+    if (isConfirming) return
+    isConfirming = true
+    await waitRandomly(signal)
+    isConfirming = false
+    const newest = intake.getNewestCheckpoint()
+    if (newest && !signal.aborted) await appendVote(newest)
+  }
+
   return {
     async writeWhenDue (bounds) {
       if (!isDue(bounds)) return
@@ -113,14 +131,10 @@
       const latest = await log.readBounds(CONTRACT_STREAM)
       if (latest.isOk() && isDue(latest.value)) await writeCheckpoint()
     },
-    async voteOn ({ checkpoint, isRight }, signal) {
-      if (checkpoint.writer === writer) return
+    async voteOn (finding, signal) {
+      if (finding.isRight) return appendConfirmation(signal)
       await waitRandomly(signal)
-      const { checkpoints } = intake
-      const said = isRight ? checkpoints.countRight(checkpoint.id) - 1 : checkpoints.countWrong(checkpoint.id)
-      const isOld = isRight && intake.getNewestCheckpoint()?.checkpoint.id !== checkpoint.id
-      if (said > 0 || isOld || signal.aborted) return
-      await log.append(CONTRACT_STREAM, encodeStreamRecord({ type: 'checkpoint-vote', v: 1, id: checkpoint.id, writer, isRight }))
+      if (!signal.aborted) await appendVote(finding)
     }
   }
 }
--- a/src/process/contracts/contract-tail.ts
+++ b/src/process/contracts/contract-tail.ts
@@ -9,7 +9,10 @@
 /** Records that follow on from the start of the stream or from a checkpoint. */
 export interface ContractTail {
   addRecord(record: ContractRecord): void
-  /** Lists the records from an offset on, led by the checkpoint when older ones are no longer kept. */
+  /**
+   * Lists the records from an offset on, led by the checkpoint when older ones are no longer kept.
+   * Stops when they are enough for one message; the peer asks again from where they end.
+   */
   listRecords(from: Offset): ContractRecord[]
   findRecord(offset: Offset): ContractRecord | undefined
   /** Keeps only the checkpoint and what follows on from it. */
@@ -23,6 +26,8 @@
 
 /** Bytes of records that are kept at most; the oldest go first, and then peers cannot start from here. */
 const LARGEST_TAIL_BYTES = 16_777_216
+/** Bytes of records in one message to a peer, besides a checkpoint. */
+const LARGEST_MESSAGE_BYTES = 1_048_576
 
 /** Returns the index of the first record at or after an offset. */
 function findIndex (records: readonly ContractRecord[], offset: Offset): number {
@@ -37,6 +42,17 @@
   return low
 }
 
+/** Returns the records from an index on that fit into one message; at least one. */
+function takeMessage (records: readonly ContractRecord[], from: number): ContractRecord[] {
+  let size = 0
+  const end = records.findIndex((record, index) => {
+    if (index < from) return false
+    size += record.data.length
+    return size > LARGEST_MESSAGE_BYTES && index > from
+  })
+  return records.slice(from, end < 0 ? undefined : end)
+}
+
 /** Creates an empty tail that begins at the start of the stream. */
 export function createContractTail (): ContractTail {
   let records: ContractRecord[] = []
@@ -63,8 +79,8 @@
       if (size > LARGEST_TAIL_BYTES && records.length > 1) dropOldestHalf()
     },
     listRecords (from) {
-      if (from >= start) return records.slice(findIndex(records, from))
-      return base ? [...base.records, ...records] : []
+      if (from >= start) return takeMessage(records, findIndex(records, from))
+      return base ? [...base.records, ...takeMessage(records, 0)] : []
     },
     findRecord (offset) {
       const record = records[findIndex(records, offset)]
