Note published contracts in the audit trail

Cause: the audit had accepted, rejected and in force, but not who published; the command line wrote none. The event is written after the change is accepted and never undoes it.

--- a/src/cli/contract.ts
+++ b/src/cli/contract.ts
@@ -9,8 +9,11 @@
 import { createHostClock } from '../clock.ts'
 import { createError, describeCause } from '../errors.ts'
 import type { AppError } from '../errors.ts'
+import { createAuditLog } from '../process/audit/audit-log.ts'
 import { publishContract } from '../process/contracts/publish-contract.ts'
+import type { PublishedContract } from '../process/contracts/publish-contract.ts'
 import { readContractStream } from '../process/contracts/read-contracts.ts'
+import type { LogClient } from '../process/log-client.ts'
 import { toBrand } from '../types.ts'
 import type { CustomerId, Nonce } from '../types.ts'
 import { checkContractText } from '../version/contract-check.ts'
@@ -41,6 +44,8 @@
 
 ${EXIT_CODES_HELP}`
 
+const AUDIT_TIMEOUT_MS = 3_000
+
 const OPTIONS = {
   log: { type: 'string' },
   settings: { type: 'string' },
@@ -91,21 +96,31 @@
   return Number.isFinite(timeoutMs) && timeoutMs > 0 ? timeoutMs : undefined
 }
 
+/** Notes the change in the audit trail; the change stands whether or not that succeeds. */
+async function recordPublished (log: LogClient, { customer, version }: PublishedContract, operator: string): Promise<void> {
+  const clock = createHostClock()
+  const audit = createAuditLog({ log, clock, entry: 'operator' })
+  audit.record({ type: 'contract-published', customer, version, operator })
+  await audit.flush(clock.monotonicMs() + AUDIT_TIMEOUT_MS)
+}
+
 async function runPublish (file: string | undefined, values: Values, io: CommandIo): Promise<number> {
   const source = readText(file)
   if (source.isErr()) return printFailure(io, source.error, values.json)
   if (!printFaults(source.value, values, io)) return EXIT_CODES.invalidFile
+  const operator = values.operator ?? userInfo().username
   return runWithLog(values, io, async (log) => {
     const published = await publishContract({
       log,
       clock: createHostClock(),
       text: source.value.text,
-      operator: values.operator ?? userInfo().username,
+      operator,
       nonce: values.nonce === undefined ? undefined : toBrand<Nonce>(values.nonce),
       timeoutMs: getTimeoutMs(values)
     })
     if (published.isErr()) return printFailure(io, published.error, values.json)
     const { customer, version, offset, isRepeated } = published.value
+    if (!isRepeated) await recordPublished(log, published.value, operator)
     if (values.json) printLine(io, JSON.stringify(published.value))
     else printLine(io, `${customer} version ${version} is accepted at offset ${offset}${isRepeated ? '; it was accepted before, nothing was written' : ''}`)
     return EXIT_CODES.ok
--- a/test/contract-command.test.ts
+++ b/test/contract-command.test.ts
@@ -53,6 +53,8 @@
   expect((await runCommand(runContract, 'publish', writeText('2.jsonc', createContractText({ version: 2, effectiveAt: future })), '--operator', 'ben', ...log)).exitCode).toBe(0)
   const shown = await runCommand(runContract, 'show', '--json', ...log)
   expect(JSON.parse(shown.stdout)).toMatchObject([{ version: 1, state: 'in force', operator: 'ana' }, { version: 2, state: 'scheduled', operator: 'ben' }])
+  const audited = await runCommand(runAudit, '--type', 'contract-published', ...log)
+  expect(audited.stdout).toMatch(/operator contract-published customer="kyushu" version=1 operator="ana"\n.*version=2 operator="ben"\n$/)
   const late = await runCommand(runContract, 'publish', writeText('late.jsonc', createContractText({ version: 2 })), ...log)
   expect(late.exitCode).toBe(1)
   expect(late.stderr).toContain('version 2 by ben is the accepted one')
