--- a/bench/targets-cost.ts
+++ b/bench/targets-cost.ts
@@ -2,6 +2,8 @@
  * What a target set costs one process: time of a choice, memory, and time of a change of entries, by size.
  */
 import { createTargetSet } from '../src/process/targets/local-target-set.ts'
+import { findProbeTarget } from '../src/process/targets/probe-need.ts'
+import { createTargetRecord } from '../src/process/targets/target-record.ts'
 import type { TargetSet } from '../src/process/targets/target-set.ts'
 import { createHostClock } from '../src/clock.ts'
 import { toBrand } from '../src/types.ts'
@@ -16,11 +18,14 @@
   choiceUs: number
   /** Heap of one target, in bytes. */
   bytesPerTarget: number
+  /** Time of looking for a target to probe, once a second for each service, in microseconds. */
+  probeCheckUs: number
   /** Time of following a change of entries, for one service, in ms. */
   entryChangeMs: number
 }
 
 const CHOICES = 20_000
+const CHECKS = 2_000
 const ENTRY_COUNT = 6
 const US_PER_MS = 1_000
 const GOOD = { kind: 'answered', status: 200, firstByteMs: 20 } as const
@@ -52,6 +57,15 @@
   return (performance.now() - startMs) / CHOICES * US_PER_MS
 }
 
+/** Measures the check of a service whose targets all answered lately. */
+function measureProbeCheck (targets: number): number {
+  const nowMs = 1_000
+  const records = buildService(targets).targets.map((target) => createTargetRecord(target, { kind: 'serving' }, nowMs))
+  const startMs = performance.now()
+  for (let count = 0; count < CHECKS; count++) findProbeTarget(records, nowMs)
+  return (performance.now() - startMs) / CHECKS * US_PER_MS
+}
+
 /** Reads the heap after a collection; without `--expose-gc` the figure is rough. */
 function readHeapBytes (): number {
   (globalThis as { gc?: () => void }).gc?.()
@@ -69,7 +83,7 @@
   sets[0]!.updateEntries(entries.slice(1))
   const entryChangeMs = performance.now() - startMs
   for (const set of sets) set.close()
-  return { targets: held / services, services, choiceUs, bytesPerTarget, entryChangeMs }
+  return { targets: held / services, services, choiceUs, bytesPerTarget, probeCheckUs: measureProbeCheck(held / services), entryChangeMs }
 }
 
 /** Measures the sizes of the capacity page. */
@@ -77,7 +91,7 @@
   const sizes = [[30, 10], [30, 100], [30, 1_000], [300, 10], [300, 100], [3_000, 10]] as const
   for (const [targets, services] of sizes) {
     const cost = await measureTargetCost(targets, services)
-    print(`${targets} targets, ${services} services: choice ${cost.choiceUs.toFixed(2)} us, ${cost.bytesPerTarget.toFixed(0)} bytes a target, change of entries ${cost.entryChangeMs.toFixed(2)} ms`)
+    print(`${targets} targets, ${services} services: choice ${cost.choiceUs.toFixed(2)} us, ${cost.bytesPerTarget.toFixed(0)} bytes a target, probe check ${cost.probeCheckUs.toFixed(2)} us, change of entries ${cost.entryChangeMs.toFixed(2)} ms`)
   }
   const subset = await measureTargetCost(3_000, 10, 256)
   print(`3000 targets in a subset of ${subset.targets}: choice ${subset.choiceUs.toFixed(2)} us`)
