Share a target's connections by the contract's number of entries

Cause: the bound of requests at a target came from the entries believed live, so entries that disagree could pass the contract's connections together. Change: the share is by the largest number of entries of the contract. The test covers an entry that believes itself alone; it failed before.

--- a/src/process/targets/target-shares.ts
+++ b/src/process/targets/target-shares.ts
@@ -78,7 +78,9 @@
     entries,
     self: options.self
   })
-  const connections = Math.floor(service.connectionsPerTarget / entriesPerTarget)
+  // By the contract's number of entries, so that the sum holds whoever is believed to be live.
+  const sharers = Math.max(entriesPerTarget, Math.min(state.largestEntries, service.connectionsPerTarget))
+  const connections = Math.floor(service.connectionsPerTarget / sharers)
   state.largestInFlight = Math.max(1, Math.min(service.slotsPerTarget, connections))
   state.list = [...state.records.values()]
   for (const record of state.records.values()) {
--- a/test/target-set.test.ts
+++ b/test/target-set.test.ts
@@ -73,9 +73,8 @@
   expect(set.listTargets()[0]?.inFlight).toBe(1)
 })
 
-test('entries share the connections of a target', async () => {
-  const entries = toEntryIds('e0', 'e1', 'e2', 'e3')
-  const { set, take, buildWish } = setupTargetSet(buildService(1, { connectionsPerTarget: 8 }), { entries })
+test.each([['all are live', ['e0', 'e1', 'e2', 'e3']], ['it believes itself alone', ['e0']]])('an entry keeps to its share of a target\'s connections when %s', async (_, live) => {
+  const { set, take, buildWish } = setupTargetSet(buildService(1, { connectionsPerTarget: 8 }), { entries: toEntryIds(...live), largestEntries: 4 })
   await take()
   await take()
   expect((await set.takeSlot(buildWish({ mayWait: false })))._unsafeUnwrapErr().kind).toBe('queue-full')
