Give a slot back when the answer begins

Cause: a slot was held until the last byte, so a few slow downloads filled the bound of an entry and other requests were refused. Ruled out: releasing at the first byte, which loses how the transfer ended. Change: startTransfer frees the slot, release still tells the outcome. The test with two downloads and a status request could not be served before.

--- a/src/process/targets/slot-choice.ts
+++ b/src/process/targets/slot-choice.ts
@@ -83,14 +83,24 @@
 /** Hands out a slot of a target; the first release counts, later ones do nothing. */
 function createSlot (state: SetState, record: TargetRecord, isTrial: boolean): TargetSlot {
   let isReleased = false
+  let isHolding = true
   record.inFlight += 1
   if (isTrial) record.trial.isRunning = true
+  const stopHolding = (): void => {
+    if (!isHolding) return
+    isHolding = false
+    record.inFlight -= 1
+  }
   return {
     target: record.target,
+    startTransfer () {
+      stopHolding()
+      serveWaiting(state)
+    },
     release (outcome) {
       if (isReleased) return
       isReleased = true
-      record.inFlight -= 1
+      stopHolding()
       applyOutcome(state, record, outcome, isTrial)
       serveWaiting(state)
     }
--- a/src/process/targets/target-set.ts
+++ b/src/process/targets/target-set.ts
@@ -49,6 +49,11 @@
 /** The right to send one request to a target. It must be released exactly once. */
 export interface TargetSlot {
   target: ContractTarget
+  /**
+   * Says that the answer has begun: the target's work is done, so a long transfer holds none of its slots.
+   * `release` still tells how the exchange ends.
+   */
+  startTransfer(): void
   release(outcome: ExchangeOutcome): void
 }
 
--- a/test/target-budgets.test.ts
+++ b/test/target-budgets.test.ts
@@ -75,6 +75,7 @@
 const step = fc.oneof(
   fc.record({ type: fc.constant('take' as const), waitMs: fc.integer({ min: 1, max: 900 }), mayWait: fc.boolean(), isRepeatable: fc.boolean(), exclude: fc.subarray(['t0', 't1', 't2', 't3']) }),
   fc.record({ type: fc.constant('release' as const), index: fc.nat(20), outcome, twice: fc.boolean() }),
+  fc.record({ type: fc.constant('transfer' as const), index: fc.nat(20) }),
   fc.record({ type: fc.constant('leave' as const), index: fc.nat(20) }),
   fc.record({ type: fc.constant('pass' as const), ms: fc.integer({ min: 0, max: 3_000 }) }),
   fc.record({ type: fc.constant('entries' as const), count: fc.integer({ min: 1, max: 9 }) }),
@@ -111,6 +112,7 @@
       runRequest(play, taken).catch(() => {})
       return
     case 'release': return releaseOne(play, taken)
+    case 'transfer': return play.held[taken.index % Math.max(1, play.held.length)]?.startTransfer()
     case 'leave': return play.callers[taken.index % Math.max(1, play.callers.length)]?.abort()
     case 'pass': return clock.advance(taken.ms)
     case 'entries': return set.updateEntries(toEntryIds(...Array.from({ length: taken.count }, (_, index) => `e${index}`)))
--- a/test/target-set.test.ts
+++ b/test/target-set.test.ts
@@ -79,3 +79,20 @@
   await take()
   expect((await set.takeSlot(buildWish({ mayWait: false })))._unsafeUnwrapErr().kind).toBe('queue-full')
 })
+
+test('long transfers hold no slots: others are served meanwhile, and each slot is given back once', async () => {
+  const { set, take, clock } = setupTargetSet(buildService(1, { slotsPerTarget: 2 }))
+  const downloads = [await take(), await take()]
+  const waiting = take()
+  await clock.advance(0)
+  expect(set.report().waiting).toBe(1)
+  for (const download of downloads) {
+    download.startTransfer()
+    download.startTransfer()
+  }
+  const status = await waiting
+  expect(set.listTargets()[0]?.inFlight).toBe(1)
+  for (const download of downloads) download.release({ kind: 'answered', status: 200, firstByteMs: 20 })
+  status.release({ kind: 'answered', status: 200, firstByteMs: 20 })
+  expect(set.listTargets()[0]?.inFlight).toBe(0)
+})
