Refuse waiting requests at once when the last target leaves

Cause: waiting requests were looked at only when a target had room, so they ran into their time-outs when every target was leaving. Change: marks and lists also serve the queue, which then answers no-target. The test failed before.

--- a/src/process/targets/local-target-set.ts
+++ b/src/process/targets/local-target-set.ts
@@ -149,14 +149,20 @@
     takeSlot: (wish) => takeSlot(state, wish),
     takeHedge: (slowTarget) => takeHedge(state, slowTarget),
     takeRetry: (attempts = 0) => attempts < state.service.retries.largestAttempts && state.retries.take(),
-    markLeaving: (target, source) => markLeaving(state, target, source),
+    markLeaving (target, source) {
+      markLeaving(state, target, source)
+      serveWaiting(state)
+    },
     updateContract: (next, largestEntries) => updateContract(state, prober, next, largestEntries ?? state.largestEntries),
     updateEntries (entries) {
       state.entries = entries
       updateShares(state)
       serveWaiting(state)
     },
-    updateHosts: (hosts) => applyHostList(state, hosts),
+    updateHosts (hosts) {
+      applyHostList(state, hosts)
+      serveWaiting(state)
+    },
     listTargets: () => [...state.records.values()].map(toReport),
     report: () => ({
       waiting: state.queue.count(),
--- a/src/process/targets/slot-choice.ts
+++ b/src/process/targets/slot-choice.ts
@@ -107,15 +107,18 @@
   }
 }
 
-/** Tells whether any target has room. */
-function hasRoom (state: SetState): boolean {
+/** Tells whether waiting requests can be settled: a target has room, or none takes work any more. */
+function canSettle (state: SetState): boolean {
+  let hasOpen = false
   for (const record of state.list) {
-    if (record.state.kind !== 'leaving' && record.inFlight < record.largestInFlight) return true
+    if (record.state.kind === 'leaving') continue
+    if (record.inFlight < record.largestInFlight) return true
+    hasOpen = true
   }
-  return false
+  return !hasOpen
 }
 
-/** Gives free slots to waiting requests. */
+/** Gives free slots to waiting requests, or refuses them when no target is left. */
 export function serveWaiting (state: SetState): void {
-  state.queue.serve((wish) => tryTakeSlot(state, wish), () => hasRoom(state))
+  state.queue.serve((wish) => tryTakeSlot(state, wish), () => canSettle(state))
 }
--- a/src/process/targets/slot-queue.ts
+++ b/src/process/targets/slot-queue.ts
@@ -27,7 +27,7 @@
   /** Waits for a slot. Errors: `queue-full`, `queue-timeout`, `deadline-passed`. */
   wait(wish: TargetWish): Promise<SlotResult>
   /** Offers `take` to the waiting requests in the order of their deadlines; undefined means that none fits now. */
-  serve(take: (wish: TargetWish) => SlotResult | undefined, hasFree: () => boolean): void
+  serve(take: (wish: TargetWish) => SlotResult | undefined, canSettle: () => boolean): void
   count(): number
   update(limits: { longest: number, longestWaitMs: number }): void
 }
@@ -62,10 +62,10 @@
 
   return {
     wait: (wish) => new Promise((resolve) => addWaiter(wish, resolve)),
-    serve (take, hasFree) {
+    serve (take, canSettle) {
       if (queue.count() === 0) return
       for (const waiter of queue.list()) {
-        if (!hasFree()) return
+        if (!canSettle()) return
         const result = take(waiter.wish)
         if (result) waiter.settle(result)
       }
--- a/test/target-leaving.test.ts
+++ b/test/target-leaving.test.ts
@@ -123,3 +123,13 @@
   setup.set.updateContract(buildService(3))
   expect(setup.set.listTargets().find((target) => target.id === T0)?.state).toBe('leaving')
 })
+
+test('requests that wait are refused at once when the last target leaves', async () => {
+  const setup = setupTargetSet(buildService(1, { slotsPerTarget: 1 }))
+  await setup.take()
+  const waiting = setup.set.takeSlot(setup.buildWish())
+  setup.set.markLeaving(T0, 'host-list')
+  await setup.clock.advance(0)
+  expect(setup.set.report().waiting).toBe(0)
+  expect((await waiting)._unsafeUnwrapErr().kind).toBe('no-target')
+})
