Compute each grant once a window, and write no frame that the peer would refuse

Cause: a grant was computed anew for every request, which grows with the number of holders; and a frame above the size limit made the peer drop the link with every call on it. Change: the holder keeps the grants of its window; a link refuses to write such a frame, so the request counts as never sent. Tests: npx vitest run test/peer-mesh test/granted, 21 passed.

--- a/src/connection/peer-link.ts
+++ b/src/connection/peer-link.ts
@@ -107,6 +107,8 @@
     writeFrame (value) {
       if (socket.destroyed || socket.writableLength > LARGEST_BUFFERED_BYTES) return false
       const frame = encodeFrame(value)
+      // The peer would take a larger frame for a fault and drop the link.
+      if (frame.length > LARGEST_FRAME_BYTES) return false
       counts.sentBytes += frame.length
       counts.sentFrames += 1
       socket.write(frame)
--- a/src/process/limits/grant-holder.ts
+++ b/src/process/limits/grant-holder.ts
@@ -35,7 +35,14 @@
   isActive(): boolean
 }
 
-interface HeldWindow { window: GrantWindow, readMs: number, openedAfterMs: number, untilMs: number }
+interface HeldWindow {
+  window: GrantWindow
+  readMs: number
+  openedAfterMs: number
+  untilMs: number
+  /** Grants of this run, computed once for each customer. */
+  grants: Map<CustomerId, Grant>
+}
 
 /** Clocks of two hosts may run at rates that differ by this share. */
 const CLOCK_DRIFT_SHARE = 0.001
@@ -47,25 +54,32 @@
   let held: HeldWindow | undefined
   let previous: HeldWindow | undefined
 
+  const findGrant = ({ window, grants }: HeldWindow, customer: CustomerId): Grant => {
+    const known = grants.get(customer)
+    if (known) return known
+    const computed = computeGrant(window, customer, run)
+    grants.set(customer, computed)
+    return computed
+  }
   const computePreviousRate = (customer: CustomerId, now: HeldWindow): number => {
     if (now.window.window === 1) return Infinity
     if (previous?.window.window !== now.window.window - 1) return 0
     const isLongOver = now.openedAfterMs >= previous.readMs + windowMs + RATE_WINDOW_MS
-    return isLongOver ? Infinity : computeGrant(previous.window, customer, run).rate
+    return isLongOver ? Infinity : findGrant(previous, customer).rate
   }
-  const getGrantedSlots = (customer: CustomerId): number => held ? computeGrant(held.window, customer, run).slots : 0
+  const getGrantedSlots = (customer: CustomerId): number => held ? findGrant(held, customer).slots : 0
   const getPromisedSlots = (customer: CustomerId): number => Math.min(getGrantedSlots(customer), promises.get(customer) ?? Infinity)
   const isActive = (): boolean => held !== undefined && clock.monotonicMs() < held.untilMs
   return {
     setWindow (window, openedAfterMs) {
       previous = held
       const readMs = clock.monotonicMs()
-      held = { window, readMs, openedAfterMs, untilMs: openedAfterMs + windowMs * (1 - CLOCK_DRIFT_SHARE) }
+      held = { window, readMs, openedAfterMs, untilMs: openedAfterMs + windowMs * (1 - CLOCK_DRIFT_SHARE), grants: new Map() }
       promises.clear()
     },
     getGrant (customer) {
       if (!held || !isActive()) return { rate: 0, slots: 0 }
-      const { rate } = computeGrant(held.window, customer, run)
+      const { rate } = findGrant(held, customer)
       // In the first second others' requests of the window before still count.
       const isYoung = clock.monotonicMs() - held.readMs < RATE_WINDOW_MS
       const allowedRate = isYoung ? Math.min(rate, computePreviousRate(customer, held)) : rate
--- a/test/peer-mesh.test.ts
+++ b/test/peer-mesh.test.ts
@@ -1,7 +1,7 @@
 import { connect } from 'node:net'
 import { err } from 'neverthrow'
 import { afterEach, expect, test, vi } from 'vitest'
-import { encodeFrame } from '../src/connection/frame-codec.ts'
+import { encodeFrame, LARGEST_FRAME_BYTES } from '../src/connection/frame-codec.ts'
 import { createError } from '../src/errors.ts'
 import type { ForwardedRequest, PeerMessage } from '../src/process/membership/peer-mesh.ts'
 import type { TcpPeerMesh } from '../src/process/membership/tcp-peer-mesh.ts'
@@ -63,6 +63,9 @@
   const answer = (await first!.forwardRequest(toBrand('entry-1'), request))._unsafeUnwrap()
   expect({ ...answer, body: Buffer.from(answer.body).toString() }).toEqual({ status: 201, headers: { at: '/charge' }, body: '{}', fate: 'ran' })
   expect((await first!.forwardRequest(toBrand('entry-9'), request))._unsafeUnwrapErr().kind).toBe('peer-unreachable')
+  const tooLarge = { ...request, body: new Uint8Array(LARGEST_FRAME_BYTES) }
+  expect((await first!.forwardRequest(toBrand('entry-1'), tooLarge))._unsafeUnwrapErr().kind).toBe('peer-unreachable')
+  expect(getState(first!, 1)).toBe('live')
 })
 
 test('a request whose link breaks may have run', async () => {
