Export what the parts count themselves when metrics are asked for, and request latency

Only the count of requests was wired; probes, hedges, retries, peers and claims were listed in the operators' page but never set. They are now read from the parts' own reports at each scrape.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -21,6 +21,7 @@
 import { canServe } from './membership/address-order.ts'
 import { createPeerMesh } from './membership/tcp-peer-mesh.ts'
 import { createMetrics } from './metrics.ts'
+import { readProcessFigures } from './metrics-figures.ts'
 import { startOperatorServer } from './operator-server.ts'
 import { createRequestService } from './request-service.ts'
 import { createServiceDirectory } from './service-links.ts'
@@ -122,6 +123,7 @@
   const stopPassing = startContractPassing({ clock, contracts, mesh, isServing: () => readiness.isServing })
   const watching = watchHosts(clock, parts.hostList, services, stopSignal.signal)
   const { address, operatorPort } = settings.entry
+  metrics.watchFigures(() => readProcessFigures(parts))
   const operators = await startOperatorServer({ address, port: operatorPort, metrics, readStatus: () => readEntryStatus(parts) })
   await callers.start()
   log.info('Serving.', { address, callerPort: settings.entry.callerPort, incarnation })
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -8,8 +8,6 @@
 
 const MS_PER_SECOND = 1000
 const LATENCY_BUCKETS_S = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10]
-const ADDED_BUCKETS_S = [0.0001, 0.0002, 0.0005, 0.001, 0.0019, 0.005, 0.01, 0.05, 0.2, 1]
-const PEER_STATES: readonly PeerState[] = ['live', 'suspect', 'leaving', 'gone']
 
 /** The label for a customer or service that no contract lists, so that callers cannot add labels. */
 export const UNLISTED = 'unlisted'
@@ -24,26 +22,38 @@
   kind: ErrorKind | 'relayed'
 }
 
-/** What came of an append to the log. */
-export type AppendOutcome = 'taken' | 'refused' | 'unknown'
+/** Figures of one service that its parts count themselves; all but the gauges only grow. */
+export interface ServiceFigures extends ServiceLabels {
+  /** Requests waiting for a target at present. */
+  waiting: number
+  /** Open connections to targets at present. */
+  connections: number
+  /** Targets by state at present. */
+  targets: Record<string, number>
+  hedges: number
+  retries: number
+  probes: number
+  /** Server time charged for measuring, in ms. */
+  probeCostMs: number
+}
+
+/** Figures of the process that its parts count themselves, read when metrics are asked for. */
+export interface ProcessFigures {
+  services: ServiceFigures[]
+  peers: Record<PeerState, number>
+  /** Open connections of callers and their requests in progress at present. */
+  callers: { connections: number, inProgress: number }
+  claims: { keys: number, appends: number, unsettled: number }
+  audit: { written: number, waiting: number, lost: number }
+}
 
-/** Figures of one process. Times are in ms and are exported in seconds. */
+/** Metrics of one process. Times are in ms and are exported in seconds. */
 export interface Metrics {
   countRequest(end: RequestEnd): void
   /** Notes the time from the header of a request to the end of its answer. */
   recordLatency(labels: ServiceLabels, totalMs: number): void
-  /** Notes the part of that time that was spent outside the target. */
-  recordAddedTime(labels: ServiceLabels, addedMs: number): void
-  /** Adds one to the requests in progress; the returned function takes it off again. */
-  startRequest(labels: ServiceLabels): () => void
-  /** Notes probes and what they cost the targets. */
-  countProbes(labels: ServiceLabels, count: number, costMs: number): void
-  countHedge(labels: ServiceLabels): void
-  countRetry(labels: ServiceLabels): void
-  countAppend(stream: string, outcome: AppendOutcome): void
-  countEvent(part: string, event: string): void
-  setPeers(counts: Readonly<Record<PeerState, number>>): void
-  setConnections(side: 'callers' | 'targets' | 'peers', count: number): void
+  /** Asks for the figures of the parts each time that metrics are rendered. */
+  watchFigures(read: () => Promise<ProcessFigures>): void
   /** Renders everything in the text format of Prometheus. */
   renderText(): Promise<{ contentType: string, text: string }>
 }
@@ -54,58 +64,90 @@
   hasProcessFigures?: boolean
 }
 
+const SERVICE_LABELS = ['customer', 'service'] as const
+
+function createRequestMetrics (registers: Registry[]) {
+  return {
+    requests: new Counter({ name: 'medlarcove_requests_total', help: 'Requests answered, by fate and kind.', labelNames: [...SERVICE_LABELS, 'fate', 'kind'], registers }),
+    latency: new Histogram({ name: 'medlarcove_request_seconds', help: 'Time from the header of a request to the end of its answer.', labelNames: SERVICE_LABELS, buckets: LATENCY_BUCKETS_S, registers })
+  }
+}
+
 function createServiceMetrics (registers: Registry[]) {
-  const service = ['customer', 'service'] as const
   return {
-    requests: new Counter({ name: 'medlarcove_requests_total', help: 'Requests answered, by fate and kind.', labelNames: [...service, 'fate', 'kind'], registers }),
-    latency: new Histogram({ name: 'medlarcove_request_seconds', help: 'Time from the header of a request to the end of its answer.', labelNames: service, buckets: LATENCY_BUCKETS_S, registers }),
-    added: new Histogram({ name: 'medlarcove_added_seconds', help: 'Time of a request spent outside the target.', labelNames: service, buckets: ADDED_BUCKETS_S, registers }),
-    inProgress: new Gauge({ name: 'medlarcove_requests_in_progress', help: 'Requests in progress.', labelNames: service, registers }),
-    probes: new Counter({ name: 'medlarcove_probes_total', help: 'Probes sent to targets.', labelNames: service, registers }),
-    probeCost: new Counter({ name: 'medlarcove_measuring_cost_seconds_total', help: 'Server time charged for measuring.', labelNames: service, registers }),
-    hedges: new Counter({ name: 'medlarcove_hedges_total', help: 'Repeatable requests sent to a second target.', labelNames: service, registers }),
-    retries: new Counter({ name: 'medlarcove_retries_total', help: 'Requests tried again after a failure.', labelNames: service, registers })
+    waiting: new Gauge({ name: 'medlarcove_requests_waiting', help: 'Requests waiting for a target.', labelNames: SERVICE_LABELS, registers }),
+    connections: new Gauge({ name: 'medlarcove_target_connections', help: 'Open connections to targets.', labelNames: SERVICE_LABELS, registers }),
+    targets: new Gauge({ name: 'medlarcove_targets', help: 'Targets, by state.', labelNames: [...SERVICE_LABELS, 'state'], registers }),
+    hedges: new Counter({ name: 'medlarcove_hedges_total', help: 'Repeatable requests sent to a second target.', labelNames: SERVICE_LABELS, registers }),
+    retries: new Counter({ name: 'medlarcove_retries_total', help: 'Requests tried again after a failure.', labelNames: SERVICE_LABELS, registers }),
+    probes: new Counter({ name: 'medlarcove_probes_total', help: 'Probes sent to targets.', labelNames: SERVICE_LABELS, registers }),
+    probeCost: new Counter({ name: 'medlarcove_measuring_cost_seconds_total', help: 'Server time charged for measuring.', labelNames: SERVICE_LABELS, registers })
   }
 }
 
 function createProcessMetrics (registers: Registry[]) {
   return {
-    appends: new Counter({ name: 'medlarcove_log_appends_total', help: 'Appends to the log, by outcome.', labelNames: ['stream', 'outcome'], registers }),
-    events: new Counter({ name: 'medlarcove_events_total', help: 'Events that a part counted.', labelNames: ['part', 'event'], registers }),
     peers: new Gauge({ name: 'medlarcove_peers', help: 'Known entries, by state.', labelNames: ['state'], registers }),
-    connections: new Gauge({ name: 'medlarcove_connections', help: 'Open connections, by side.', labelNames: ['side'], registers })
+    callerConnections: new Gauge({ name: 'medlarcove_caller_connections', help: 'Open connections of callers.', registers }),
+    inProgress: new Gauge({ name: 'medlarcove_requests_in_progress', help: 'Requests in progress.', registers }),
+    claimKeys: new Gauge({ name: 'medlarcove_claim_keys', help: 'Keys remembered.', registers }),
+    claimsUnsettled: new Gauge({ name: 'medlarcove_claims_unsettled', help: 'Claims whose append is not settled yet.', registers }),
+    claimAppends: new Counter({ name: 'medlarcove_claim_appends_total', help: 'Appends to the log for claims.', registers }),
+    auditWritten: new Counter({ name: 'medlarcove_audit_events_total', help: 'Events written to the audit stream.', registers }),
+    auditLost: new Counter({ name: 'medlarcove_audit_events_lost_total', help: 'Events lost because the audit buffer was full.', registers })
   }
 }
 
+/** Sets a counter to a total that another part counts. */
+function setTotal (counter: Counter, total: number, labels: Record<string, string> = {}): void {
+  counter.inc(labels, total)
+}
+
+function setServiceFigures (metrics: ReturnType<typeof createServiceMetrics>, figures: readonly ServiceFigures[]): void {
+  for (const metric of Object.values(metrics)) metric.reset()
+  for (const { customer, service, ...figure } of figures) {
+    const labels = { customer, service }
+    metrics.waiting.set(labels, figure.waiting)
+    metrics.connections.set(labels, figure.connections)
+    for (const [state, count] of Object.entries(figure.targets)) metrics.targets.set({ ...labels, state }, count)
+    setTotal(metrics.hedges, figure.hedges, labels)
+    setTotal(metrics.retries, figure.retries, labels)
+    setTotal(metrics.probes, figure.probes, labels)
+    setTotal(metrics.probeCost, figure.probeCostMs / MS_PER_SECOND, labels)
+  }
+}
+
+function setProcessFigures (metrics: ReturnType<typeof createProcessMetrics>, figures: ProcessFigures): void {
+  for (const metric of Object.values(metrics)) metric.reset()
+  for (const [state, count] of Object.entries(figures.peers)) metrics.peers.set({ state }, count)
+  metrics.callerConnections.set(figures.callers.connections)
+  metrics.inProgress.set(figures.callers.inProgress)
+  metrics.claimKeys.set(figures.claims.keys)
+  metrics.claimsUnsettled.set(figures.claims.unsettled)
+  setTotal(metrics.claimAppends, figures.claims.appends)
+  setTotal(metrics.auditWritten, figures.audit.written)
+  setTotal(metrics.auditLost, figures.audit.lost)
+}
+
 /** Creates the metrics of one process. */
 export function createMetrics (options: MetricsOptions = {}): Metrics {
   const register = new Registry()
+  const perRequest = createRequestMetrics([register])
   const perService = createServiceMetrics([register])
   const perProcess = createProcessMetrics([register])
+  let readFigures: (() => Promise<ProcessFigures>) | undefined
   if (options.hasProcessFigures ?? true) collectDefaultMetrics({ register })
   return {
-    countRequest: (end) => perService.requests.inc({ ...end }),
-    recordLatency: ({ customer, service }, totalMs) => perService.latency.observe({ customer, service }, totalMs / MS_PER_SECOND),
-    recordAddedTime: ({ customer, service }, addedMs) => perService.added.observe({ customer, service }, addedMs / MS_PER_SECOND),
-    startRequest ({ customer, service }) {
-      let isOpen = true
-      perService.inProgress.inc({ customer, service })
-      return () => {
-        if (!isOpen) return
-        isOpen = false
-        perService.inProgress.dec({ customer, service })
+    countRequest: (end) => perRequest.requests.inc({ ...end }),
+    recordLatency: ({ customer, service }, totalMs) => perRequest.latency.observe({ customer, service }, totalMs / MS_PER_SECOND),
+    watchFigures (read) { readFigures = read },
+    async renderText () {
+      const figures = await readFigures?.()
+      if (figures) {
+        setServiceFigures(perService, figures.services)
+        setProcessFigures(perProcess, figures)
       }
-    },
-    countProbes ({ customer, service }, count, costMs) {
-      perService.probes.inc({ customer, service }, count)
-      perService.probeCost.inc({ customer, service }, costMs / MS_PER_SECOND)
-    },
-    countHedge: ({ customer, service }) => perService.hedges.inc({ customer, service }),
-    countRetry: ({ customer, service }) => perService.retries.inc({ customer, service }),
-    countAppend: (stream, outcome) => perProcess.appends.inc({ stream, outcome }),
-    countEvent: (part, event) => perProcess.events.inc({ part, event }),
-    setPeers: (counts) => { for (const state of PEER_STATES) perProcess.peers.set({ state }, counts[state]) },
-    setConnections: (side, count) => perProcess.connections.set({ side }, count),
-    renderText: async () => ({ contentType: register.contentType, text: await register.metrics() })
+      return { contentType: register.contentType, text: await register.metrics() }
+    }
   }
 }
--- a/src/process/request-service.ts
+++ b/src/process/request-service.ts
@@ -202,11 +202,12 @@
     return runKeyed(call, operation, true)
   }
 
-  const countEnd = (route: CallerPath | undefined, outgoing: ServerResponse, error: AppError | undefined): void => {
+  const countEnd = (route: CallerPath | undefined, outgoing: ServerResponse, error: AppError | undefined, startedMs: number): void => {
     const isListed = route && services.getLinks(route.customer, route.serviceId)
     const labels = isListed ? { customer: route.customer, service: route.serviceId } : { customer: UNLISTED, service: UNLISTED }
     const fate = error ? getErrorAnswer(error.kind).fate : getRelayedFate(outgoing.statusCode)
     metrics.countRequest({ ...labels, fate, kind: error?.kind ?? 'relayed' })
+    metrics.recordLatency(labels, clock.monotonicMs() - startedMs)
   }
 
   const runSafely = async <T>(work: Promise<Result<T, AppError>>): Promise<Result<T, AppError>> => {
@@ -221,11 +222,12 @@
   return {
     async handleRequest (incoming, outgoing) {
       inProgress += 1
+      const startedMs = clock.monotonicMs()
       const route = parseCallerPath(incoming.url ?? '')
       const source = route.map((parsed) => ({ method: incoming.method ?? 'GET', route: parsed, headers: filterCallerHeaders(incoming.headers), gone: watchCaller(outgoing) }))
       const result = source.isErr() ? err(source.error) : await runSafely(serveCaller(incoming, outgoing, source.value))
       if (result.isErr()) sendError(outgoing, result.error)
-      countEnd(route.isOk() ? route.value : undefined, outgoing, result.isErr() ? result.error : undefined)
+      countEnd(route.isOk() ? route.value : undefined, outgoing, result.isErr() ? result.error : undefined, startedMs)
       inProgress -= 1
     },
     async handleForward (request) {
