--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -6,6 +6,7 @@
 import { createError } from '../errors.ts'
 import type { AppError } from '../errors.ts'
 import type { ExchangeOutcome, TargetSlot } from '../process/targets/target-set.ts'
+import type { TargetId } from '../types.ts'
 import type { Call } from './call.ts'
 import { startExchange } from './exchange.ts'
 import type { AnswerHead, AnswerSink, Exchange } from './exchange.ts'
@@ -27,7 +28,7 @@
 
 /** An attempt that has begun. */
 export interface Attempt {
-  readonly number: number
+  readonly target: TargetId
   /** Settles with the head of the answer or the error that ended the attempt. */
   readonly head: Promise<Result<AnswerHead, AppError>>
   /** Lets the body flow; `end` and `fail` of the sink come after the slot is released. */
@@ -54,7 +55,7 @@
 }
 
 /** Builds the attempt around a slot and an exchange, releasing the slot exactly once. */
-function createAttempt (call: Call, slot: TargetSlot, exchange: Exchange, isFresh: boolean, number: number): Attempt {
+function createAttempt (call: Call, slot: TargetSlot, exchange: Exchange, isFresh: boolean): Attempt {
   let isReleased = false
   const release = (outcome: ExchangeOutcome): void => {
     if (isReleased) return
@@ -68,12 +69,13 @@
       return result
     }
     const { status, headers, firstByteMs } = result.value
+    slot.startTransfer()
     if (headers[LEAVING_HEADER] !== undefined) call.links.targets.markLeaving(slot.target.id, 'answer')
     answered = isShed(call, result.value) ? { kind: 'shed' } : { kind: 'answered', status, firstByteMs }
     return result
   })
   return {
-    number,
+    target: slot.target.id,
     head,
     pipe (sink) {
       exchange.pipe({
@@ -107,6 +109,7 @@
     exclude: call.tried,
     deadlineMs: call.deadlineMs,
     mayWait: options.mayWait,
+    isRepeatable: call.operation.repeatable,
     get signal () { return call.caller.getSignal() }
   })
   if (slot.isErr()) return err(slot.error)
@@ -132,5 +135,5 @@
     firstByteTimeoutMs: remainingMs,
     canSend: () => !call.caller.isGone() && call.clock.monotonicMs() < call.deadlineMs && (options.canSend?.() ?? true)
   }, call.clock)
-  return ok(createAttempt(call, slot.value, exchange, connection.isFresh, options.number))
+  return ok(createAttempt(call, slot.value, exchange, connection.isFresh))
 }
--- a/src/request/caller-presence.ts
+++ b/src/request/caller-presence.ts
@@ -7,7 +7,7 @@
 /** The caller of one request. */
 export interface CallerPresence {
   isGone(): boolean
-  /** Calls `action` once when the caller leaves; the returned function cancels that. */
+  /** Calls `action` once when the caller leaves, at once if it has; the returned function cancels that. */
   watchLeaving(action: () => void): Cancel
   /** Returns a signal that aborts when the caller leaves. */
   getSignal(): AbortSignal
@@ -32,7 +32,8 @@
     end: finish,
     isGone: () => isGone,
     watchLeaving (action) {
-      actions.add(action)
+      if (isGone) action()
+      else actions.add(action)
       return () => actions.delete(action)
     },
     getSignal () {
--- a/src/request/download-resume.ts
+++ b/src/request/download-resume.ts
@@ -42,7 +42,7 @@
 
 /** Asks for the missing rest, as a retry within the budget; undefined when it cannot be had. */
 export async function resumeDownload (call: Call, point: ResumePoint, receivedBytes: number): Promise<Attempt | undefined> {
-  if (receivedBytes >= point.totalBytes || !call.links.targets.takeRetry()) return undefined
+  if (receivedBytes >= point.totalBytes || !call.links.targets.takeRetry(call.firstAttempt - 1 + call.tried.size)) return undefined
   const deadlineMs = call.clock.monotonicMs() + call.operation.deadlineMs
   const attempt = await startAttempt({ ...call, deadlineMs }, {
     number: call.firstAttempt + call.tried.size,
--- a/src/request/idempotent-request.ts
+++ b/src/request/idempotent-request.ts
@@ -74,9 +74,8 @@
 
 function canRetry (call: Call, race: Race): boolean {
   if (call.caller.isGone() || race.running.size > 0) return false
-  if (call.firstAttempt + race.attempts > call.service.retries.largestAttempts) return false
   if (call.clock.monotonicMs() >= call.deadlineMs) return false
-  return call.links.targets.takeRetry()
+  return call.links.targets.takeRetry(call.firstAttempt - 1 + race.attempts)
 }
 
 function cancelOthers (race: Race, winner: Attempt | undefined): void {
@@ -113,14 +112,29 @@
 }
 
 /** Runs attempts until one gives a good answer or no more may be made. */
-async function runRace (call: Call, race: Race, hedgeDue: Promise<Ending>): Promise<BegunAnswer | undefined> {
-  let pendingHedge: Promise<Ending>[] = [hedgeDue]
+async function runRace (call: Call, race: Race): Promise<BegunAnswer | undefined> {
   if (!await addAttempt(call, race, true)) return undefined
+  const hedge = startHedgeTimer(call)
+  const stopWatching = call.caller.watchLeaving(() => cancelOthers(race, undefined))
+  const answer = await waitForGoodAnswer(call, race, hedge.due)
+  stopWatching()
+  hedge.cancel()
+  return answer
+}
+
+/** Sends the request to a second target, if the budget allows it. */
+async function addHedge (call: Call, race: Race): Promise<void> {
+  const [slow] = race.running.keys()
+  if (call.links.targets.takeHedge(slow?.target)) await addAttempt(call, race, false)
+}
+
+async function waitForGoodAnswer (call: Call, race: Race, hedgeDue: Promise<Ending>): Promise<BegunAnswer | undefined> {
+  let pendingHedge: Promise<Ending>[] = [hedgeDue]
   while (race.running.size > 0) {
     const ending = await Promise.race([...race.running.values(), ...pendingHedge])
     if (ending.kind === 'hedge-due') {
       pendingHedge = []
-      if (call.links.targets.takeHedge()) await addAttempt(call, race, false)
+      await addHedge(call, race)
       continue
     }
     const answer = recordEnding(call, race, ending)
@@ -136,11 +150,7 @@
  */
 export async function fetchAnswer (call: Call): Promise<Result<BegunAnswer, AppError>> {
   const race: Race = { running: new Map(), errors: [], spare: undefined, attempts: 0, mayHaveRun: false }
-  const hedge = startHedgeTimer(call)
-  const stopWatching = call.caller.watchLeaving(() => cancelOthers(race, undefined))
-  const good = await runRace(call, race, hedge.due)
-  stopWatching()
-  hedge.cancel()
+  const good = await runRace(call, race)
   const answer = good ?? race.spare
   cancelOthers(race, answer?.attempt)
   return answer ? ok(answer) : err(chooseError(race.errors, race.mayHaveRun))
