--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -32,6 +32,7 @@
 
 /** Streams of claims. Entries that disagreed about it could run a key twice, so it is no setting. */
 const CLAIM_PARTITIONS = 16
+const CHECKPOINTS_PER_RETENTION = 8
 const HOST_LIST_INTERVAL_MS = 1_000
 /** After this time an entry serves what needs no claims, in ms. */
 const CLAIMS_READY_TIMEOUT_MS = 10_000
@@ -70,7 +71,9 @@
   const log = createHttpLogClient({ url: settings.log.url, clock })
   const hostList = createHostListHttpClient({ baseUrl: settings.hostList.url })
   const audit = createAuditLog({ log, clock, entry: self })
-  const contracts = createContractFollower({ log, clock, audit })
+  const contracts = createContractFollower({
+    log, clock, audit, writer: `${self}-${incarnation}`, checkpointEveryMs: settings.log.retentionMs / CHECKPOINTS_PER_RETENTION
+  })
   const mesh = createPeerMesh({ self: { ...settings.entry, port: settings.entry.callerPort, incarnation }, peerKey: settings.peerKey, hostList, clock })
   const limiter = createGrantedLimiter({
     clock, log, entry: self, run: incarnation, logger: logger.forPart('limits'), listLiveEntries: () => mesh.listLiveEntries()
--- a/src/process/status.ts
+++ b/src/process/status.ts
@@ -30,6 +30,7 @@
     grants: limiter.reportGrants(),
     claims: claims.report(),
     audit: audit.report(),
+    log: parts.log.report(),
     callers: { connections: await callers.countConnections(), inProgress: requests.countInProgress() }
   }
 }
