Refuse links whose handshake ends while the mesh closes

Cause: a link that opened after the mesh had closed its links kept the server open, so that close never resolved. Found by reading after a full run of the tests beside other work gave no result for test/peer-mesh within 200 s; whether this was the cause there is not shown. Change: no link is taken once the mesh is closing.

--- a/src/process/membership/mesh-links.ts
+++ b/src/process/membership/mesh-links.ts
@@ -61,6 +61,8 @@
 /** Takes a peer that has proved itself, or refuses it when it is an earlier run. */
 function addPeerLink (parts: MeshParts, link: PeerLink): boolean {
   const { peer } = link
+  // A handshake may end while the mesh closes; its link would keep the port open for ever.
+  if (parts.stop.signal.aborted) return false
   if (peer.id === parts.options.self.id) {
     parts.table.applyWord(peer.id, [{ ...peer, isHeard: true, isLeaving: false }])
     parts.options.logger?.warn(`membership: another run of this entry is at ${peer.address}`)
