Tell unknown when a request was passed on and its copy may still run

Cause: an entry whose passing on of a keyed request broke or timed out claimed the key itself and, past its deadline, told not-run; the copy waited in the frozen owner's socket and ran when that resumed. Seen in npm test on a loaded machine: three answers not-run, one run in the ledger (test/claim-processes.test.ts, frozen past the deadline). Change: after peer-broken a local refusal is answered claim-elsewhere, unknown.

--- a/src/process/request-service.ts
+++ b/src/process/request-service.ts
@@ -130,16 +130,20 @@
     if (key.isErr()) return err(key.error)
     const keyHash = hashKey(call.customer, call.serviceId, operation.name, key.value)
     const owner = options.findOwner(keyHash)
-    if (owner !== options.self && !isForwarded) {
-      const passed = await forwardToOwner(call, owner, body)
-      if (passed) return ok(passed)
-    }
-    return runOnce(call, { claims, keyHash, requestDigest: hashRequest(call.method, call.path, body) })
+    const runHere = () => runOnce(call, { claims, keyHash, requestDigest: hashRequest(call.method, call.path, body) })
+    if (owner === options.self || isForwarded) return runHere()
+    const passed = await forwardToOwner(call, owner, body)
+    if (passed.isOk()) return ok(passed.value)
+    const own = await runHere()
+    // The copy that was passed on may still run there, so nobody may be told that this request did not.
+    const isRefused = own.isErr() && getErrorAnswer(own.error.kind).fate === 'not-run'
+    if (!isRefused || passed.error.kind === 'peer-unreachable') return own
+    return err(createError('claim-elsewhere', 'The entry that ranks first for the key may still run the request.'))
   }
 
   // When the link breaks the key is claimed here instead: the log's order decides between the two attempts.
-  const forwardToOwner = async (call: Call, owner: EntryId, body: Uint8Array): Promise<WholeAnswer | undefined> => {
-    const answer = await mesh.forwardRequest(owner, {
+  const forwardToOwner = async (call: Call, owner: EntryId, body: Uint8Array): Promise<Result<WholeAnswer, AppError>> =>
+    await mesh.forwardRequest(owner, {
       customer: call.customer,
       service: call.serviceId,
       method: call.method,
@@ -148,8 +152,6 @@
       body,
       remainingMs: call.deadlineMs - clock.monotonicMs()
     })
-    return answer.unwrapOr(undefined)
-  }
 
   const serveKeyed = async (call: Call, operation: OnceOperation, outgoing: ServerResponse): Promise<Result<void, AppError>> => {
     const answer = await runKeyed(call, operation, false)
