--- a/bench/targets-scenario.ts
+++ b/bench/targets-scenario.ts
@@ -11,7 +11,8 @@
 import type { EventClock } from './targets-clock.ts'
 import { createBenchServer, startSlowDowns } from './targets-model.ts'
 import type { BenchServer, Placed, SlowDowns } from './targets-model.ts'
-import { computeExponential, createSeededRandom } from './targets-random.ts'
+import { createRandom } from '../replay/random.ts'
+import { computeExponential } from './targets-random.ts'
 
 /** What is run. */
 export interface Scenario {
@@ -187,19 +188,19 @@
 /** Runs a scenario to its end. */
 export async function runScenario (scenario: Scenario): Promise<ScenarioResult> {
   const clock = createEventClock()
-  const random = createSeededRandom(scenario.seed)
+  const random = createRandom(scenario.seed)
   const service = buildService(scenario.servers, { ...BENCH_LIMITS, ...scenario.service })
   const servers: BenchServer[] = service.targets.map((target, index) => createBenchServer(clock, target.id, index % scenario.zones))
   const entries = Array.from({ length: scenario.entries }, (_, index) => toBrand<EntryId>(`entry-${index}`))
-  const run: Run = { scenario, clock, random, attemptRandom: createSeededRandom(scenario.seed + 2), latencies: [], counts: { hedges: 0, retries: 0, failed: 0, refused: 0, attempts: 0, toFailing: 0 } }
+  const run: Run = { scenario, clock, random, attemptRandom: createRandom(scenario.seed + 2), latencies: [], counts: { hedges: 0, retries: 0, failed: 0, refused: 0, attempts: 0, toFailing: 0 } }
   // Faults draw from their own numbers, so that every policy meets the same ones.
-  if (scenario.slow) startSlowDowns(clock, servers, scenario.slow, createSeededRandom(scenario.seed + 1))
+  if (scenario.slow) startSlowDowns(clock, servers, scenario.slow, createRandom(scenario.seed + 1))
   clock.startTimer(scenario.warmUpMs, () => {
     for (const server of servers.slice(0, scenario.failing)) server.isFailing = true
   })
   const requestsPerMs = scenario.load * scenario.servers * SLOTS / scenario.workMs
   const balancers = entries.map((self, index) => {
-    const balancer = createBalancer(scenario.policy, { clock, servers, service, entries, self, random: createSeededRandom(scenario.seed + 100 + index), deadlineMs: REFUSED_AFTER_MS, isProbing: scenario.isProbing ?? false })
+    const balancer = createBalancer(scenario.policy, { clock, servers, service, entries, self, random: createRandom(scenario.seed + 100 + index), deadlineMs: REFUSED_AFTER_MS, isProbing: scenario.isProbing ?? false })
     const share = index === 0 ? scenario.firstEntryShare : (1 - scenario.firstEntryShare) / (scenario.entries - 1)
     startCallers(run, balancer, requestsPerMs * share)
     return balancer
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -31,7 +31,7 @@
 import { runStopSequence } from './stop-sequence.ts'
 
 /** Streams of claims. Entries that disagreed about it could run a key twice, so it is no setting. */
-const CLAIM_PARTITIONS = 16
+const CLAIM_PARTITIONS = 6
 const CHECKPOINTS_PER_RETENTION = 8
 const HOST_LIST_INTERVAL_MS = 1_000
 /** After this time an entry serves what needs no claims, in ms. */
@@ -78,7 +78,15 @@
   const limiter = createGrantedLimiter({
     clock, log, entry: self, run: incarnation, logger: logger.forPart('limits'), listLiveEntries: () => mesh.listLiveEntries()
   })
-  const claims = createLogClaimBook({ log, clock, entry: self, incarnation, partitions: CLAIM_PARTITIONS, retentionMs: settings.log.retentionMs })
+  const claims = createLogClaimBook({
+    log,
+    clock,
+    entry: self,
+    incarnation,
+    partitions: CLAIM_PARTITIONS,
+    retentionMs: settings.log.retentionMs,
+    handleSkipped: (stream, offset) => audit.record({ type: 'record-skipped', stream, offset, reason: 'not a claim record' })
+  })
   const services = createServiceDirectory({
     self,
     clock,
