--- a/replay/deployment.ts
+++ b/replay/deployment.ts
@@ -15,7 +15,8 @@
 const OPERATOR_PORT = 8081
 const PEER_PORT = 8082
 const TARGET_PORT = 8000
-const KEEP_ALIVE_MS = 2_000
+/** Clients take up to 2 s off what a server advertises, and would open a connection for each request. */
+const KEEP_ALIVE_MS = 3_000
 const STOP_SLACK_MS = 500
 
 /** The samples under `samples/`. */
--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -7,6 +7,8 @@
 
 const CONNECT_TIMEOUT_MS = 1_000
 const IDLE_TIMEOUT_MS = 30_000
+/** Taken off the keep-alive time that a target advertises, for the time that messages travel. */
+const KEEP_ALIVE_MARGIN_MS = 500
 /** A connection that answered within this time may carry a request that must not be repeated. */
 const PROOF_OF_LIFE_MS = 1_000
 /** After so many silent exchanges in a row on reused connections, the idle ones are taken to be dead too. */
@@ -72,6 +74,7 @@
     const client = new Client(`http://${target.address}:${target.port}`, {
       connectTimeout: CONNECT_TIMEOUT_MS,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
       pipelining: 1
