--- a/src/process/claims/claim-keys.ts
+++ b/src/process/claims/claim-keys.ts
@@ -13,6 +13,9 @@
 /** Name of the header that carries the key, in lower case. */
 export const KEY_HEADER = 'idempotency-key'
 
+/** Streams of claims. Entries that disagreed about it could run a key twice, so it is no setting. */
+export const CLAIM_PARTITIONS = 6
+
 const LONGEST_KEY_CHARS = 256
 const HASH_HEX_CHARS = 32
 const HEX_RADIX = 16
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -8,7 +8,7 @@
 import type { EntryId, Incarnation, KeyHash } from '../types.ts'
 import { createAuditLog } from './audit/audit-log.ts'
 import { createCallerServer } from './caller-server.ts'
-import { computePartition } from './claims/claim-keys.ts'
+import { CLAIM_PARTITIONS, computePartition } from './claims/claim-keys.ts'
 import { createLogClaimBook } from './claims/log-claim-book.ts'
 import { rankEntries } from './claims/rendezvous.ts'
 import { startContractPassing } from './contract-passing.ts'
@@ -30,8 +30,6 @@
 import { readEntryStatus } from './status.ts'
 import { runStopSequence } from './stop-sequence.ts'
 
-/** Streams of claims. Entries that disagreed about it could run a key twice, so it is no setting. */
-const CLAIM_PARTITIONS = 6
 const CHECKPOINTS_PER_RETENTION = 8
 const HOST_LIST_INTERVAL_MS = 1_000
 /** After this time an entry serves what needs no claims, in ms. */
--- /dev/null
+++ b/src/process/keyed-requests.ts
@@ -0,0 +1,81 @@
+/**
+ * Runs requests that may not be repeated, at the entry that ranks first for their key when it can be reached.
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createError, getErrorAnswer } from '../errors.ts'
+import type { AppError } from '../errors.ts'
+import type { Call } from '../request/call.ts'
+import { runOnce } from '../request/once-request.ts'
+import type { WholeAnswer } from '../request/once-request.ts'
+import type { EntryId, KeyHash } from '../types.ts'
+import type { Operation } from '../version/contract.ts'
+import type { ClaimBook } from './claims/claim-book.ts'
+import { hashKey, hashRequest, readKey } from './claims/claim-keys.ts'
+import type { PeerMesh } from './membership/peer-mesh.ts'
+
+/** An operation that may not be repeated. */
+export type KeyedOperation = Extract<Operation, { repeatable: false }>
+
+/** What running keyed requests needs. */
+export interface KeyedRequestsOptions {
+  self: EntryId
+  claims: ClaimBook
+  mesh: PeerMesh
+  /** Returns the entry that ranks first for a key. */
+  findOwner(key: KeyHash): EntryId
+}
+
+/** Runs keyed requests. */
+export interface KeyedRequests {
+  /** Runs a caller's request here or at a peer. Errors: those of claims and attempts, each with a true fate. */
+  runForCaller(call: Call, operation: KeyedOperation): Promise<Result<WholeAnswer, AppError>>
+  /** Runs a request that a peer passed on; it is never passed on again. Errors: the same. */
+  runForPeer(call: Call, operation: KeyedOperation): Promise<Result<WholeAnswer, AppError>>
+}
+
+const EMPTY_BODY = new Uint8Array()
+
+/** Creates the part that runs keyed requests. */
+export function createKeyedRequests (options: KeyedRequestsOptions): KeyedRequests {
+  const { self, claims, mesh, findOwner } = options
+
+  const hashCallKey = (call: Call, operation: KeyedOperation): Result<KeyHash, AppError> =>
+    readKey(operation, { path: call.path, headers: call.headers, body: call.body ?? EMPTY_BODY })
+      .map((key) => hashKey(call.customer, call.serviceId, operation.name, key))
+
+  const runHere = (call: Call, keyHash: KeyHash): Promise<Result<WholeAnswer, AppError>> => {
+    const requestDigest = hashRequest(call.method, call.path, call.body ?? EMPTY_BODY)
+    return runOnce(call, { claims, keyHash, requestDigest })
+  }
+  const forwardToOwner = (call: Call, owner: EntryId): Promise<Result<WholeAnswer, AppError>> => mesh.forwardRequest(owner, {
+    customer: call.customer,
+    service: call.serviceId,
+    method: call.method,
+    path: call.path,
+    headers: call.headers,
+    body: call.body ?? EMPTY_BODY,
+    remainingMs: call.deadlineMs - call.clock.monotonicMs()
+  })
+
+  return {
+    async runForCaller (call, operation) {
+      const key = hashCallKey(call, operation)
+      if (key.isErr()) return err(key.error)
+      const owner = findOwner(key.value)
+      if (owner === self) return runHere(call, key.value)
+      const passed = await forwardToOwner(call, owner)
+      if (passed.isOk()) return ok(passed.value)
+      // When the link breaks the key is claimed here instead: the log's order decides between the two attempts.
+      const own = await runHere(call, key.value)
+      // The copy that was passed on may still run there, so nobody may be told that this request did not.
+      const isRefused = own.isErr() && getErrorAnswer(own.error.kind).fate === 'not-run'
+      if (!isRefused || passed.error.kind === 'peer-unreachable') return own
+      return err(createError('claim-elsewhere', 'The entry that ranks first for the key may still run the request.'))
+    },
+    async runForPeer (call, operation) {
+      const key = hashCallKey(call, operation)
+      return key.isErr() ? err(key.error) : runHere(call, key.value)
+    }
+  }
+}
--- a/src/process/status.ts
+++ b/src/process/status.ts
@@ -18,7 +18,7 @@
       operator: newest.operator
     })),
     contractOffset: contracts.getNextOffset(),
-    peers: mesh.listPeers(),
+    peers: mesh.listPeers().map((peer) => peer.isSelf ? { ...peer, contractOffset: contracts.getNextOffset() } : peer),
     services: services.listServices().map((service) => ({
       customer: service.customer,
       service: service.serviceId,
--- a/test/support/claim-system.ts
+++ b/test/support/claim-system.ts
@@ -8,7 +8,7 @@
 import { waitFor } from '../../replay/programs.ts'
 import { startSystem } from '../../replay/system.ts'
 import type { System } from '../../replay/system.ts'
-import { computePartition, hashKey } from '../../src/process/claims/claim-keys.ts'
+import { CLAIM_PARTITIONS, computePartition, hashKey } from '../../src/process/claims/claim-keys.ts'
 import { rankEntries } from '../../src/process/claims/rendezvous.ts'
 import type { CustomerId, ServiceId } from '../../src/types.ts'
 import { getLoopbackAddress } from './addresses.ts'
@@ -20,8 +20,6 @@
 const CUSTOMER = 'kyushu' as CustomerId
 const SERVICE = 'collection' as ServiceId
 const OPERATION = 'issue-ticket'
-/** Streams of claims, as the daemon has them. */
-const CLAIM_PARTITIONS = 16
 
 /** How a ticket was answered. */
 export interface TicketAnswer { status: number, fate: string, kind: string | undefined, isRepeated: boolean }
