Test keyed work through an outage of a minute

Cause: keyed work had been tried under outages of seconds only. Change: the outage test charges slots all along, expects every charge to be told not-run and none to run, and one to run once when the log is back.

--- a/test/platform-outage.test.ts
+++ b/test/platform-outage.test.ts
@@ -1,16 +1,17 @@
 import { request } from 'undici'
 import { expect, test } from 'vitest'
 import { waitFor } from '../replay/programs.ts'
-import { createLiveCaller, READ_STATUS, sendUntil, startLiveSystem } from './support/live-system.ts'
+import { chargeSlot, createLiveCaller, READ_STATUS, readRuns, sendUntil, startLiveSystem } from './support/live-system.ts'
 
 // OUTAGE_MS=60000 npx vitest run test/platform-outage.test.ts
 const OUTAGE_MS = Number(process.env.OUTAGE_MS ?? 3_000)
 const READY_TIMEOUT_MS = 30_000
 const RUN_TIMEOUT_MS = 300_000
 
-test('while log and host list are out a blank entry takes the contract from its peers, and repeatable work is never refused', async () => {
+test('while log and host list are out a blank entry takes the contract from its peers, repeatable work is never refused and keyed work is told not-run', async () => {
   const system = await startLiveSystem({ entryCount: 3, targetCount: 2 })
   const callers = [1, 2, 3, 4].map((index) => createLiveCaller(system, `caller-${index}`))
+  const charger = createLiveCaller(system, 'charger')
   const blank = system.deployment.entries[2]!
   try {
     system.getProgram(blank.id)!.sendSignal('SIGKILL')
@@ -26,14 +27,24 @@
     await system.switchFaults('host-list', { isDown: true })
     const stop = new AbortController()
     const work = Promise.all(callers.map((caller) => sendUntil(stop.signal, () => caller.send(READ_STATUS))))
+    const charging = sendUntil(stop.signal, async (round) => {
+      await new Promise((resolve) => setTimeout(resolve, 50))
+      return charger.send(chargeSlot(`outage-${round}`))
+    })
     await new Promise((resolve) => setTimeout(resolve, OUTAGE_MS))
     stop.abort()
     const answers = (await work).flat()
-    console.log(`${answers.length} requests in ${OUTAGE_MS} ms of outage, ${answers.filter(({ status }) => status !== 200).length} refused`)
+    const charges = await charging
+    console.log(`${answers.length} requests in ${OUTAGE_MS} ms of outage, ${answers.filter(({ status }) => status !== 200).length} refused; ${charges.length} charges`)
+    expect(charges.filter(({ fate }) => fate !== 'not-run')).toEqual([])
+    expect(await readRuns(system)).toEqual(new Map())
     expect(answers.filter(({ status }) => status !== 200)).toEqual([])
     expect(answers.length).toBeGreaterThan(0)
+    await system.switchFaults('log', { outage: 'none' })
+    await waitFor('charges run again', READY_TIMEOUT_MS, async () => (await charger.send(chargeSlot('after'))).status === 200 ? true : undefined)
+    expect(await readRuns(system)).toEqual(new Map([['after', 1]]))
   } finally {
-    for (const caller of callers) await caller.close()
+    for (const caller of [...callers, charger]) await caller.close()
     await system.switchFaults('log', { outage: 'none' })
     await system.stop()
   }
