Judge the status of an answer in one place, and drop what nothing uses

Cause: a read of the whole change found the bound of server errors written in three modules, the terms of a sample service in two benches, a pool method offered outside but used only inside, and a status type that nothing used. Change: answer-status has the bound and the relayed fate, sample-service the terms, the two leftovers are gone; behaviour and texts stay as they were. Looked at and left: pairs alike in shape only (options and constants of different parts).

--- a/bench/capacity-state.ts
+++ b/bench/capacity-state.ts
@@ -21,6 +21,7 @@
 import { createMemoryLog } from './capacity-log.ts'
 import { createRow, measureRun, readOwnCpuMs, readUsedBytes } from './capacity-slope.ts'
 import type { CapacityPoint, CapacityRow } from './capacity-slope.ts'
+import { SAMPLE_TERMS } from './sample-service.ts'
 
 const TARGETS_PER_SERVICE = 12
 const SERVICE_COUNTS = [4, 40, 400]
@@ -39,15 +40,7 @@
   const timing = { deadlineMs: 1_000, longestMs: 30_000 }
   return {
     targets,
-    slotsPerTarget: 4,
-    connectionsPerTarget: 250,
-    measuring: { budgetMsPerSecond: 10, probeCostMs: 6, connectCostMs: 1 },
-    hedging: { afterMs: 90, budgetShare: 0.02 },
-    retries: { budgetShare: 0.1, largestAttempts: 2 },
-    ejectedShare: 0.3,
-    queue: { longest: 20, longestWaitMs: 200 },
-    coldRampMs: 1_000,
-    shedSignal: { status: 503, header: 'x-shed' },
+    ...SAMPLE_TERMS,
     operations: [
       { name: 'status', method: 'GET', path: '/slots/:slot', repeatable: true, ...timing },
       { name: 'charge', method: 'POST', path: '/slots/:slot/charge', repeatable: false, key: { from: 'header' }, ...timing }
--- a/bench/contracts.ts
+++ b/bench/contracts.ts
@@ -19,6 +19,7 @@
 import type { PublishRecord } from '../src/version/contract-record.ts'
 import { startLogServer } from '../stand-ins/log-server.ts'
 import type { LogServer } from '../stand-ins/log-server.ts'
+import { SAMPLE_TERMS } from './sample-service.ts'
 
 const HELP = `Usage: npm run bench -- contracts [--address ADDRESS]
 
@@ -47,15 +48,7 @@
 function buildService (name: string): object {
   return {
     targets: Array.from({ length: TARGETS_PER_SERVICE }, (_value, index) => buildTarget(`${name}-${index}`)),
-    slotsPerTarget: 4,
-    connectionsPerTarget: 250,
-    measuring: { budgetMsPerSecond: 10, probeCostMs: 6, connectCostMs: 1 },
-    hedging: { afterMs: 90, budgetShare: 0.02 },
-    retries: { budgetShare: 0.1, largestAttempts: 2 },
-    ejectedShare: 0.3,
-    queue: { longest: 20, longestWaitMs: 200 },
-    coldRampMs: 1000,
-    shedSignal: { status: 503, header: 'x-shed' },
+    ...SAMPLE_TERMS,
     operations: [
       { name: 'status', method: 'GET', path: '/slots/:slot', deadlineMs: 1000, repeatable: true },
       { name: 'charge', method: 'POST', path: '/slots/:slot/charge', deadlineMs: 1000, repeatable: false, key: { from: 'header' } }
--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -35,8 +35,6 @@
 export interface TargetPool {
   /** Takes a connection; undefined when the bound is reached. */
   takeConnection(need: ConnectionNeed): TargetConnection | undefined
-  /** Closes the idle connections, for instance because open ones have gone silent. */
-  dropIdle(): void
   countConnections(): { open: number, idle: number }
   close(): void
 }
@@ -137,7 +135,6 @@
       if (reused) return toConnection(reused, false)
       return checkRoom() ? toConnection(openClient(), true) : undefined
     },
-    dropIdle,
     countConnections: () => ({ open: openCount, idle: idle.length }),
     close () {
       isClosed = true
--- a/src/process/contracts/contract-state.ts
+++ b/src/process/contracts/contract-state.ts
@@ -3,7 +3,7 @@
  */
 import type { Result } from 'neverthrow'
 import type { AppError } from '../../errors.ts'
-import type { Cancel, ContractVersion, CustomerId, EntryId, Nonce, Offset } from '../../types.ts'
+import type { Cancel, ContractVersion, CustomerId, Nonce, Offset } from '../../types.ts'
 import type { Contract } from '../../version/contract.ts'
 
 /** A contract that the fold of the stream has accepted. */
@@ -35,6 +35,3 @@
   /** Calls `action` whenever the contract in force of a customer changes. */
   watchContracts(action: (contract: Contract) => void): Cancel
 }
-
-/** Extra facts that a status page shows. */
-export interface ContractStatus { customer: CustomerId, accepted: ContractVersion, inForce: ContractVersion, offset: Offset, publishedBy: string, entry: EntryId }
--- a/src/request/forward-answer.ts
+++ b/src/request/forward-answer.ts
@@ -4,7 +4,8 @@
 import type { ServerResponse } from 'node:http'
 import type { AppError } from '../errors.ts'
 import type { Clock } from '../clock.ts'
-import type { Cancel, Fate } from '../types.ts'
+import type { Cancel } from '../types.ts'
+import { getRelayedFate } from './answer-status.ts'
 import type { Attempt } from './attempt.ts'
 import type { Call } from './call.ts'
 import { resumeDownload, findResumePoint } from './download-resume.ts'
@@ -12,16 +13,9 @@
 import { filterAnswerHeaders } from './headers.ts'
 import type { BegunAnswer } from './idempotent-request.ts'
 
-const FIRST_SERVER_ERROR_STATUS = 500
-
 /** What became of an answer at the caller. */
 export type RelayEnd = 'whole' | 'broken' | 'caller-gone'
 
-/** The fate of a relayed answer: a server error proves nothing. */
-export function getRelayedFate (status: number): Fate {
-  return status >= FIRST_SERVER_ERROR_STATUS ? 'unknown' : 'ran'
-}
-
 /** Watches a caller that accepts nothing; `stop` ends the watch. */
 function watchStall (clock: Clock, stallMs: number, action: () => void): { start: () => void, stop: () => void } {
   let cancel: Cancel = () => undefined
--- a/src/request/idempotent-request.ts
+++ b/src/request/idempotent-request.ts
@@ -6,13 +6,12 @@
 import { createError, getErrorAnswer } from '../errors.ts'
 import type { AppError } from '../errors.ts'
 import type { Cancel } from '../types.ts'
+import { isServerError } from './answer-status.ts'
 import { isShed, startAttempt } from './attempt.ts'
 import type { Attempt } from './attempt.ts'
 import type { Call } from './call.ts'
 import type { AnswerHead } from './exchange.ts'
 
-const FIRST_SERVER_ERROR_STATUS = 500
-
 /** An answer whose body has not begun to flow. */
 export interface BegunAnswer { attempt: Attempt, head: AnswerHead }
 
@@ -22,11 +21,6 @@
   | { kind: 'failed', attempt: Attempt, error: AppError }
   | { kind: 'hedge-due' }
 
-/** Whether an answer is worth another attempt. */
-function isBad (head: AnswerHead): boolean {
-  return head.status >= FIRST_SERVER_ERROR_STATUS
-}
-
 /** Chooses the error to answer; once a target may have run the request, only one whose fate is unknown is true. */
 function chooseError (errors: readonly AppError[], mayHaveRun: boolean): AppError {
   const last = errors.at(-1) ?? createError('internal', 'No attempt was made.')
@@ -106,7 +100,7 @@
     return undefined
   }
   race.mayHaveRun = true
-  if (!isBad(ending.answer.head)) return ending.answer
+  if (!isServerError(ending.answer.head.status)) return ending.answer
   setSpare(race, ending.answer)
   return undefined
 }
--- a/src/request/once-request.ts
+++ b/src/request/once-request.ts
@@ -7,18 +7,17 @@
 import type { AppError } from '../errors.ts'
 import type { Claim, ClaimBook, RecordedOutcome } from '../process/claims/claim-book.ts'
 import type { Fate, KeyHash } from '../types.ts'
+import { getRelayedFate, isServerError } from './answer-status.ts'
 import { isShed, startAttempt } from './attempt.ts'
 import type { Attempt } from './attempt.ts'
 import type { Call } from './call.ts'
 import type { AnswerHead } from './exchange.ts'
 import { filterAnswerHeaders, REPEATED_HEADER } from './headers.ts'
-import { getRelayedFate } from './forward-answer.ts'
 
 /** The largest answer to a request that may not be repeated, in bytes. */
 const LARGEST_ANSWER_BYTES = 1_048_576
 /** The largest body kept for repeated attempts, in bytes. */
 const LARGEST_KEPT_BODY_BYTES = 4_096
-const FIRST_SERVER_ERROR_STATUS = 500
 
 /** A whole answer, held in memory. */
 export interface WholeAnswer {
@@ -83,7 +82,7 @@
   const headers = filterAnswerHeaders(head.headers, fate, call.contract.version)
   const answer: WholeAnswer = { status: head.status, headers, body: body.value, fate }
   // A server error proves nothing, so it is not given out as the answer of the key.
-  if (head.status < FIRST_SERVER_ERROR_STATUS) claim.recordOutcome(toOutcome(answer))
+  if (!isServerError(head.status)) claim.recordOutcome(toOutcome(answer))
   return ok(answer)
 }
 
--- a/test/whole-answers.test.ts
+++ b/test/whole-answers.test.ts
@@ -112,7 +112,7 @@
   const gone = await setup([answerText('never')])
   for (const pool of gone.pools.values()) pool.close()
   const call = gone.buildCall({ headers: {}, method: 'GET', url: '/slots/1' } as IncomingMessage, createPresence())
-  call.links.getPool = () => ({ takeConnection: () => undefined, dropIdle: () => undefined, countConnections: () => ({ open: 0, idle: 0 }), close: () => undefined })
+  call.links.getPool = () => ({ takeConnection: () => undefined, countConnections: () => ({ open: 0, idle: 0 }), close: () => undefined })
   const { fetchAnswer } = await import('../src/request/idempotent-request.ts')
   const result = await fetchAnswer(call)
   expect(result._unsafeUnwrapErr().kind).toBe('target-unreachable')
