Notice a reset within an answer without a length; share looks among live entries

Change: the pool notes a socket error before the library sees it; looks are divided by live entries, and a request is placed by own counts when none is left.

--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -1,7 +1,7 @@
 /**
  * The connections of this process to one target. Each carries one request at a time.
  */
-import { Client } from 'undici'
+import { buildConnector, Client } from 'undici'
 import type { Clock } from '../clock.ts'
 
 const CONNECT_TIMEOUT_MS = 1_000
@@ -18,6 +18,8 @@
   readonly client: Client
   /** Whether it was opened for this exchange. */
   readonly isFresh: boolean
+  /** Whether the connection was reset: an answer that ends with its connection is then not whole. */
+  wasReset(): boolean
   /** Returns it to the pool after a whole answer. */
   release(): void
   /** Closes it; it is never used again. `isSilent` tells that a request was sent and no byte came back. */
@@ -46,7 +48,9 @@
   clock: Clock
 }
 
-interface PooledClient { client: Client, lastAnswerMs: number, isEnded: boolean, isDropped: boolean }
+interface PooledClient { client: Client, lastAnswerMs: number, isEnded: boolean, isDropped: boolean, wasReset: boolean }
+
+const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
 
 /** Creates the pool of one target; connections are opened when needed. */
 export function createTargetPool (options: TargetPoolOptions): TargetPool {
@@ -70,14 +74,18 @@
   }
   const openClient = (): PooledClient => {
     const client = new Client(`http://${target.address}:${target.port}`, {
-      connectTimeout: CONNECT_TIMEOUT_MS,
+      // The library takes a reset for the end of an answer without a length, so it is noted before the library hears of it.
+      connect: (place, done) => connectSocket(place, (...connected) => {
+        if (connected[1]) connected[1].on('error', () => { pooled.wasReset = true })
+        done(...connected)
+      }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
       pipelining: 1
     })
-    const pooled = { client, lastAnswerMs: -Infinity, isEnded: false, isDropped: false }
+    const pooled: PooledClient = { client, lastAnswerMs: -Infinity, isEnded: false, isDropped: false, wasReset: false }
     client.on('disconnect', () => {
       pooled.isEnded = true
       removeIdle(pooled)
@@ -122,6 +130,7 @@
     return {
       client: pooled.client,
       isFresh,
+      wasReset: () => pooled.wasReset,
       release () {
         if (!leave()) return
         if (!isFresh) silentInRow = 0
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -52,8 +52,8 @@
   logger: PartLogger
   /** What a request earns in repeats, and the most that may be saved up. */
   repeats: { share: number, largest: number }
-  /** Looks that this process may take at one target, a second. */
-  looksPerSecond: number
+  /** Returns how many looks this process may take at one target, a second. */
+  getLooksPerSecond(): number
   /** The most connections of this process to one target. */
   largestConnections: number
   /** Told when a version comes into force. */
@@ -104,7 +104,7 @@
         clock,
         random,
         logger,
-        looksPerSecond: options.looksPerSecond,
+        getLooksPerSecond: options.getLooksPerSecond,
         getHealthPath: () => inForce?.configuration.services.get(name)?.healthPath,
         handleLeaving: handleOwnLeaving
       })
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -67,7 +67,7 @@
     random,
     logger: log,
     repeats: { share: settings.repeats.share * USED_REPEAT_SHARE, largest: Math.floor(settings.repeats.slack * USED_SHARE / MOST_ENTRIES) },
-    looksPerSecond: settings.looksPerSecond * USED_SHARE / MOST_ENTRIES,
+    getLooksPerSecond: () => settings.looksPerSecond * USED_SHARE / Math.max(1, mesh.listLiveEntries().length),
     largestConnections: MOST_CONNECTIONS_TO_TARGET,
     handleVersion: (version) => mesh.setContractOffset(toBrand<Offset>(version)),
     handleLeaving: () => undefined
--- a/src/process/placement/service-placer.ts
+++ b/src/process/placement/service-placer.ts
@@ -70,8 +70,8 @@
   clock: Clock
   random: () => number
   logger: PartLogger
-  /** Looks that this process may take at one target, a second. */
-  looksPerSecond: number
+  /** Returns how many looks this process may take at one target, a second. */
+  getLooksPerSecond(): number
   /** Returns the path of the health endpoint in the configuration in force. */
   getHealthPath(): string | undefined
   /** Told when a look shows that a target is leaving or has been replaced. */
@@ -146,7 +146,7 @@
   const takeLook = (state: TargetState): boolean => {
     const nowMs = clock.monotonicMs()
     const { looks } = state
-    const earned = (nowMs - looks.filledAtMs) * options.looksPerSecond / MS_PER_SECOND
+    const earned = (nowMs - looks.filledAtMs) * options.getLooksPerSecond() / MS_PER_SECOND
     looks.tokens = Math.min(LOOK_BURST, looks.tokens + earned)
     looks.filledAtMs = nowMs
     if (looks.tokens < 1) return false
@@ -248,7 +248,7 @@
     let best: Sighting | undefined
     for (const size of sizes) {
       const candidates = takeCandidates(orderCandidates(request, seen), size)
-      if (candidates.length === 0) break
+      if (candidates.length === 0) return best ? undefined : takeUntold(request, startedAtMs)
       for (const state of candidates) seen.add(state)
       const sighting = await lookAround(candidates, request)
       if (sighting?.estimate.isGood) return take(sighting, startedAtMs, 'looked')
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -132,6 +132,10 @@
       if (sink?.write(chunk) === false) controller?.pause()
     },
     onResponseEnd () {
+      if (connection.wasReset()) {
+        fail(createError('answer-truncated', 'The connection was reset within the answer.'))
+        return
+      }
       if (!finish()) return
       connection.release()
       sink?.end()
