Let answers give their target to the first waiting request, and late requests give way

Change: an answer's load gives its target to the first waiting request; requests that missed their aim are refused while others wait that have not; a shed request may return at once; targets that fail often are avoided; no hedge while requests wait.

--- a/src/process/placement/service-placer.ts
+++ b/src/process/placement/service-placer.ts
@@ -1,51 +1,43 @@
 /**
  * Places the requests of one service: looks at a few promising targets right before sending and takes the first good
- * one; requests that find none wait in one queue.
+ * one. Requests that find none wait in one queue; each answer gives its target to the first of them. What cannot be
+ * answered in time while others wait is refused at once.
  */
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Clock } from '../../clock.ts'
-import { sendLook } from '../../connection/send-look.ts'
-import type { LookResult } from '../../connection/send-look.ts'
 import { createError } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
-import { estimateTarget } from '../../request/placement/estimate.ts'
-import type { Estimate } from '../../request/placement/estimate.ts'
 import type { LoadReport } from '../../request/placement/load-report.ts'
 import { computePenalty } from '../../request/placement/order-candidates.ts'
-import { createWaitingQueue } from '../../request/placement/waiting-queue.ts'
+import { canMeetAim, createWaitingQueue } from '../../request/placement/waiting-queue.ts'
+import type { QueueOrder } from '../../request/placement/waiting-queue.ts'
 import type { ServiceId, TargetId, ZoneId } from '../../types.ts'
 import type { TargetRegistry } from '../discovery/target-registry.ts'
 import type { PartLogger } from '../logger.ts'
+import { createTargetLooks, getBetter } from './target-looks.ts'
+import type { RequestEnd, Sighting } from './target-looks.ts'
 import type { TargetState, TargetStates } from './target-states.ts'
 
-/** A request that looks for a target. Instants by the monotonic clock in ms. */
-export interface PlacementRequest {
-  /** Rank; 0 is the most urgent. */
-  priority: number
-  /** Time that the work takes on a target of usual speed, in ms. */
-  workMs: number
-  /** An answer by this instant is worth most. */
-  aimAtMs: number
-  /** An answer after this instant is worth nothing. */
-  deadlineAtMs: number
+/** A request that looks for a target. */
+export interface PlacementRequest extends QueueOrder {
   /** What crossing zones costs it; 1 stands for a full target. */
   farPenalty: number
   /** Targets that were tried already. */
   excluded: ReadonlySet<TargetId>
-  /** Ends the search when the caller leaves. */
-  isGone(): boolean
 }
 
+/** Why a target was chosen: a good one by a look, by a fresh report or after a wait; the best of those seen; or by own counts alone. */
+export type PlacementReason = 'looked' | 'reported' | 'waited' | 'best-seen' | 'untold'
+
 /** A target for a request. */
 export interface Placement {
   state: TargetState
   /** How long the answer should take, in ms. */
   expectedMs: number
-  /** How long it waited for its place, in ms. */
+  /** How long the request waited for its place, in ms. */
   waitedMs: number
-  /** Why this target. */
-  reason: 'looked' | 'best-seen' | 'untold'
+  reason: PlacementReason
 }
 
 /** What the placer of a service has done. */
@@ -57,6 +49,8 @@
   place(request: PlacementRequest): Promise<Result<Placement, AppError>>
   /** Notes the end of a request at a target, with the load that its answer told. */
   release(state: TargetState, report: LoadReport | undefined): void
+  /** Notes how a target ended a request. */
+  recordEnd(state: TargetState, end: RequestEnd): void
   countWaiting(): number
   report(): PlacerCounts
 }
@@ -74,60 +68,50 @@
   getLooksPerSecond(): number
   /** Returns the path of the health endpoint in the configuration in force. */
   getHealthPath(): string | undefined
-  /** Told when a look shows that a target is leaving or has been replaced. */
+  /** Told when a look shows that a target has been replaced. */
   handleLeaving(state: TargetState, evidence: string): void
 }
 
 /** Looks at once, in each round of a search. */
 const ROUND_SIZES = [2, 3, 3] as const
 const QUEUE_ROUND_SIZE = 3
-/** After this long a round goes on without the looks that are still out, in ms. */
-const ROUND_PATIENCE_MS = 12
-/** A look without an answer for this long means that the connection or the target is dead, in ms. */
-const LOOK_TIMEOUT_MS = 250
 /** Between two rounds for waiting requests that found no good target, in ms. */
-const ROUND_PAUSE_MS = 20
-const LOOK_BURST = 6
-const MS_PER_SECOND = 1000
-const AVOID_MS = 400
-const LONGEST_AVOID_MS = 3_000
+const ROUND_PAUSE_MS = 15
+/** A report younger than this stands in for a look, in ms. */
+const FRESH_REPORT_MS = 6
+/** What the pause between two places is taken to be until one has told, in ms. */
+const FIRST_PLACE_INTERVAL_MS = 10
+const INTERVAL_WEIGHT = 0.1
+/** A refused request may return after this long, spread by as much again, in s. */
+const RETURN_AFTER_S = 0.2
 
-/** One target that a round has looked at. */
-interface Sighting { state: TargetState, estimate: Estimate }
+/** When more than this share of the targets fails, none is avoided. */
+const MOST_AVOIDED_SHARE = 0.6
 
 interface Waiting {
   request: PlacementRequest
   queuedAtMs: number
+  isSettled: boolean
   settle(result: Result<Placement, AppError>): void
 }
 
 /** Creates the placer of a service. */
 export function createServicePlacer (options: ServicePlacerOptions): ServicePlacer {
   const { service, zone, registry, states, clock, random, logger } = options
+  const looks = createTargetLooks(options)
   const queue = createWaitingQueue<Waiting>()
-  const counts: PlacerCounts = { looks: 0, queued: 0, refused: 0 }
-  /** Whether the targets of this service tell their load; undefined until one was asked. */
-  let tellsLoad: boolean | undefined
+  const counts = { queued: 0, refused: 0 }
   let isDispatching = false
-  let wakeDispatcher: () => void = () => undefined
   /** The usual pause between two places for waiting requests, in ms. */
-  let placeIntervalMs = 10
+  let placeIntervalMs = FIRST_PLACE_INTERVAL_MS
+  let lastPlaceAtMs = -Infinity
 
-  const listUsable = (request: PlacementRequest): TargetState[] => {
+  const listUsable = ({ excluded }: PlacementRequest): TargetState[] => {
     const nowMs = clock.monotonicMs()
-    const all = registry.list(service).filter((target) => !target.isLeaving).map((target) => states.get(target))
-    const untried = all.filter((state) => !request.excluded.has(state.registered.report.id))
-    const calm = untried.filter((state) => state.avoidUntilMs <= nowMs)
-    return calm.length > 0 ? calm : untried
+    const all = registry.list(service).filter((target) => !target.isLeaving && !excluded.has(target.report.id)).map((target) => states.get(target))
+    const calm = all.filter((state) => state.avoidUntilMs <= nowMs)
+    return calm.length > all.length * (1 - MOST_AVOIDED_SHARE) ? calm : all
   }
-  const estimate = (state: TargetState, request: PlacementRequest, sentBefore: number): Estimate => estimateTarget({
-    report: state.report,
-    sentSince: state.sent - sentBefore,
-    inFlight: state.inFlight,
-    slots: state.registered.report.slots,
-    isWarming: state.registered.warmUntilMs > clock.monotonicMs(),
-    workMs: request.workMs
-  })
   const orderCandidates = (request: PlacementRequest, seen: ReadonlySet<TargetState>): TargetState[] => {
     const nowMs = clock.monotonicMs()
     const ranked = listUsable(request).filter((state) => !seen.has(state)).map((state) => ({
@@ -143,163 +127,115 @@
     }))
     return ranked.sort((a, b) => a.penalty - b.penalty).map(({ state }) => state)
   }
-  const takeLook = (state: TargetState): boolean => {
-    const nowMs = clock.monotonicMs()
-    const { looks } = state
-    const earned = (nowMs - looks.filledAtMs) * options.getLooksPerSecond() / MS_PER_SECOND
-    looks.tokens = Math.min(LOOK_BURST, looks.tokens + earned)
-    looks.filledAtMs = nowMs
-    if (looks.tokens < 1) return false
-    looks.tokens -= 1
-    return true
-  }
-  const takeCandidates = (ordered: readonly TargetState[], size: number): TargetState[] => {
-    const taken: TargetState[] = []
-    for (const state of ordered) {
-      if (taken.length >= size) break
-      if (takeLook(state)) taken.push(state)
-    }
-    return taken
-  }
-  const recordFailure = (state: TargetState, what: string): void => {
-    state.failuresInRow += 1
-    const avoidMs = Math.min(LONGEST_AVOID_MS, AVOID_MS * 2 ** (state.failuresInRow - 1))
-    state.avoidUntilMs = clock.monotonicMs() + avoidMs
-    logger.info('Avoid a target.', { target: state.registered.report.id, because: what, forMs: avoidMs, failuresInRow: state.failuresInRow })
+  const take = ({ state, estimate }: Sighting, startedAtMs: number, reason: PlacementReason): Placement => {
+    state.inFlight += 1
+    state.sent += 1
+    return { state, expectedMs: estimate.totalMs, waitedMs: clock.monotonicMs() - startedAtMs, reason }
   }
-  const recordReport = (state: TargetState, report: LoadReport, atMs: number): void => {
-    state.report = report
-    state.reportAtMs = atMs
+  const refuse = (kind: 'no-target' | 'queue-full' | 'queue-timeout', message: string): Result<Placement, AppError> => {
+    counts.refused += 1
+    return err({ ...createError(kind, message), retryAfterS: RETURN_AFTER_S * (1 + random()) })
   }
-  const applyLook = (state: TargetState, result: LookResult): void => {
-    switch (result.kind) {
-      case 'load':
-        tellsLoad = true
-        state.failuresInRow = 0
-        recordReport(state, result.report, clock.monotonicMs())
-        break
-      case 'healthy':
-        tellsLoad ??= false
-        state.failuresInRow = 0
-        break
-      case 'unhealthy':
-        recordFailure(state, 'its health endpoint refuses')
-        break
-      case 'replaced':
-        options.handleLeaving(state, 'another target answers at its address')
-        break
-      case 'silent':
-      case 'unreachable':
-        recordFailure(state, `a look found it ${result.kind}`)
-        break
+  /** Finds a target that has just told that it is good. */
+  const findReported = (ordered: readonly TargetState[], workMs: number): Sighting | undefined => {
+    const nowMs = clock.monotonicMs()
+    for (const state of ordered) {
+      if (nowMs - state.reportAtMs > FRESH_REPORT_MS) continue
+      const estimate = looks.estimate(state, workMs, state.sentAtReport)
+      if (estimate.isGood) return { state, estimate }
     }
+    return undefined
   }
-  const look = async (state: TargetState, request: PlacementRequest): Promise<Sighting | undefined> => {
-    const path = options.getHealthPath()
-    const connection = path === undefined ? undefined : state.pool.takeConnection({ needsProof: false })
-    if (path === undefined || !connection) return undefined
-    counts.looks += 1
-    state.looking += 1
-    const sentBefore = state.sent
-    const { id, address, port } = state.registered.report
-    const result = await sendLook(connection, { target: id, host: `${address}:${port}`, path, timeoutMs: LOOK_TIMEOUT_MS, clock })
-    state.looking -= 1
-    applyLook(state, result)
-    if (result.kind !== 'load' && result.kind !== 'healthy') return undefined
-    const sighting = { state, estimate: estimate(state, request, sentBefore) }
-    state.isReportBad = !sighting.estimate.isGood
-    return sighting
-  }
-  /** Looks at some targets at once; resolves with the first good one, else with the best when all are back or time is up. */
-  const lookAround = (candidates: readonly TargetState[], request: PlacementRequest): Promise<Sighting | undefined> => new Promise((resolve) => {
-    let best: Sighting | undefined
-    let out = candidates.length
-    const cancelTimer = clock.startTimer(ROUND_PATIENCE_MS, () => resolve(best))
-    const settle = (sighting: Sighting | undefined): void => {
-      out -= 1
-      if (sighting && (!best || sighting.estimate.totalMs < best.estimate.totalMs)) best = sighting
-      if (out > 0 && !sighting?.estimate.isGood) return
-      cancelTimer()
-      resolve(sighting?.estimate.isGood ? sighting : best)
-    }
-    if (out === 0) settle(undefined)
-    for (const state of candidates) look(state, request).then(settle, () => settle(undefined))
-  })
-  const take = (sighting: Sighting, startedAtMs: number, reason: Placement['reason']): Placement => {
-    const { state } = sighting
-    state.inFlight += 1
-    state.sent += 1
-    return { state, expectedMs: sighting.estimate.totalMs, waitedMs: clock.monotonicMs() - startedAtMs, reason }
+  /** Whether an answer from there would still be in time. */
+  const isInTime = ({ estimate: { totalMs } }: Sighting, request: PlacementRequest): boolean => {
+    const nowMs = clock.monotonicMs()
+    return nowMs + totalMs <= (canMeetAim(request, nowMs) ? request.aimAtMs : request.deadlineAtMs)
   }
-  /** Takes the least loaded target by own requests, for services whose targets tell no load. */
+  /** Takes the least loaded target by own requests, when no look can tell more. */
   const takeUntold = (request: PlacementRequest, startedAtMs: number): Placement | undefined => {
     const [state] = orderCandidates(request, new Set())
     if (!state) return undefined
-    return take({ state, estimate: estimate(state, request, state.sent) }, startedAtMs, 'untold')
-  }
-  /** Whether an answer from there would still be in time. */
-  const isInTime = ({ estimate: { totalMs } }: Sighting, { aimAtMs, deadlineAtMs }: PlacementRequest): boolean => {
-    const nowMs = clock.monotonicMs()
-    const limitMs = aimAtMs - nowMs > 0 ? aimAtMs : deadlineAtMs
-    return nowMs + totalMs <= limitMs
+    const sighting = { state, estimate: looks.estimate(state, request.workMs, state.sentAtReport) }
+    return looks.getTellsLoad() === false || isInTime(sighting, request) ? take(sighting, startedAtMs, 'untold') : undefined
   }
   const search = async (request: PlacementRequest, sizes: readonly number[], startedAtMs: number): Promise<Placement | undefined> => {
     const seen = new Set<TargetState>()
     let best: Sighting | undefined
     for (const size of sizes) {
-      const candidates = takeCandidates(orderCandidates(request, seen), size)
-      if (candidates.length === 0) return best ? undefined : takeUntold(request, startedAtMs)
+      const ordered = orderCandidates(request, seen)
+      const reported = findReported(ordered, request.workMs)
+      if (reported) return take(reported, startedAtMs, 'reported')
+      const candidates = looks.takeCandidates(ordered, size)
+      if (candidates.length === 0) break
       for (const state of candidates) seen.add(state)
-      const sighting = await lookAround(candidates, request)
+      const sighting = await looks.lookAround(candidates, request.workMs)
       if (sighting?.estimate.isGood) return take(sighting, startedAtMs, 'looked')
-      if (sighting && (!best || sighting.estimate.totalMs < best.estimate.totalMs)) best = sighting
+      best = getBetter(best, sighting)
     }
+    if (seen.size === 0) return takeUntold(request, startedAtMs)
     return best && isInTime(best, request) ? take(best, startedAtMs, 'best-seen') : undefined
   }
-  /** Whether even a good target could no longer answer in time. */
-  const isHopeless = ({ request }: Waiting): boolean => clock.monotonicMs() + request.workMs > request.deadlineAtMs
-
+  const giveBack = ({ state }: Placement): void => {
+    state.inFlight -= 1
+    state.sent -= 1
+  }
+  const settleWaiting = (waiting: Waiting, placement: Placement): void => {
+    const nowMs = clock.monotonicMs()
+    queue.remove(waiting)
+    placeIntervalMs += INTERVAL_WEIGHT * (Math.min(nowMs - lastPlaceAtMs, FIRST_PLACE_INTERVAL_MS * 10) - placeIntervalMs)
+    lastPlaceAtMs = nowMs
+    waiting.isSettled = true
+    waiting.settle(ok(placement))
+  }
+  /** Refuses the waiting requests that have nothing to wait for any more. */
+  const refuseHopeless = (): void => {
+    const nowMs = clock.monotonicMs()
+    const settle = (waiting: Waiting, result: Result<Placement, AppError>): void => {
+      waiting.isSettled = true
+      waiting.settle(result)
+    }
+    for (const waiting of queue.takeExpired(nowMs)) settle(waiting, refuse('queue-timeout', 'No target became free in time.'))
+    for (const waiting of queue.takeLateBehindOthers(nowMs)) settle(waiting, refuse('queue-full', 'The answer would come too late, and others wait whose would not.'))
+  }
   const dispatch = async (): Promise<void> => {
-    for (let head = queue.peek(); head; head = queue.peek()) {
-      if (head.request.isGone() || isHopeless(head)) {
-        queue.remove(head)
-        counts.refused += 1
-        head.settle(err(createError('queue-timeout', 'No target became free in time.')))
-        continue
-      }
-      const beganAtMs = clock.monotonicMs()
+    for (;;) {
+      refuseHopeless()
+      const head = queue.peek(clock.monotonicMs())
+      if (!head) return
       const placement = await search(head.request, [QUEUE_ROUND_SIZE], head.queuedAtMs)
       if (placement) {
-        queue.remove(head)
-        head.settle(ok(placement))
-        placeIntervalMs = 0.8 * placeIntervalMs + 0.2 * (clock.monotonicMs() - beganAtMs)
+        // An answer may have given the request another target during the search.
+        if (head.isSettled) giveBack(placement)
+        else settleWaiting(head, placement)
         continue
       }
-      await new Promise<void>((resolve) => {
-        const cancel = clock.startTimer(ROUND_PAUSE_MS, resolve)
-        wakeDispatcher = () => { cancel(); resolve() }
-      })
+      await clock.wait(ROUND_PAUSE_MS)
     }
   }
   const startDispatching = (): void => {
     if (isDispatching) return
     isDispatching = true
     dispatch()
-      .catch((cause: unknown) => logger.error('Dispatching failed.', { err: cause }))
+      .catch((cause: unknown) => logger.error('Dispatching failed.', { service, err: cause }))
       .finally(() => { isDispatching = false })
   }
   const waitForPlace = (request: PlacementRequest, queuedAtMs: number): Promise<Result<Placement, AppError>> => new Promise((resolve) => {
+    const nowMs = clock.monotonicMs()
+    const turnAtMs = nowMs + queue.countBefore(request, nowMs) * placeIntervalMs
+    const isBehind = queue.count() > 0 && !canMeetAim(request, turnAtMs)
+    if (isBehind) {
+      resolve(refuse('queue-full', 'Too many requests wait before this one.'))
+      return
+    }
     counts.queued += 1
-    queue.add({ request, queuedAtMs, settle: resolve }, request)
+    if (queue.count() === 0) lastPlaceAtMs = nowMs
+    queue.add({ request, queuedAtMs, isSettled: false, settle: resolve })
     startDispatching()
   })
   const place = async (request: PlacementRequest): Promise<Result<Placement, AppError>> => {
     const startedAtMs = clock.monotonicMs()
-    if (listUsable(request).length === 0) {
-      counts.refused += 1
-      return err(createError('no-target', `No target of service ${service} can take the request.`))
-    }
-    if (tellsLoad === false) {
+    if (listUsable(request).length === 0) return refuse('no-target', `No target of service ${service} can take the request.`)
+    if (looks.getTellsLoad() === false) {
       const untold = takeUntold(request, startedAtMs)
       if (untold) return ok(untold)
     }
@@ -307,14 +243,24 @@
     const placement = await search(request, ROUND_SIZES, startedAtMs)
     return placement ? ok(placement) : waitForPlace(request, startedAtMs)
   }
+  /** Gives a target that has just told its load to the first waiting request. */
+  const offerToWaiting = (state: TargetState): void => {
+    const nowMs = clock.monotonicMs()
+    const head = queue.peek(nowMs)
+    if (!head || state.registered.isLeaving || state.avoidUntilMs > nowMs || head.request.excluded.has(state.registered.report.id)) return
+    const estimate = looks.estimate(state, head.request.workMs, state.sentAtReport)
+    if (estimate.isGood) settleWaiting(head, take({ state, estimate }, head.queuedAtMs, 'waited'))
+  }
   return {
     place,
     release (state, report) {
       state.inFlight -= 1
-      if (report) recordReport(state, report, clock.monotonicMs())
-      wakeDispatcher()
+      if (!report) return
+      looks.recordReport(state, report)
+      offerToWaiting(state)
     },
+    recordEnd: looks.recordEnd,
     countWaiting: () => queue.count(),
-    report: () => ({ ...counts })
+    report: () => ({ ...counts, looks: looks.countLooks() })
   }
 }
--- a/src/process/placement/target-states.ts
+++ b/src/process/placement/target-states.ts
@@ -16,13 +16,16 @@
   inFlight: number
   /** Looks of this process under way. */
   looking: number
-  /** Requests sent since the start. */
+  /** Requests sent since the start, and their number when the latest report was asked for. */
   sent: number
+  sentAtReport: number
   report: LoadReport | undefined
   reportAtMs: number
   /** Whether the latest report found it slow or full. */
   isReportBad: boolean
   failuresInRow: number
+  /** The share of its latest requests that it failed, as a decaying mean. */
+  failedShare: number
   /** Until when it gets nothing, by the monotonic clock in ms. */
   avoidUntilMs: number
   /** Instants of looks that may still be taken, as a token bucket. */
@@ -56,10 +59,12 @@
     inFlight: 0,
     looking: 0,
     sent: 0,
+    sentAtReport: 0,
     report: undefined,
     reportAtMs: -Infinity,
     isReportBad: false,
     failuresInRow: 0,
+    failedShare: 0,
     avoidUntilMs: -Infinity,
     looks: { tokens: 0, filledAtMs: -Infinity }
   })
--- a/src/request/gateway/run-attempts.ts
+++ b/src/request/gateway/run-attempts.ts
@@ -21,6 +21,8 @@
 /** A hedge follows when the answer is later than expected by this factor and this many ms. */
 const HEDGE_FACTOR = 2
 const HEDGE_SLACK_MS = 60
+/** A target that refuses although it has room may take the next attempt, so that the caller may return at once, in s. */
+const SHED_RETURN_S = 0.01
 /** Share of the objective that the work is taken to need until an answer has told. */
 const FIRST_WORK_SHARE = 0.35
 /** What a crossing of zones costs downloads and other requests; 1 stands for a full target. */
@@ -128,10 +130,11 @@
     if (lastFailure && lastFailure.attempt !== winner) lastFailure.attempt.cancel()
     return result
   }
+  const toShedError = (error: AppError): AppError => error.kind === 'target-shed' ? { ...error, retryAfterS: SHED_RETURN_S } : error
   const finishFailed = (error: AppError): Result<BegunAnswer, AppError> => {
     if (lastFailure) return finish(ok(lastFailure))
     const isFalsePromise = mayHaveRun && PROMISES.includes(error.kind)
-    return finish(err(isFalsePromise ? createError('target-broken', error.message, error) : error))
+    return finish(err(isFalsePromise ? createError('target-broken', error.message, error) : toShedError(error)))
   }
   const finishAtEnd = (): Result<BegunAnswer, AppError> => {
     if (call.caller.isGone()) return finish(err(createError('target-broken', 'The caller left.')))
@@ -157,7 +160,7 @@
     switch (event.type) {
       case 'end': return finishAtEnd()
       case 'late':
-        if (running.size === 1 && placing === 0 && canSendAgain()) startInBackground()
+        if (running.size === 1 && placing === 0 && service.placer.countWaiting() === 0 && canSendAgain()) startInBackground()
         break
       case 'unplaced':
         if (running.size === 0 && placing === 0) return finishFailed(event.error)
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -55,6 +55,7 @@
   const startedAtMs = clock.monotonicMs()
   const slowdown = state.report?.slowdown ?? 1
   let isReleased = false
+  let isCancelled = false
   const release = (head?: AnswerHead): void => {
     if (isReleased) return
     isReleased = true
@@ -81,8 +82,8 @@
     release(head)
     const outcome = toOutcome(head)
     if (isMisdirected(head.status, head.headers)) service.handleLeaving(state, 'another target refused the request at its address')
+    service.placer.recordEnd(state, outcome.kind === 'answered' ? 'answered' : 'failed')
     if (outcome.kind === 'answered') {
-      state.failuresInRow = 0
       call.work.record(route.name, clock.monotonicMs() - startedAtMs, slowdown)
     }
     if (outcome.kind === 'not-executed') exchange.pipe({ write: () => true, end: () => undefined, fail: () => undefined })
@@ -92,6 +93,7 @@
     const head = await exchange.head
     if (head.isOk()) return handleHead(head.value)
     release()
+    if (!isCancelled && !call.caller.isGone()) service.placer.recordEnd(state, exchange.wasSent() ? 'broken' : 'unreachable')
     return { kind: exchange.wasSent() ? 'broken' : 'unsent', error: head.error }
   }
   return {
@@ -99,6 +101,7 @@
     outcome: readOutcome(),
     exchange,
     cancel () {
+      isCancelled = true
       exchange.cancel()
       release()
     }
