Tell a reset from an end when an answer has no length

Change: at the end of the stream an empty write tells whether the connection was reset; an answer without a length ends only after that.

--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -1,6 +1,7 @@
 /**
  * The connections of this process to one target. Each carries one request at a time.
  */
+import type { Socket } from 'node:net'
 import { buildConnector, Client } from 'undici'
 import type { Clock } from '../clock.ts'
 
@@ -50,7 +51,18 @@
 
 interface PooledClient { client: Client, lastAnswerMs: number, isEnded: boolean, isDropped: boolean, wasReset: boolean }
 
-const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true })
+
+/**
+ * Calls `action` when a connection is reset. The library takes a reset for the end of an answer without a length, and
+ * the runtime tells of a reset that comes with the last bytes as of an end; a write tells the two apart.
+ */
+function watchReset (socket: Socket, action: () => void): void {
+  socket.on('error', (error: NodeJS.ErrnoException) => { if (error.syscall) action() })
+  socket.on('end', () => {
+    socket.write('', (error) => { if ((error as NodeJS.ErrnoException | null | undefined)?.syscall) action() })
+  })
+}
 
 /** Creates the pool of one target; connections are opened when needed. */
 export function createTargetPool (options: TargetPoolOptions): TargetPool {
@@ -74,9 +86,8 @@
   }
   const openClient = (): PooledClient => {
     const client = new Client(`http://${target.address}:${target.port}`, {
-      // The library takes a reset for the end of an answer without a length, so it is noted before the library hears of it.
       connect: (place, done) => connectSocket(place, (...connected) => {
-        if (connected[1]) connected[1].on('error', () => { pooled.wasReset = true })
+        if (connected[1]) watchReset(connected[1], () => { pooled.wasReset = true })
         done(...connected)
       }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -71,6 +71,7 @@
   let isHeadSettled = false
   let isOver = false
   let hasBegun = false
+  let hasLength = true
   let lastDataMs = startedMs
   let cancelTimer: Cancel = () => undefined
   let settleHead: (head: Result<AnswerHead, AppError>) => void = () => undefined
@@ -106,6 +107,15 @@
       : createError('target-unreachable', 'No connection to the target could be made before the deadline.'))
   })
 
+  const endAnswer = (): void => {
+    if (connection.wasReset()) {
+      fail(createError('answer-truncated', 'The connection was reset within the answer.'))
+      return
+    }
+    if (!finish()) return
+    connection.release()
+    sink?.end()
+  }
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart (started) {
       controller = started
@@ -123,6 +133,7 @@
       cancelTimer()
       controller?.pause()
       isHeadSettled = true
+      hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
       lastDataMs = clock.monotonicMs()
       settleHead(ok({ status, headers, firstByteMs: lastDataMs - startedMs }))
     },
@@ -132,13 +143,9 @@
       if (sink?.write(chunk) === false) controller?.pause()
     },
     onResponseEnd () {
-      if (connection.wasReset()) {
-        fail(createError('answer-truncated', 'The connection was reset within the answer.'))
-        return
-      }
-      if (!finish()) return
-      connection.release()
-      sink?.end()
+      // Whether an answer without a length is whole shows only after the events of its connection's end.
+      if (hasLength) endAnswer()
+      else setImmediate(endAnswer)
     },
     onResponseError (_, cause) {
       const kind = isHeadSettled ? 'answer-truncated' : hasBegun ? 'target-broken' : 'target-unreachable'
