--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -9,12 +9,14 @@
 import type { CommandIo } from './command.ts'
 import { runContract } from './contract.ts'
 import { runEntry } from './entry.ts'
+import { runGateway } from './gateway.ts'
 import { runStatus } from './status.ts'
 
 const HELP = `Usage: medlarcove COMMAND [options]
 
 Commands:
   entry      run the daemon of one entry host
+  gateway    run an entry on the users' platform
   contract   check, publish, show or list versions of a contract
   audit      print the audit trail of changes
   status     print what an entry knows: contracts, peers, targets, budgets
@@ -30,6 +32,7 @@
   const [command, ...rest] = args
   switch (command) {
     case 'entry': return runEntry(rest, io)
+    case 'gateway': return runGateway(rest, io)
     case 'contract': return runContract(rest, io)
     case 'audit': return runAudit(rest, io)
     case 'status': return runStatus(rest, io)
@@ -42,7 +45,7 @@
     case 'help':
       io.stdout(HELP)
       return EXIT_CODES.ok
-    case undefined: return printFailure(io, createError('usage', 'Name a command: entry, contract, audit, status or addresses.'), false)
+    case undefined: return printFailure(io, createError('usage', 'Name a command: entry, gateway, contract, audit, status or addresses.'), false)
     default: return printFailure(io, createError('usage', `There is no command "${command}".`), args.includes('--json'))
   }
 }
--- a/src/cli/gateway-main.ts
+++ b/src/cli/gateway-main.ts
@@ -8,7 +8,7 @@
   stderr: (text: string) => { process.stderr.write(text) }
 }
 
-runGateway(io).then(
+runGateway(process.argv.slice(2), io).then(
   (exitCode) => process.exit(exitCode),
   (cause: unknown) => {
     io.stderr(`medlarcove: internal: ${cause instanceof Error ? cause.stack ?? cause.message : String(cause)}\n`)
--- a/src/cli/gateway.ts
+++ b/src/cli/gateway.ts
@@ -1,31 +1,96 @@
 /**
  * The command `gateway`: runs an entry on the users' platform until it is told to stop.
  */
+import { stat } from 'node:fs/promises'
 import { createHostClock } from '../clock.ts'
-import { createError } from '../errors.ts'
+import { createError, describeCause } from '../errors.ts'
 import { BOOT_FILE_VARIABLE, readBootFile } from '../platform/boot-file.ts'
 import { startGateway } from '../process/gateway/gateway.ts'
+import type { Gateway } from '../process/gateway/gateway.ts'
+import { createLogStream } from '../process/log-stream.ts'
 import { createLogger } from '../process/logger.ts'
-import { EXIT_CODES, printFailure } from './command.ts'
+import type { PartLogger } from '../process/logger.ts'
+import { EXIT_CODES, EXIT_CODES_HELP, printFailure } from './command.ts'
 import type { CommandIo } from './command.ts'
 
+const HELP = `Usage: medlarcove gateway
+
+Runs an entry on the users' platform. The variable ${BOOT_FILE_VARIABLE} names its boot file. It logs to standard output,
+reads the boot file again on SIGHUP and when the file changes, and stops gracefully on SIGTERM or SIGINT.
+
+  --check  check the boot file and end
+  --help   print this text
+
+${EXIT_CODES_HELP}`
+
+/** Between two looks at the boot file, which may change without a signal, in ms. */
+const FILE_CHECK_MS = 2_000
+
+/** Reads the boot file again; a bad one is told and the old settings stay. */
+async function reloadSettings (path: string, gateway: Gateway, log: PartLogger): Promise<void> {
+  const settings = await readBootFile(path)
+  if (settings.isOk()) gateway.reload(settings.value)
+  else log.error('The changed settings are wrong; the old ones stay.', { error: settings.error.message })
+}
+
+/** Reads the file's time of change; undefined, with a log line, when the file cannot be seen. */
+async function readChangeTime (path: string, log: PartLogger): Promise<number | undefined> {
+  try {
+    return (await stat(path)).mtimeMs
+  } catch (cause) {
+    log.warn('The settings file cannot be seen; the settings stay.', { error: describeCause(cause) })
+    return undefined
+  }
+}
+
+/** Reloads the settings on SIGHUP and when the file changes. */
+function watchSettings (path: string, gateway: Gateway, log: PartLogger): void {
+  let changedMs: number | undefined
+  const reload = (): void => {
+    reloadSettings(path, gateway, log).catch((cause: unknown) => log.error('Settings could not be read again.', { error: describeCause(cause) }))
+  }
+  const checkFile = async (): Promise<void> => {
+    const seenMs = await readChangeTime(path, log)
+    if (seenMs !== undefined && changedMs !== undefined && seenMs !== changedMs) reload()
+    changedMs = seenMs ?? changedMs
+  }
+  const check = (): void => {
+    checkFile().catch((cause: unknown) => log.error('The settings file could not be checked.', { error: describeCause(cause) }))
+  }
+  process.on('SIGHUP', reload)
+  check()
+  setInterval(check, FILE_CHECK_MS)
+}
+
 /** Runs the command and returns its exit code. */
-export async function runGateway (io: CommandIo): Promise<number> {
+export async function runGateway (args: string[], io: CommandIo): Promise<number> {
+  if (args.includes('--help')) {
+    io.stdout(HELP)
+    return EXIT_CODES.ok
+  }
   const path = process.env[BOOT_FILE_VARIABLE]
   if (!path) return printFailure(io, createError('settings-invalid', `Set ${BOOT_FILE_VARIABLE} to the path of the boot file.`), false)
   const settings = await readBootFile(path)
   if (settings.isErr()) return printFailure(io, settings.error, false)
-  const logger = createLogger({ entry: settings.value.entry, level: 'info' })
+  if (args.includes('--check')) {
+    io.stdout(`${path} is correct.\n`)
+    return EXIT_CODES.ok
+  }
+  const { stream, countDropped, flush } = createLogStream()
+  const logger = createLogger({ entry: settings.value.entry, level: 'info', stream })
   let askedToStop: string | undefined
   let stop: (reason: string) => void = (reason) => { askedToStop = reason }
   process.on('SIGTERM', (signal) => stop(signal))
   process.on('SIGINT', (signal) => stop(signal))
-  process.on('SIGHUP', () => logger.forPart('gateway').info('Settings are read again.'))
-  const gateway = await startGateway({ settings: settings.value, clock: createHostClock(), logger })
+  // Without a handler the signal would end the process before the settings are watched.
+  process.on('SIGHUP', () => undefined)
+  const gateway = await startGateway({ settings: settings.value, clock: createHostClock(), logger, countDroppedLines: countDropped })
   if (gateway.isErr()) return printFailure(io, gateway.error, false)
+  watchSettings(path, gateway.value, logger.forPart('gateway'))
   await new Promise<void>((resolve, reject) => {
     stop = (reason) => { gateway.value.stop(reason).then(resolve, reject) }
     if (askedToStop) stop(askedToStop)
   })
+  flush()
   return EXIT_CODES.ok
 }
--- /dev/null
+++ b/src/process/gateway/gateway-metrics.ts
@@ -0,0 +1,94 @@
+/**
+ * Metrics of a gateway, by prom-client: requests, attempts, looks, targets and the store.
+ */
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+import type { RequestRecord } from '../../request/gateway/request-record.ts'
+import type { ServiceFigures } from './gateway-state.ts'
+
+const MS_PER_SECOND = 1000
+const LATENCY_BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5]
+
+/** What is read at each scrape. */
+export interface GatewayFigures {
+  services: readonly ServiceFigures[]
+  /** Calls to the store since the start. */
+  store: { reads: number, appends: number, failures: number, receivedBytes: number }
+  /** Version of the configuration in force; 0 for none. */
+  version: number
+  isReady: boolean
+  liveEntries: number
+  droppedLogLines: number
+  inProgress: number
+}
+
+/** Metrics of one gateway. */
+export interface GatewayMetrics {
+  recordRequest(record: RequestRecord): void
+  /** Renders everything in the text format of Prometheus. */
+  renderText(figures: GatewayFigures): Promise<{ contentType: string, text: string }>
+}
+
+function createFigureMetrics (registers: Registry[]) {
+  const labelNames = ['service'] as const
+  return {
+    waiting: new Gauge({ name: 'medlarcove_requests_waiting', help: 'Requests waiting for a target.', labelNames, registers }),
+    targets: new Gauge({ name: 'medlarcove_targets', help: 'Targets that may take requests.', labelNames, registers }),
+    looks: new Gauge({ name: 'medlarcove_looks_total', help: 'Looks at health endpoints.', labelNames, registers }),
+    queued: new Gauge({ name: 'medlarcove_queued_total', help: 'Requests that waited for a target.', labelNames, registers }),
+    refused: new Gauge({ name: 'medlarcove_refused_total', help: 'Requests for which no target was found.', labelNames, registers }),
+    repeats: new Gauge({ name: 'medlarcove_repeats_total', help: 'Attempts beyond the first.', labelNames, registers }),
+    storeCalls: new Gauge({ name: 'medlarcove_store_calls_total', help: 'Calls to the store.', labelNames: ['kind'], registers }),
+    storeBytes: new Gauge({ name: 'medlarcove_store_received_bytes_total', help: 'Bytes read from the store.', registers }),
+    version: new Gauge({ name: 'medlarcove_configuration_version', help: 'Version of the configuration in force.', registers }),
+    ready: new Gauge({ name: 'medlarcove_ready', help: '1 while the entry is ready.', registers }),
+    entries: new Gauge({ name: 'medlarcove_live_entries', help: 'Entries that are known to live.', registers }),
+    dropped: new Gauge({ name: 'medlarcove_log_lines_dropped_total', help: 'Log lines dropped because the reader was slow.', registers }),
+    inProgress: new Gauge({ name: 'medlarcove_requests_in_progress', help: 'Requests in progress.', registers })
+  }
+}
+
+function setFigures (metrics: ReturnType<typeof createFigureMetrics>, figures: GatewayFigures): void {
+  for (const { service, waiting, targets, looks, queued, refused, repeats } of figures.services) {
+    metrics.waiting.set({ service }, waiting)
+    metrics.targets.set({ service }, targets)
+    metrics.looks.set({ service }, looks)
+    metrics.queued.set({ service }, queued)
+    metrics.refused.set({ service }, refused)
+    metrics.repeats.set({ service }, repeats)
+  }
+  for (const kind of ['reads', 'appends', 'failures'] as const) metrics.storeCalls.set({ kind }, figures.store[kind])
+  metrics.storeBytes.set(figures.store.receivedBytes)
+  metrics.version.set(figures.version)
+  metrics.ready.set(Number(figures.isReady))
+  metrics.entries.set(figures.liveEntries)
+  metrics.dropped.set(figures.droppedLogLines)
+  metrics.inProgress.set(figures.inProgress)
+}
+
+/** Creates the metrics. */
+export function createGatewayMetrics (): GatewayMetrics {
+  let hasDefaultMetrics = false
+  const register = new Registry()
+  const registers = [register]
+  const requests = new Counter({ name: 'medlarcove_requests_total', help: 'Requests answered, by service, status and error kind.', labelNames: ['service', 'status', 'kind'], registers })
+  const latency = new Histogram({ name: 'medlarcove_request_seconds', help: 'Time from the header of a request to the end of its answer.', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers })
+  const attempts = new Counter({ name: 'medlarcove_attempts_total', help: 'Attempts at targets, by the reason of the choice.', labelNames: ['service', 'by'], registers })
+  const figureMetrics = createFigureMetrics(registers)
+  return {
+    recordRequest (record) {
+      const { service } = record
+      requests.inc({ service, status: String(record.status ?? 'none'), kind: record.error ?? record.end ?? 'none' })
+      latency.observe({ service }, record.tookMs / MS_PER_SECOND)
+      for (const { reason } of record.attempts) attempts.inc({ service, by: reason })
+    },
+    async renderText (figures) {
+      if (!hasDefaultMetrics) {
+        // Observing the event loop costs time, so it begins with the first scrape.
+        collectDefaultMetrics({ register })
+        hasDefaultMetrics = true
+      }
+      setFigures(figureMetrics, figures)
+      return { contentType: register.contentType, text: await register.metrics() }
+    }
+  }
+}
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock } from '../../clock.ts'
-import { createError } from '../../errors.ts'
+import { createError, getErrorAnswer } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
 import { getAttemptId, getDeadlineMs } from '../../platform/wire-names.ts'
 import { watchCaller } from '../../request/caller-presence.ts'
@@ -17,7 +17,9 @@
 import type { Route } from '../../version/configuration.ts'
 import type { PartLogger } from '../logger.ts'
 import { createWorkMeter } from '../placement/work-meter.ts'
+import type { GatewayMetrics } from './gateway-metrics.ts'
 import type { GatewayState, ConfigurationInForce } from './gateway-state.ts'
+import { createRequestLog } from './request-log.ts'
 
 /** Takes requests. */
 export interface GatewayRequests {
@@ -31,6 +33,7 @@
   state: GatewayState
   clock: Clock
   logger: PartLogger
+  metrics: GatewayMetrics
 }
 
 /** Taken off the time that is left, for the answer's way back to the caller, in ms. */
@@ -38,68 +41,92 @@
 const LONGEST_BODY_PAUSE_MS = 5_000
 
 /** Creates the request handling. */
-export function createGatewayRequests ({ state, clock, logger }: GatewayRequestsOptions): GatewayRequests {
+export function createGatewayRequests ({ state, clock, logger, metrics }: GatewayRequestsOptions): GatewayRequests {
+  const log = createRequestLog({ logger, clock })
   const work = createWorkMeter()
   let inProgress = 0
 
-  const refuse = (outgoing: ServerResponse, error: AppError, id?: RequestId): void => {
-    logger.info('Refused a request.', { id, error: error.kind, detail: error.message })
+  /** Refuses a request before it has a route. */
+  const refuseUnrouted = (outgoing: ServerResponse, error: AppError, id?: RequestId): void => {
+    const { status } = getErrorAnswer(error.kind)
+    const version = state.getInForce()?.configuration.version ?? 0
+    log.write({ id: id ?? 'none', route: 'none', service: 'none', version, leftMs: 0, attempts: [], error: error.kind, detail: error.message, status, end: 'whole', tookMs: 0 })
+    sendError(outgoing, error)
+  }
+  const refuse = (call: GatewayCall, outgoing: ServerResponse, error: AppError): void => {
+    const { record } = call
+    record.error = error.kind
+    record.detail = error.message
+    if (call.caller.isGone()) {
+      record.end = 'caller-gone'
+      return
+    }
+    record.status = getErrorAnswer(error.kind).status
+    record.end = 'whole'
     sendError(outgoing, error)
   }
   const createCall = (incoming: IncomingMessage, outgoing: ServerResponse, id: RequestId, route: Route, inForce: ConfigurationInForce, startedAtMs: number): GatewayCall => {
     const deadlineMs = getDeadlineMs(incoming.headers) ?? route.timeoutMs
+    const leftMs = Math.min(route.timeoutMs, Math.max(1, deadlineMs - ANSWER_MARGIN_MS))
+    const service = state.getService(inForce.takeService(route))
+    const { version } = inForce.configuration
     return {
       id,
       route,
-      version: inForce.configuration.version,
-      service: state.getService(inForce.takeService(route)),
+      version,
+      service,
       method: incoming.method ?? 'GET',
       path: incoming.url ?? '/',
       headers: filterRequestHeaders(incoming.headers),
       body: undefined,
       startedAtMs,
-      endsAtMs: startedAtMs + Math.min(route.timeoutMs, Math.max(1, deadlineMs - ANSWER_MARGIN_MS)),
+      endsAtMs: startedAtMs + leftMs,
       caller: watchCaller(outgoing),
       work,
       clock,
-      logger
+      record: { id, route: route.name, service: service.name, version, leftMs, attempts: [], tookMs: 0 }
     }
   }
   const serve = async (call: GatewayCall, outgoing: ServerResponse): Promise<void> => {
     call.service.repeats.add()
     const answer = await runAttempts(call)
     if (answer.isErr()) {
-      if (!call.caller.isGone()) refuse(outgoing, answer.error, call.id)
+      refuse(call, outgoing, answer.error)
       return
     }
     const end = await relayAnswer(answer.value, outgoing)
-    if (end.kind === 'broken') logger.warn('An answer was cut short.', { id: call.id, detail: end.error.message })
+    call.record.status = answer.value.head.status
+    call.record.end = end.kind
+    if (end.kind === 'broken') call.record.detail = end.error.message
+  }
+  const recordEnd = (call: GatewayCall): void => {
+    call.record.tookMs = clock.monotonicMs() - call.startedAtMs
+    log.write(call.record)
+    metrics.recordRequest(call.record)
   }
   const handle = async (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> => {
     const startedAtMs = clock.monotonicMs()
     const inForce = state.getInForce()
     const id = getAttemptId(incoming.headers)
     if (!inForce) {
-      refuse(outgoing, createError('no-configuration', 'This entry has no configuration yet.'), id)
+      refuseUnrouted(outgoing, createError('no-configuration', 'This entry has no configuration yet.'), id)
       return
     }
     const route = inForce.findRoute(incoming.headers.host ?? '', incoming.url ?? '/')
     if (!route) {
-      refuse(outgoing, createError('unknown-route', 'No route matches this host and path.'), id)
+      refuseUnrouted(outgoing, createError('unknown-route', 'No route matches this host and path.'), id)
       return
     }
     if (id === undefined) {
-      refuse(outgoing, createError('attempt-id-missing', 'The request names no attempt.'))
+      refuseUnrouted(outgoing, createError('attempt-id-missing', 'The request names no attempt.'))
       return
     }
     const call = createCall(incoming, outgoing, id, route, inForce, startedAtMs)
     const bounds = { largestBytes: inForce.configuration.limits.largestBodyBytes, longestPauseMs: LONGEST_BODY_PAUSE_MS }
     const body = await readBody(incoming, bounds, clock)
-    if (body.isErr()) {
-      if (!call.caller.isGone()) refuse(outgoing, body.error, id)
-      return
-    }
-    await serve({ ...call, body: body.value }, outgoing)
+    if (body.isErr()) refuse(call, outgoing, body.error)
+    else await serve({ ...call, body: body.value }, outgoing)
+    recordEnd(call)
   }
   return {
     async handleRequest (incoming, outgoing) {
--- a/src/process/gateway/gateway-servers.ts
+++ b/src/process/gateway/gateway-servers.ts
@@ -21,8 +21,12 @@
   listAddresses(): readonly string[]
   /** How long callers may keep the list, in ms. */
   addressLifetimeMs: number
+  renderMetrics(): Promise<{ contentType: string, text: string }>
 }
 
+/** Where metrics are served, under `/metrics`; the deploy file names the same port. */
+export const METRICS_PORT = 9464
+
 /** The listeners. */
 export interface GatewayServers {
   /** Begins to listen. Errors: `settings-invalid` when an address cannot be used. */
@@ -62,6 +66,15 @@
   return app
 }
 
+function createMetricsPath (options: GatewayServersOptions): Hono {
+  const app = new Hono()
+  app.get('/metrics', async (context) => {
+    const { contentType, text } = await options.renderMetrics()
+    return context.body(text, STATUS_OK, { 'content-type': contentType })
+  })
+  return app
+}
+
 /** Creates the listeners; nothing listens before `start`. */
 export function createGatewayServers (options: GatewayServersOptions): GatewayServers {
   const { settings } = options
@@ -73,6 +86,8 @@
   front.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + IDLE_MARGIN_MS
   const ownListener = getRequestListener(createOwnPaths(options).fetch)
   const own = [settings.listen.ready, settings.listen.directory].map((place) => ({ place, server: createServer(ownListener) }))
+  const metricsListener = getRequestListener(createMetricsPath(options).fetch)
+  own.push({ place: { address: settings.address, port: METRICS_PORT }, server: createServer(metricsListener) })
   return {
     async start () {
       for (const { place, server } of [...own, { place: settings.listen.front, server: front }]) {
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -29,6 +29,19 @@
   takeService(route: Route): ServiceId
 }
 
+/** Figures of one service. */
+export interface ServiceFigures {
+  service: string
+  /** Requests waiting for a target, and targets that may take requests, at present. */
+  waiting: number
+  targets: number
+  /** Since the start: looks, requests that waited, requests without a target, attempts beyond the first. */
+  looks: number
+  queued: number
+  refused: number
+  repeats: number
+}
+
 /** What a gateway believes. */
 export interface GatewayState {
   getInForce(): ConfigurationInForce | undefined
@@ -41,6 +54,7 @@
   /** Drops targets whose entries lapsed; call it now and then. */
   removeLapsed(isStoreAway: boolean): void
   hasTargets(): boolean
+  listFigures(): ServiceFigures[]
   close(): void
 }
 
@@ -168,6 +182,13 @@
       for (const target of registry.removeLapsed(nowMs)) logger.info('A target is gone.', { target, because: 'its entry lapsed and did not come back' })
     },
     hasTargets: () => hasTargets,
+    listFigures: () => [...services.values()].map(({ name, placer, repeats }) => ({
+      service: name,
+      waiting: placer.countWaiting(),
+      targets: registry.list(name).filter((target) => !target.isLeaving).length,
+      repeats: repeats.countTaken(),
+      ...placer.report()
+    })),
     close: () => states.close()
   }
 }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -2,28 +2,40 @@
  * An entry on the users' platform: joins the store, the peers, the targets and the listeners, from start to stop.
  */
 import { randomBytes } from 'node:crypto'
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Clock } from '../../clock.ts'
+import type { PeerIdentity } from '../../connection/peer-frames.ts'
 import type { AppError } from '../../errors.ts'
 import type { BootSettings } from '../../platform/boot-file.ts'
 import { createStoreClient, OPERATOR_TOPIC, TARGETS_TOPIC } from '../../platform/store-client.ts'
+import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
-import type { Incarnation, Offset } from '../../types.ts'
+import type { CustomerId, Incarnation, Offset } from '../../types.ts'
 import { createTopicFollower } from '../discovery/topic-follower.ts'
+import type { TopicFollower } from '../discovery/topic-follower.ts'
 import { LAPSE_RETURN_MS } from '../discovery/target-registry.ts'
-import type { Logger } from '../logger.ts'
+import type { Logger, PartLogger } from '../logger.ts'
 import { canServe } from '../membership/address-order.ts'
+import type { PeerMesh } from '../membership/peer-mesh.ts'
 import { createPeerMesh } from '../membership/tcp-peer-mesh.ts'
+import type { TcpPeerMesh } from '../membership/tcp-peer-mesh.ts'
 import { createEntryDirectory } from './entry-directory.ts'
+import type { EntryDirectory } from './entry-directory.ts'
+import { createGatewayMetrics } from './gateway-metrics.ts'
 import { createGatewayRequests } from './gateway-requests.ts'
+import type { GatewayRequests } from './gateway-requests.ts'
 import { createGatewayServers } from './gateway-servers.ts'
+import type { GatewayServers } from './gateway-servers.ts'
 import { createGatewayState } from './gateway-state.ts'
+import type { GatewayState } from './gateway-state.ts'
 
 /** A running gateway. */
 export interface Gateway {
   /** Leaves the addresses, serves until callers have gone elsewhere, and ends. Resolves when the process may exit. */
   stop(reason: string): Promise<void>
+  /** Puts changed settings in force; addresses of listeners stay as they were at the start. */
+  reload(settings: BootSettings): void
 }
 
 /** How to start a gateway. */
@@ -32,102 +44,203 @@
   clock: Clock
   logger: Logger
   random?: () => number
+  /** Returns how many log lines were dropped, for the metrics. */
+  countDroppedLines?(): number
 }
 
 /** How long callers may keep an address answer, in ms; some keep it three times as long, and a stop must outlast that. */
 const ADDRESS_LIFETIME_MS = 1_000
 const KEPT_LONGER_FACTOR = 3
+/** How long the store may hold back a read of the configuration, in ms: a dead connection is noticed that much later. */
 const CONFIGURATION_WAIT_MS = 1_400
+/** Between two reads of the targets, in ms: a leaving target must be known within the drain bound. */
 const TARGETS_PAUSE_MS = 600
 const UPKEEP_MS = 100
 /** The process ends this long before it would be killed, in ms. */
 const KILL_MARGIN_MS = 500
-/** The most entries that may be alive at once; budgets over all entries are divided by it. */
+const STOP_POLL_MS = 50
+/** The most entries that may be alive at once; what is saved up of a budget over all entries is divided by it. */
 const MOST_ENTRIES = 10
-/** The share of the looks and repeats allowed over all entries that is used. */
+/** The share of the looks and saved repeats allowed over all entries that is used. */
 const USED_SHARE = 0.8
-/** Some callers' requests at an entry count for a window that ends earlier there, so not all of the share is used. */
+/** Requests at an entry may count for another window than their repeats, so not all of the share is used. */
 const USED_REPEAT_SHARE = 0.9
 const MOST_CONNECTIONS_TO_TARGET = 24
+const PEER_TIMING = { heartbeatMs: 200, silentAfterMs: 600 }
+/** Peers name the owner of a service; on the platform all services have one owner. */
+const SERVICE_OWNER = toBrand<CustomerId>('platform')
 
-/** Starts a gateway. Errors: `settings-invalid` when it cannot listen. */
-export async function startGateway (options: GatewayOptions): Promise<Result<Gateway, AppError>> {
-  const { settings, clock, random = Math.random } = options
-  const log = options.logger.forPart('gateway')
-  const incarnation = toBrand<Incarnation>(`${Date.now().toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
-  const self = { id: settings.entry, incarnation, zone: settings.zone, address: settings.address, port: settings.listen.front.port, peerPort: settings.internalPorts[0] }
-  const store = createStoreClient({ store: settings.store, clock })
-  const directory = createEntryDirectory({ self, store, clock, logger: options.logger.forPart('directory') })
-  const mesh = createPeerMesh({ self, peerKey: `medlarcove ${settings.store.address}:${settings.store.port}`, hostList: directory, clock, logger: options.logger.forPart('peers'), timing: { heartbeatMs: 200, silentAfterMs: 600 } })
-  let isStopping = false
+interface GatewayParts {
+  settings: BootSettings
+  clock: Clock
+  random: () => number
+  logger: Logger
+  log: PartLogger
+  incarnation: Incarnation
+  store: StoreClient
+  directory: EntryDirectory
+  mesh: TcpPeerMesh
+  state: GatewayState
+  requests: GatewayRequests
+  configurationFollower: TopicFollower
+  targetsFollower: TopicFollower
+  servers: GatewayServers
+  isStopping: boolean
+}
+
+type PartsBase = Pick<GatewayParts, 'settings' | 'clock' | 'random' | 'logger' | 'log' | 'incarnation' | 'isStopping'>
 
+function createSelf ({ settings, incarnation }: PartsBase): PeerIdentity {
+  return {
+    id: settings.entry,
+    incarnation,
+    zone: settings.zone,
+    address: settings.address,
+    port: settings.listen.front.port,
+    peerPort: settings.internalPorts[0]
+  }
+}
+
+function createState (base: PartsBase, mesh: PeerMesh): GatewayState {
+  const { clock, random, log, settings } = base
   const state = createGatewayState({
     zone: settings.zone,
     clock,
     random,
     logger: log,
     repeats: { share: settings.repeats.share * USED_REPEAT_SHARE, largest: Math.floor(settings.repeats.slack * USED_SHARE / MOST_ENTRIES) },
-    getLooksPerSecond: () => settings.looksPerSecond * USED_SHARE / Math.max(1, mesh.listLiveEntries().length),
+    getLooksPerSecond: () => base.settings.looksPerSecond * USED_SHARE / Math.max(1, mesh.listLiveEntries().length),
     largestConnections: MOST_CONNECTIONS_TO_TARGET,
     handleVersion: (version) => mesh.setContractOffset(toBrand<Offset>(version)),
-    handleLeaving: () => undefined
+    handleLeaving: (service, target) => mesh.broadcast({ type: 'target-leaving', customer: SERVICE_OWNER, service, target })
+  })
+  mesh.watchMessages((_, message) => {
+    if (message.type === 'target-leaving') state.markLeaving(message.target)
   })
-  const requests = createGatewayRequests({ state, clock, logger: options.logger.forPart('request') })
+  return state
+}
+
+function createFollowers (base: PartsBase, store: StoreClient, state: GatewayState) {
+  const { clock, random } = base
+  const shared = { store, clock, random, logger: base.logger.forPart('store') }
   const configurationFollower = createTopicFollower({
-    topic: OPERATOR_TOPIC, store, clock, random, logger: options.logger.forPart('store'), waitMs: CONFIGURATION_WAIT_MS, pauseMs: 0,
+    ...shared,
+    topic: OPERATOR_TOPIC,
+    waitMs: CONFIGURATION_WAIT_MS,
+    pauseMs: 0,
     applyRecords: (records) => state.applyConfigurationRecords(records)
   })
-  const targetsFollower = createTopicFollower({
-    topic: TARGETS_TOPIC, store, clock, random, logger: options.logger.forPart('store'), waitMs: 0, pauseMs: TARGETS_PAUSE_MS,
+  const targetsFollower: TopicFollower = createTopicFollower({
+    ...shared,
+    topic: TARGETS_TOPIC,
+    waitMs: 0,
+    pauseMs: TARGETS_PAUSE_MS,
     applyRecords (records, isWhole) {
       const { outageEndedAtMs } = targetsFollower.getStatus()
       state.applyTargetRecords(records, isWhole, clock.monotonicMs() - outageEndedAtMs < LAPSE_RETURN_MS)
     }
   })
-  const isReady = (): boolean => !isStopping && state.getInForce() !== undefined && state.hasTargets()
-  const listAddresses = (): string[] => mesh.listPeers()
-    .filter((peer) => peer.isSelf ? isReady() : canServe(peer))
-    .map((peer) => `${peer.address}:${peer.port}`)
-  const servers = createGatewayServers({
-    settings,
-    isReady,
-    listAddresses,
-    addressLifetimeMs: ADDRESS_LIFETIME_MS,
-    handleRequest: (incoming, outgoing) => { requests.handleRequest(incoming, outgoing).catch(() => outgoing.destroy()) }
+  return { configurationFollower, targetsFollower }
+}
+
+function isReady ({ isStopping, state }: Pick<GatewayParts, 'isStopping' | 'state'>): boolean {
+  return !isStopping && state.getInForce() !== undefined && state.hasTargets()
+}
+
+/** Lists the addresses of the entries that take requests. */
+function listAddresses (parts: Pick<GatewayParts, 'isStopping' | 'state' | 'mesh'>): string[] {
+  const usable = parts.mesh.listPeers().filter((peer) => peer.isSelf ? isReady(parts) : canServe(peer))
+  return usable.map((peer) => `${peer.address}:${peer.port}`)
+}
+
+function createParts (options: GatewayOptions): GatewayParts {
+  const { settings, clock, logger, random = Math.random, countDroppedLines = () => 0 } = options
+  const incarnation = toBrand<Incarnation>(`${clock.wallMs().toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
+  const base: PartsBase = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, isStopping: false }
+  const self = createSelf(base)
+  const store = createStoreClient({ store: settings.store, clock })
+  const directory = createEntryDirectory({ self, store, clock, logger: logger.forPart('directory') })
+  const peerKey = `medlarcove ${settings.store.address}:${settings.store.port}`
+  const mesh = createPeerMesh({ self, peerKey, hostList: directory, clock, logger: logger.forPart('peers'), timing: PEER_TIMING })
+  const state = createState(base, mesh)
+  const metrics = createGatewayMetrics()
+  const requests = createGatewayRequests({ state, clock, logger: logger.forPart('request'), metrics })
+  const parts: GatewayParts = Object.assign(base, {
+    store,
+    directory,
+    mesh,
+    state,
+    requests,
+    ...createFollowers(base, store, state),
+    servers: createGatewayServers({
+      settings,
+      isReady: () => isReady(parts),
+      listAddresses: () => listAddresses(parts),
+      addressLifetimeMs: ADDRESS_LIFETIME_MS,
+      handleRequest: (incoming, outgoing) => { requests.handleRequest(incoming, outgoing).catch(() => outgoing.destroy()) },
+      renderMetrics: () => metrics.renderText({
+        services: state.listFigures(),
+        store: store.report(),
+        version: state.getInForce()?.configuration.version ?? 0,
+        isReady: isReady(parts),
+        liveEntries: mesh.listLiveEntries().length,
+        droppedLogLines: countDroppedLines(),
+        inProgress: requests.countInProgress()
+      })
+    })
   })
-  const upkeep = setInterval(() => state.removeLapsed(targetsFollower.getStatus().failingSinceMs !== undefined), UPKEEP_MS)
+  return parts
+}
 
-  configurationFollower.start()
-  targetsFollower.start()
-  directory.start()
-  const joined = await mesh.start()
-  if (joined.isErr()) return joined.map(() => ({ stop: async () => undefined }))
-  const listening = await servers.start()
-  if (listening.isErr()) return listening.map(() => ({ stop: async () => undefined }))
-  log.info('Started.', { entry: settings.entry, zone: settings.zone, incarnation })
+/** Serves until callers have gone to other entries and no request is left, but no longer than the platform allows. */
+async function waitForCallers ({ clock, settings, requests }: GatewayParts): Promise<void> {
+  const startedAtMs = clock.monotonicMs()
+  const lastAtMs = startedAtMs + settings.graceMs - KILL_MARGIN_MS
+  const callersGoneAtMs = startedAtMs + ADDRESS_LIFETIME_MS * KEPT_LONGER_FACTOR + UPKEEP_MS
+  for (;;) {
+    const nowMs = clock.monotonicMs()
+    if (nowMs >= lastAtMs || (nowMs >= callersGoneAtMs && requests.countInProgress() === 0)) return
+    await clock.wait(STOP_POLL_MS)
+  }
+}
+
+async function stopParts (parts: GatewayParts, reason: string): Promise<void> {
+  const { clock, log, mesh, servers, requests } = parts
+  const startedAtMs = clock.monotonicMs()
+  log.info('Stopping.', { reason, inProgress: requests.countInProgress() })
+  mesh.markLeaving()
+  servers.closeAfterAnswers()
+  await waitForCallers(parts)
+  servers.close()
+  parts.configurationFollower.close()
+  parts.targetsFollower.close()
+  parts.directory.close()
+  log.info('Stopped.', { reason, inProgress: requests.countInProgress(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) })
+}
 
+/** Starts a gateway. Errors: `settings-invalid` when it cannot listen. */
+export async function startGateway (options: GatewayOptions): Promise<Result<Gateway, AppError>> {
+  const parts = createParts(options)
+  const { log, settings, state, targetsFollower } = parts
+  parts.configurationFollower.start()
+  targetsFollower.start()
+  parts.directory.start()
+  const joined = await parts.mesh.start()
+  if (joined.isErr()) return err(joined.error)
+  const listening = await parts.servers.start()
+  if (listening.isErr()) return err(listening.error)
+  const upkeep = setInterval(() => state.removeLapsed(targetsFollower.getStatus().failingSinceMs !== undefined), UPKEEP_MS)
+  log.info('Started.', { entry: settings.entry, zone: settings.zone, incarnation: parts.incarnation })
   return ok({
     async stop (reason) {
-      if (isStopping) return
-      isStopping = true
-      const startedAtMs = clock.monotonicMs()
-      const lastAtMs = startedAtMs + settings.graceMs - KILL_MARGIN_MS
-      const earliestAtMs = startedAtMs + Math.min(settings.graceMs - KILL_MARGIN_MS, ADDRESS_LIFETIME_MS * KEPT_LONGER_FACTOR + UPKEEP_MS)
-      log.info('Stopping.', { reason, inProgress: requests.countInProgress() })
-      mesh.markLeaving()
-      servers.closeAfterAnswers()
-      for (;;) {
-        const nowMs = clock.monotonicMs()
-        const isIdle = requests.countInProgress() === 0
-        if (nowMs >= lastAtMs || (nowMs >= earliestAtMs && isIdle)) break
-        await clock.wait(UPKEEP_MS / 2)
-      }
-      servers.close()
-      configurationFollower.close()
-      targetsFollower.close()
-      directory.close()
+      if (parts.isStopping) return
+      parts.isStopping = true
+      await stopParts(parts, reason)
       clearInterval(upkeep)
-      log.info('Stopped.', { reason, inProgress: requests.countInProgress(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) })
+    },
+    reload (next) {
+      parts.settings = next
+      log.info('Settings were read again.', { drainMs: next.drainMs, graceMs: next.graceMs, looksPerSecond: next.looksPerSecond })
     }
   })
 }
--- a/src/request/gateway/gateway-call.ts
+++ b/src/request/gateway/gateway-call.ts
@@ -4,10 +4,10 @@
 import type { RatioBudget } from '../balancing/ratio-budget.ts'
 import type { CallerPresence } from '../caller-presence.ts'
 import type { Clock } from '../../clock.ts'
-import type { PartLogger } from '../../process/logger.ts'
 import type { ServicePlacer } from '../../process/placement/service-placer.ts'
 import type { WorkMeter } from '../../process/placement/work-meter.ts'
 import type { TargetState } from '../../process/placement/target-states.ts'
+import type { RequestRecord } from './request-record.ts'
 import type { RequestId, ServiceId } from '../../types.ts'
 import type { ConfigurationVersion, Route } from '../../version/configuration.ts'
 
@@ -38,5 +38,6 @@
   caller: CallerPresence
   work: WorkMeter
   clock: Clock
-  logger: PartLogger
+  /** Filled in as the request goes, for its log line. */
+  record: RequestRecord
 }
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -11,6 +11,7 @@
 import type { AnswerHead, Exchange } from '../exchange.ts'
 import { addAttemptHeaders } from './gateway-headers.ts'
 import type { GatewayCall } from './gateway-call.ts'
+import type { AttemptRecord } from './request-record.ts'
 
 /** How an attempt ended, up to the head of its answer. */
 export type AttemptOutcome =
@@ -54,6 +55,18 @@
   const { id } = state.registered.report
   const startedAtMs = clock.monotonicMs()
   const slowdown = state.report?.slowdown ?? 1
+  const record: AttemptRecord = {
+    target: id,
+    reason: placement.reason,
+    waitedMs: placement.waitedMs,
+    expectedMs: placement.expectedMs,
+    load: state.report,
+    loadAgeMs: startedAtMs - state.reportAtMs,
+    startedMs: startedAtMs - call.startedAtMs,
+    end: 'pending',
+    status: undefined
+  }
+  call.record.attempts.push(record)
   let isReleased = false
   let isCancelled = false
   const release = (head?: AnswerHead): void => {
@@ -64,6 +77,7 @@
   const connection = state.pool.takeConnection({ needsProof: !isIdempotent(route.kind) })
   if (!connection) {
     release()
+    record.end = 'no connection left'
     const error = createError('target-unreachable', 'All connections to the target are taken.')
     return { placement, outcome: Promise.resolve({ kind: 'unsent', error }), exchange: undefined, cancel: () => undefined }
   }
@@ -81,6 +95,8 @@
   const handleHead = (head: AnswerHead): AttemptOutcome => {
     release(head)
     const outcome = toOutcome(head)
+    record.end = outcome.kind
+    record.status = head.status
     if (isMisdirected(head.status, head.headers)) service.handleLeaving(state, 'another target refused the request at its address')
     service.placer.recordEnd(state, outcome.kind === 'answered' ? 'answered' : 'failed')
     if (outcome.kind === 'answered') {
@@ -94,7 +110,9 @@
     if (head.isOk()) return handleHead(head.value)
     release()
     if (!isCancelled && !call.caller.isGone()) service.placer.recordEnd(state, exchange.wasSent() ? 'broken' : 'unreachable')
-    return { kind: exchange.wasSent() ? 'broken' : 'unsent', error: head.error }
+    const kind = exchange.wasSent() ? 'broken' : 'unsent'
+    record.end = isCancelled ? 'cancelled' : `${kind}: ${head.error.message}`
+    return { kind, error: head.error }
   }
   return {
     placement,
