--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs'
 import neostandard, { plugins } from 'neostandard'
 
-const ignores = ['dist/**', '.work/**']
+const ignores = ['dist/**', '.work/**', 'target/**', 'journal/**']
 const typescriptFiles = ['**/*.ts']
 const MAX_FILE_LINES = 400
 const MAX_OWN_LINES = 60
--- a/eslint.format.config.js
+++ b/eslint.format.config.js
@@ -1,7 +1,7 @@
 // Formatter: only the layout rules of Standard style. `npm run format` applies them.
 import neostandard from 'neostandard'
 
-const ignores = ['dist/**', '.work/**']
+const ignores = ['dist/**', '.work/**', 'target/**', 'journal/**']
 
 function keepLayoutRules (config) {
   if (!config.rules) return config
--- a/src/connection/send-look.ts
+++ b/src/connection/send-look.ts
@@ -39,7 +39,7 @@
 }
 
 /** Lets the rest of an answer pass, so that the connection can be used again; resolves false when it broke. */
-function drainAnswer (exchange: Exchange): Promise<boolean> {
+function finishAnswer (exchange: Exchange): Promise<boolean> {
   return new Promise((resolve) => {
     exchange.pipe({ write: () => true, end: () => resolve(true), fail: () => resolve(false) })
   })
@@ -69,7 +69,7 @@
   const exchange = startExchange(connection, request, clock)
   const head = await exchange.head
   if (head.isErr()) return { kind: exchange.wasSent() ? 'silent' : 'unreachable' }
-  const isWhole = await drainAnswer(exchange)
+  const isWhole = await finishAnswer(exchange)
   // The connection is back in its pool only once the chunk that ended the answer has been parsed.
   await setImmediate()
   return isWhole ? toResult(target, head.value) : { kind: 'silent' }
--- a/src/process/log-stream.ts
+++ b/src/process/log-stream.ts
@@ -6,7 +6,7 @@
 
 /** The most that waits for the reader, in bytes. */
 const LARGEST_BUFFERED_BYTES = 1_048_576
-const FLUSH_BYTES = 16_384
+const FLUSH_BYTES = 4_096
 const STANDARD_OUTPUT = 1
 /** Lines reach the reader after this long at the latest, in ms. */
 const FLUSH_MS = 100
--- a/src/request/gateway/run-attempts.ts
+++ b/src/request/gateway/run-attempts.ts
@@ -67,17 +67,17 @@
 /** Hands events over one at a time. */
 function createEventQueue () {
   const events: AttemptEvent[] = []
-  let wake: () => void = () => undefined
+  let resumeTaking: () => void = () => undefined
   return {
     add (event: AttemptEvent): void {
       events.push(event)
-      wake()
+      resumeTaking()
     },
     async take (): Promise<AttemptEvent> {
       for (;;) {
         const event = events.shift()
         if (event) return event
-        await new Promise<void>((resolve) => { wake = resolve })
+        await new Promise<void>((resolve) => { resumeTaking = resolve })
       }
     }
   }
@@ -154,25 +154,33 @@
     return createError('target-broken', 'The target failed.')
   }
 
-  startInBackground()
-  for (;;) {
-    const event = await events.take()
+  const handleOutcome = (attempt: TargetAttempt, outcome: AttemptOutcome): Result<BegunAnswer, AppError> | undefined => {
+    if (outcome.kind === 'answered') return finish(ok({ attempt, head: outcome.head }))
+    const error = recordOutcome(attempt, outcome)
+    if (running.size > 0 || placing > 0) return undefined
+    if (!canRepeat(outcome, isRepeatable) || !canSendAgain()) return finishFailed(error)
+    startInBackground()
+    return undefined
+  }
+  const handleLate = (): void => {
+    const isOnlyAttempt = running.size === 1 && placing === 0
+    if (isOnlyAttempt && service.placer.countWaiting() === 0 && canSendAgain()) startInBackground()
+  }
+  /** Returns the end of the request once it is known. */
+  const handleEvent = (event: AttemptEvent): Result<BegunAnswer, AppError> | undefined => {
     switch (event.type) {
       case 'end': return finishAtEnd()
+      case 'outcome': return handleOutcome(event.attempt, event.outcome)
+      case 'unplaced': return running.size === 0 && placing === 0 ? finishFailed(event.error) : undefined
       case 'late':
-        if (running.size === 1 && placing === 0 && service.placer.countWaiting() === 0 && canSendAgain()) startInBackground()
-        break
-      case 'unplaced':
-        if (running.size === 0 && placing === 0) return finishFailed(event.error)
-        break
-      case 'outcome': {
-        const { attempt, outcome } = event
-        if (outcome.kind === 'answered') return finish(ok({ attempt, head: outcome.head }))
-        const error = recordOutcome(attempt, outcome)
-        if (running.size > 0 || placing > 0) break
-        if (!canRepeat(outcome, isRepeatable) || !canSendAgain()) return finishFailed(error)
-        startInBackground()
-      }
+        handleLate()
+        return undefined
     }
   }
+
+  startInBackground()
+  for (;;) {
+    const result = handleEvent(await events.take())
+    if (result) return result
+  }
 }
