--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -41,7 +41,9 @@
       Pool: 'undici/lib/dispatcher/pool.js',
       buildConnector: 'undici/lib/core/connect.js'
     }
-    const contents = Object.entries(parts).map(([name, path]) => `exports.${name} = require('${path}')`).join('\n')
+    const exported = Object.entries(parts).map(([name, path]) => `exports.${name} = require('${path}')`)
+    const methods = "Object.assign(require('undici/lib/dispatcher/dispatcher.js').prototype, require('undici/lib/api/index.js'))"
+    const contents = [...exported, methods].join('\n')
     build.onResolve({ filter: /^undici$/ }, () => ({ path: 'undici', namespace: 'parts' }))
     build.onLoad({ filter: /.*/, namespace: 'parts' }, () => ({ contents, resolveDir: process.cwd() }))
     build.onLoad({ filter: /zod\/v4\/locales\/[\w-]+\.js$/ }, ({ path }) => {
