--- a/src/process/gateway/gateway-servers.ts
+++ b/src/process/gateway/gateway-servers.ts
@@ -22,6 +22,7 @@
   /** How long callers may keep the list, in ms. */
   addressLifetimeMs: number
   renderMetrics(): Promise<{ contentType: string, text: string }>
+  metricsPort: number
 }
 
 /** Where metrics are served, under `/metrics`; the deploy file names the same port. */
@@ -87,7 +88,7 @@
   const ownListener = getRequestListener(createOwnPaths(options).fetch)
   const own = [settings.listen.ready, settings.listen.directory].map((place) => ({ place, server: createServer(ownListener) }))
   const metricsListener = getRequestListener(createMetricsPath(options).fetch)
-  own.push({ place: { address: settings.address, port: METRICS_PORT }, server: createServer(metricsListener) })
+  own.push({ place: { address: settings.address, port: options.metricsPort }, server: createServer(metricsListener) })
   return {
     async start () {
       for (const { place, server } of [...own, { place: settings.listen.front, server: front }]) {
@@ -100,9 +101,10 @@
     setIdleTimeout (idleTimeoutMs) { front.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS },
     countConnections: () => new Promise((resolve) => { front.getConnections((_, count) => resolve(count)) }),
     close () {
-      for (const { server } of own) server.close()
-      front.close()
-      front.closeIdleConnections()
+      for (const server of [front, ...own.map((each) => each.server)]) {
+        server.close()
+        server.closeAllConnections()
+      }
     }
   }
 }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -25,7 +25,7 @@
 import { createGatewayMetrics } from './gateway-metrics.ts'
 import { createGatewayRequests } from './gateway-requests.ts'
 import type { GatewayRequests } from './gateway-requests.ts'
-import { createGatewayServers } from './gateway-servers.ts'
+import { createGatewayServers, METRICS_PORT } from './gateway-servers.ts'
 import type { GatewayServers } from './gateway-servers.ts'
 import { createGatewayState } from './gateway-state.ts'
 import type { GatewayState } from './gateway-state.ts'
@@ -34,6 +34,8 @@
 export interface Gateway {
   /** Leaves the addresses, serves until callers have gone elsewhere, and ends. Resolves when the process may exit. */
   stop(reason: string): Promise<void>
+  /** Ends at once, without waiting for callers. */
+  close(): Promise<void>
   /** Puts changed settings in force; addresses of listeners stay as they were at the start. */
   reload(settings: BootSettings): void
 }
@@ -46,6 +48,8 @@
   random?: () => number
   /** Returns how many log lines were dropped, for the metrics. */
   countDroppedLines?(): number
+  /** Port of the metrics; `METRICS_PORT` when left out. */
+  metricsPort?: number
 }
 
 /** How long callers may keep an address answer, in ms; some keep it three times as long, and a stop must outlast that. */
@@ -177,6 +181,7 @@
       isReady: () => isReady(parts),
       listAddresses: () => listAddresses(parts),
       addressLifetimeMs: ADDRESS_LIFETIME_MS,
+      metricsPort: options.metricsPort ?? METRICS_PORT,
       handleRequest: (incoming, outgoing) => { requests.handleRequest(incoming, outgoing).catch(() => outgoing.destroy()) },
       renderMetrics: () => metrics.renderText({
         services: state.listFigures(),
@@ -211,11 +216,18 @@
   mesh.markLeaving()
   servers.closeAfterAnswers()
   await waitForCallers(parts)
-  servers.close()
+  log.info('Stopped.', { reason, inProgress: requests.countInProgress(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) })
+}
+
+/** Closes everything that the gateway holds open. */
+async function closeParts (parts: GatewayParts): Promise<void> {
+  parts.servers.close()
   parts.configurationFollower.close()
   parts.targetsFollower.close()
   parts.directory.close()
-  log.info('Stopped.', { reason, inProgress: requests.countInProgress(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) })
+  parts.state.close()
+  await parts.mesh.close()
+  await parts.store.close()
 }
 
 /** Starts a gateway. Errors: `settings-invalid` when it cannot listen. */
@@ -231,13 +243,18 @@
   if (listening.isErr()) return err(listening.error)
   const upkeep = setInterval(() => state.removeLapsed(targetsFollower.getStatus().failingSinceMs !== undefined), UPKEEP_MS)
   log.info('Started.', { entry: settings.entry, zone: settings.zone, incarnation: parts.incarnation })
+  const close = async (): Promise<void> => {
+    clearInterval(upkeep)
+    await closeParts(parts)
+  }
   return ok({
     async stop (reason) {
       if (parts.isStopping) return
       parts.isStopping = true
       await stopParts(parts, reason)
-      clearInterval(upkeep)
+      await close()
     },
+    close,
     reload (next) {
       parts.settings = next
       log.info('Settings were read again.', { drainMs: next.drainMs, graceMs: next.graceMs, looksPerSecond: next.looksPerSecond })
--- a/src/process/placement/service-placer.ts
+++ b/src/process/placement/service-placer.ts
@@ -5,7 +5,6 @@
  */
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import type { Clock } from '../../clock.ts'
 import { createError } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
 import type { LoadReport } from '../../request/placement/load-report.ts'
@@ -14,9 +13,8 @@
 import type { QueueOrder } from '../../request/placement/waiting-queue.ts'
 import type { ServiceId, TargetId, ZoneId } from '../../types.ts'
 import type { TargetRegistry } from '../discovery/target-registry.ts'
-import type { PartLogger } from '../logger.ts'
 import { createTargetLooks, getBetter } from './target-looks.ts'
-import type { RequestEnd, Sighting } from './target-looks.ts'
+import type { RequestEnd, Sighting, TargetLooksOptions } from './target-looks.ts'
 import type { TargetState, TargetStates } from './target-states.ts'
 
 /** A request that looks for a target. */
@@ -56,20 +54,12 @@
 }
 
 /** How to create a placer. */
-export interface ServicePlacerOptions {
+export interface ServicePlacerOptions extends TargetLooksOptions {
   service: ServiceId
   zone: ZoneId
   registry: TargetRegistry
   states: TargetStates
-  clock: Clock
   random: () => number
-  logger: PartLogger
-  /** Returns how many looks this process may take at one target, a second. */
-  getLooksPerSecond(): number
-  /** Returns the path of the health endpoint in the configuration in force. */
-  getHealthPath(): string | undefined
-  /** Told when a look shows that a target has been replaced. */
-  handleLeaving(state: TargetState, evidence: string): void
 }
 
 /** Looks at once, in each round of a search. */
--- a/src/process/placement/target-looks.ts
+++ b/src/process/placement/target-looks.ts
@@ -26,6 +26,8 @@
   getHealthPath(): string | undefined
   /** Told when a look shows that a target has been replaced. */
   handleLeaving(state: TargetState, evidence: string): void
+  /** Sends one look; tests pass one that needs no network. */
+  lookAt?: typeof sendLook
 }
 
 /** Looks at the targets of one service. */
@@ -69,7 +71,7 @@
 
 /** Creates the looks of one service. */
 export function createTargetLooks (options: TargetLooksOptions): TargetLooks {
-  const { clock, logger } = options
+  const { clock, logger, lookAt = sendLook } = options
   let tellsLoad: boolean | undefined
   let lookCount = 0
 
@@ -147,7 +149,7 @@
     state.looking += 1
     const sentBefore = state.sent
     const { id, address, port } = state.registered.report
-    const result = await sendLook(connection, { target: id, host: `${address}:${port}`, path, timeoutMs: LOOK_TIMEOUT_MS, clock })
+    const result = await lookAt(connection, { target: id, host: `${address}:${port}`, path, timeoutMs: LOOK_TIMEOUT_MS, clock })
     state.looking -= 1
     applyLook(state, result, sentBefore)
     if (result.kind !== 'load' && result.kind !== 'healthy') return undefined
--- a/src/process/placement/target-states.ts
+++ b/src/process/placement/target-states.ts
@@ -48,14 +48,17 @@
   clock: Clock
   /** The most connections of this process to one target. */
   largestConnections: number
+  /** Creates the connections to a target; tests pass one that needs no network. */
+  createPool?: typeof createTargetPool
 }
 
 /** Creates the states. */
-export function createTargetStates ({ clock, largestConnections }: TargetStatesOptions): TargetStates {
+export function createTargetStates (options: TargetStatesOptions): TargetStates {
+  const { clock, largestConnections, createPool = createTargetPool } = options
   const states = new Map<TargetId, TargetState>()
   const create = (registered: RegisteredTarget): TargetState => ({
     registered,
-    pool: createTargetPool({ target: registered.report, largestConnections, clock }),
+    pool: createPool({ target: registered.report, largestConnections, clock }),
     inFlight: 0,
     looking: 0,
     sent: 0,
--- /dev/null
+++ b/test/gateway.test.ts
@@ -0,0 +1,217 @@
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { afterEach, expect, test } from 'vitest'
+import { createHostClock } from '../src/clock.ts'
+import { startGateway } from '../src/process/gateway/gateway.ts'
+import { startPlatformStore } from '../stand-ins/platform-store.ts'
+import { answerWhole, buildSettings, createListLogger, describeConfiguration, describeTarget, HOST, sendRaw, startFakeTarget, startGatewaySystem } from './support/gateway-system.ts'
+import type { FakeTarget, GatewaySystem } from './support/gateway-system.ts'
+
+const systems: GatewaySystem[] = []
+
+afterEach(async () => { for (const system of systems.splice(0)) await system.close() })
+
+async function setup (targets: FakeTarget[], changes: Parameters<typeof startGatewaySystem>[1] = {}): Promise<GatewaySystem> {
+  const system = await startGatewaySystem(targets, changes)
+  systems.push(system)
+  return system
+}
+
+let attempts = 0
+
+/** Sends one request on a connection of its own and returns the raw answer. */
+async function send (system: GatewaySystem, path: string, options: { method?: string, id?: string, deadlineMs?: number, waitMs?: number } = {}) {
+  const { method = 'GET', id = `attempt-${++attempts}`, deadlineMs = 1_500, waitMs = 3_000 } = options
+  const text = `${method} ${path} HTTP/1.1\r\nHost: ${HOST}\r\nMedlarcove-Attempt-Id: ${id}\r\nMedlarcove-Deadline-Ms: ${deadlineMs}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`
+  const answer = await sendRaw(system.settings.listen.front.port, text, waitMs)
+  return { id, status: Number(answer.text.slice(9, 12)), ...answer }
+}
+
+async function waitFor (isDone: () => boolean | Promise<boolean>): Promise<void> {
+  while (!await isDone()) await new Promise((resolve) => setTimeout(resolve, 10))
+}
+
+test('a request reaches a target with its id, the target named and the time that is left', async () => {
+  const headers: Record<string, unknown>[] = []
+  const target = await startFakeTarget('i-1', (self, incoming, outgoing) => {
+    headers.push(incoming.headers)
+    answerWhole(self, incoming, outgoing)
+  })
+  const system = await setup([target])
+  const answer = await send(system, '/safe/a?b=1')
+  expect(answer.status).toBe(200)
+  expect(answer.text).toContain('medlarcove-response-signature: i-1')
+  expect(headers[0]).toMatchObject({ host: HOST, 'medlarcove-attempt-id': answer.id, 'medlarcove-target-instance': 'i-1' })
+  expect(Number(headers[0]?.['medlarcove-deadline-ms'])).toBeLessThanOrEqual(1_500)
+})
+
+test('a path without a route gets 404, and a request without an id gets 400', async () => {
+  const system = await setup([await startFakeTarget('i-1')])
+  expect((await send(system, '/nowhere/a')).status).toBe(404)
+  const anonymous = await sendRaw(system.settings.listen.front.port, `GET /safe/a HTTP/1.1\r\nHost: ${HOST}\r\nConnection: close\r\n\r\n`)
+  expect(anonymous.text.slice(9, 12)).toBe('400')
+})
+
+test('an unsafe request whose connection breaks runs once and is never told as not run', async () => {
+  const breakOff = (_: FakeTarget, incoming: { socket: { destroy(): void } }): void => { incoming.socket.destroy() }
+  const targets = [await startFakeTarget('i-1', breakOff), await startFakeTarget('i-2', breakOff)]
+  const system = await setup(targets)
+  const answer = await send(system, '/unsafe/a', { method: 'POST' })
+  expect(answer.status).toBe(502)
+  expect(targets.flatMap(({ seen }) => seen)).toEqual([answer.id])
+})
+
+test('a safe request whose connection breaks is sent to another target', async () => {
+  const broken = await startFakeTarget('i-1', (_, incoming) => { incoming.socket.destroy() })
+  const whole = await startFakeTarget('i-2')
+  const system = await setup([broken, whole])
+  const statuses: number[] = []
+  for (let round = 0; round < 6; round++) statuses.push((await send(system, '/safe/a')).status)
+  expect(statuses.filter((status) => status === 200).length).toBeGreaterThanOrEqual(5)
+})
+
+test('an unsafe request that a target refused unrun goes to another target, and is told as not run when all refuse', async () => {
+  const refuse = (_: FakeTarget, __: unknown, outgoing: { writeHead(status: number, headers: Record<string, string>): { end(): void } }): void => {
+    outgoing.writeHead(503, { 'medlarcove-not-executed': '1' }).end()
+  }
+  const system = await setup([await startFakeTarget('i-1', refuse), await startFakeTarget('i-2', refuse)])
+  const answer = await send(system, '/unsafe/a', { method: 'POST' })
+  expect(answer.status).toBe(503)
+  expect(answer.text).toContain('retry-after: 0.01')
+})
+
+test('an answer without a length that ends with a reset does not look whole', async () => {
+  const raw = createServer((socket) => {
+    socket.on('error', () => undefined)
+    socket.on('data', (chunk) => {
+      const text = chunk.toString('latin1')
+      const id = /medlarcove-attempt-id: (\S+)/i.exec(text)?.[1]
+      if (text.startsWith('GET /health')) {
+        socket.write('HTTP/1.1 200 OK\r\nMedlarcove-Instance-Id: i-1\r\nMedlarcove-Upstream-Load: 0,0,4,100\r\nContent-Length: 0\r\n\r\n')
+        return
+      }
+      socket.write(`HTTP/1.1 200 OK\r\nMedlarcove-Attempt-Id: ${id}\r\nMedlarcove-Response-Signature: s\r\nConnection: close\r\n\r\nhalf`, () => socket.resetAndDestroy())
+    })
+  })
+  await new Promise<void>((resolve) => { raw.listen(0, '127.0.0.1', resolve) })
+  const target = { ...await startFakeTarget('i-1'), port: (raw.address() as AddressInfo).port }
+  const system = await setup([target])
+  for (let round = 0; round < 20; round++) {
+    const answer = await send(system, '/unsafe/a', { method: 'POST' })
+    expect(answer.text.endsWith('0\r\n\r\n')).toBe(false)
+    if (answer.status === 200) expect(answer.text).toContain('chunked')
+  }
+  raw.close()
+})
+
+test('bytes beyond an answer never reach the next request on its connection', async () => {
+  const target = await startFakeTarget('i-1', (self, incoming, outgoing) => {
+    answerWhole(self, incoming, outgoing, String(incoming.headers['medlarcove-attempt-id']))
+    outgoing.on('finish', () => { incoming.socket.write('HTTP/1.1 200 OK\r\nMedlarcove-Response-Signature: stray\r\nContent-Length: 5\r\n\r\nstray') })
+  })
+  const system = await setup([target])
+  for (let round = 0; round < 10; round++) {
+    const answer = await send(system, '/unsafe/a', { method: 'POST' })
+    if (answer.status === 200) expect(answer.text).toContain(answer.id)
+    expect(answer.text).not.toContain('stray')
+  }
+})
+
+test('a caller that leaves ends the work at the target', async () => {
+  const target = await startFakeTarget('i-1', () => undefined)
+  const system = await setup([target])
+  await send(system, '/unsafe/a', { method: 'POST', waitMs: 100 })
+  await waitFor(() => target.cut.length === 1)
+  expect(target.cut).toEqual(target.seen)
+})
+
+test('a request that lasts longer than its route allows is answered at that time', async () => {
+  const system = await setup([await startFakeTarget('i-1', () => undefined)])
+  system.store.put('keyed.op', 'config', describeConfiguration(2, { timeout: '200ms' }))
+  await waitFor(() => system.log.some(({ fields }) => fields.version === 2))
+  expect((await send(system, '/unsafe/a', { method: 'POST' })).status).toBe(504)
+})
+
+test('a draining target, and one whose entry is removed, get no new request', async () => {
+  const targets = [await startFakeTarget('i-1'), await startFakeTarget('i-2'), await startFakeTarget('i-3')]
+  const system = await setup(targets)
+  system.store.put('keyed.servers', 'i-1', describeTarget(targets[0]!, { state: 'draining', sequence: 2 }))
+  system.store.put('keyed.servers', 'i-2')
+  await waitFor(() => system.log.filter(({ message }) => /A target is (leaving|removed)/.test(message)).length === 2)
+  for (let round = 0; round < 6; round++) expect((await send(system, '/safe/a')).status).toBe(200)
+  expect(targets.map(({ seen }) => seen.length)).toEqual([0, 0, 6])
+})
+
+test('records that cannot be read name no target, and an older configuration never comes back', async () => {
+  const system = await setup([await startFakeTarget('i-1')])
+  for (const bad of ['{', { address: 5 }, { ...describeTarget({ port: 1 }), status: { state: 'asleep', sequence: 1, warmupLeft: '0ms' } }]) system.store.put('keyed.servers', 'i-9', bad)
+  system.store.put('keyed.op', 'config', describeConfiguration(5))
+  system.store.put('keyed.op', 'config', '{"version":6')
+  system.store.put('keyed.op', 'config', describeConfiguration(4, { service: 'elsewhere' }))
+  await waitFor(() => system.log.some(({ message }) => message.startsWith('Skipped a configuration')))
+  expect((await send(system, '/safe/a')).status).toBe(200)
+  const metrics = system.log.filter(({ message }) => message === 'A configuration is in force.').map(({ fields }) => fields.version)
+  expect(metrics).toEqual([1, 5])
+})
+
+test('without the store the entry goes on with what it knows', async () => {
+  const target = await startFakeTarget('i-1')
+  const system = await setup([target])
+  for (const fault of ['busy', 'reset', 'silent'] as const) {
+    system.store.setFault(fault)
+    expect((await send(system, '/safe/a')).status).toBe(200)
+    expect((await fetch(system.readyUrl)).status).toBe(200)
+  }
+  system.store.setFault('none')
+  system.store.put('keyed.op', 'config', describeConfiguration(3))
+  await waitFor(() => system.log.some(({ fields }) => fields.version === 3))
+})
+
+test('a store that no longer keeps the records asked for is read anew', async () => {
+  const system = await setup([await startFakeTarget('i-1')])
+  const other = await startFakeTarget('i-2')
+  const topic = system.store.getTopic('keyed.servers')
+  system.store.put('keyed.servers', 'i-2', describeTarget(other))
+  topic.trim(topic.getEnd())
+  await waitFor(() => system.log.some(({ message }) => /A target is added|Read all targets/.test(message)))
+  await waitFor(async () => {
+    await send(system, '/safe/a')
+    return other.seen.length > 0
+  })
+  other.server.closeAllConnections()
+  other.server.close()
+})
+
+test('an entry without a configuration is not ready and answers 503', async () => {
+  const store = await startPlatformStore()
+  const settings = await buildSettings(store)
+  const gateway = (await startGateway({ settings, clock: createHostClock(), logger: createListLogger([]), metricsPort: settings.listen.ready.port + 1 }))._unsafeUnwrap()
+  expect((await fetch(`http://127.0.0.1:${settings.listen.ready.port}/ready`)).status).toBe(503)
+  const answer = await sendRaw(settings.listen.front.port, `GET /safe/a HTTP/1.1\r\nHost: ${HOST}\r\nMedlarcove-Attempt-Id: a\r\nConnection: close\r\n\r\n`)
+  expect(answer.text.slice(9, 12)).toBe('503')
+  await gateway.close()
+  store.close()
+})
+
+test('a stopping entry is not ready at once, leaves the addresses and finishes what it has begun', async () => {
+  const target = await startFakeTarget('i-1', (self, incoming, outgoing) => { setTimeout(() => answerWhole(self, incoming, outgoing), 500) })
+  const system = await setup([target], { graceMs: 1_500 })
+  expect(await (await fetch(system.resolveUrl)).json()).toMatchObject({ addresses: [`127.0.0.1:${system.settings.listen.front.port}`], ttl: '1000ms' })
+  const running = send(system, '/unsafe/a', { method: 'POST' })
+  await waitFor(() => target.seen.length === 1)
+  const stopped = system.gateway.stop('SIGTERM')
+  expect((await fetch(system.readyUrl)).status).toBe(503)
+  expect((await fetch(system.resolveUrl)).status).toBe(503)
+  expect((await running).status).toBe(200)
+  const kept = await sendRaw(system.settings.listen.front.port, `GET /safe/a HTTP/1.1\r\nHost: ${HOST}\r\nMedlarcove-Attempt-Id: kept\r\n\r\n`)
+  expect(kept).toMatchObject({ text: expect.stringContaining('connection: close'), isClosed: true })
+  await stopped
+})
+
+test('metrics and one log line tell of each request', async () => {
+  const system = await setup([await startFakeTarget('i-1')])
+  const { id } = await send(system, '/safe/a')
+  await waitFor(() => system.log.some(({ fields }) => fields.id === id))
+  const line = system.log.find(({ fields }) => fields.id === id)
+  expect(line).toMatchObject({ part: 'request', fields: { route: 'safe', service: 'desk', version: 1, status: 200, end: 'whole', attempts: [{ target: 'i-1', end: 'answered' }] } })
+})
--- /dev/null
+++ b/test/platform-decoding.test.ts
@@ -0,0 +1,113 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { parseBootFile } from '../src/platform/boot-file.ts'
+import { decodeConfiguration } from '../src/platform/configuration-record.ts'
+import { parseDurationMs } from '../src/platform/durations.ts'
+import { decodeKeyedRecord, decodePage, encodeKeyedRecord } from '../src/platform/store-frames.ts'
+import { decodeTargetReport } from '../src/platform/target-record.ts'
+import { decodeLoad, isNotExecuted } from '../src/platform/wire-names.ts'
+import { createRouteFinder } from '../src/version/configuration.ts'
+import { createWeightedTurns } from '../src/version/weighted-turns.ts'
+import { describeConfiguration, describeTarget, HOST } from './support/gateway-system.ts'
+
+const BOOT = `node=front-1
+zone=a
+ip=10.1.0.35
+listen.front=10.1.0.35:8144
+listen.ready=10.1.0.35:8140
+listen.directory=10.1.0.35:8143
+internalPorts=7660,7675
+bounds.drain=2000ms
+bounds.recovery=15s
+platform.address=10.200.1.7:8142
+some.new.field=1
+`
+
+function encode (value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value))
+}
+
+test('durations are a number and its unit', () => {
+  expect([parseDurationMs('1500ms'), parseDurationMs('2.5s'), parseDurationMs('2'), parseDurationMs(3), parseDurationMs('-1s')]).toEqual([1500, 2500, undefined, undefined, undefined])
+})
+
+test('a boot file gives typed settings, and unknown fields are passed over', () => {
+  const settings = parseBootFile(BOOT, 'boot.conf')._unsafeUnwrap()
+  expect(settings).toMatchObject({ entry: 'front-1', drainMs: 2000, internalPorts: [7660, 7675], store: { address: '10.200.1.7', port: 8142 }, graceMs: 6000 })
+})
+
+test('a bad boot file is told with every fault at once', () => {
+  const error = parseBootFile(BOOT.replace('node=front-1\n', '').replace(':8144', ':no').replace('2000ms', 'soon'), 'boot.conf')._unsafeUnwrapErr()
+  expect(error.kind).toBe('settings-invalid')
+  for (const part of ['boot.conf', 'node: expected a text', 'listen.front: expected an address with a port, found "10.1.0.35:no"', 'bounds.drain: expected a duration']) expect(error.message).toContain(part)
+})
+
+test('any keyed records come back from a page as they were', () => {
+  fc.assert(fc.property(fc.array(fc.record({ key: fc.string({ minLength: 1, maxLength: 20 }), value: fc.uint8Array({ maxLength: 50 }) })), (records) => {
+    const head = Buffer.alloc(16)
+    head.writeBigUInt64BE(BigInt(10 + records.length), 0)
+    const page = decodePage(Buffer.concat([head, ...records.map(({ key, value }) => encodeKeyedRecord(key, value))]), 10)._unsafeUnwrap()
+    const decoded = page.records.map(({ offset, data }) => decodeKeyedRecord(offset, data))
+    expect(decoded.map((record) => record?.key)).toEqual(records.map(({ key }) => key))
+    expect(decoded.map((record) => [...record?.value ?? []])).toEqual(records.map(({ value }) => [...value]))
+  }), { seed: 3 })
+})
+
+test('a page that ends within a record is refused', () => {
+  const head = Buffer.alloc(16)
+  expect(decodePage(Buffer.concat([head, Buffer.from([0, 0, 0, 9, 1])]), 0).isErr()).toBe(true)
+  expect(decodePage(Buffer.alloc(3), 0).isErr()).toBe(true)
+})
+
+test('no bytes make the decoding of records throw', () => {
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
+    expect(decodeTargetReport('i', bytes).isErr()).toBe(true)
+    expect(decodeConfiguration(bytes).isErr()).toBe(true)
+    decodeKeyedRecord(0, bytes)
+    decodePage(bytes, 0)
+  }), { seed: 4 })
+})
+
+test('a target record names a target only when every field is as it should be', () => {
+  const good = describeTarget({ port: 80 }, { born: 12, sequence: 4 })
+  expect(decodeTargetReport('i-1', encode(good))._unsafeUnwrap()).toMatchObject({ id: 'i-1', service: 'desk', address: '127.0.0.1', port: 80, bornMs: 12, sequence: 4, slots: 4, isDraining: false })
+  const bad = [
+    { ...good, address: 'host:80' }, { ...good, info: { ...good.info, slots: '4' } }, { ...good, status: { ...good.status, state: 'gone' } },
+    { ...good, status: { ...good.status, sequence: null } }, { ...good, born: 1.5 }, { ...good, status: { ...good.status, warmupLeft: 3 } }, []
+  ]
+  for (const record of bad) expect(decodeTargetReport('i-1', encode(record)).isErr()).toBe(true)
+})
+
+test('a configuration is decoded from its tables', () => {
+  const extra = ['split', HOST, '/safe/deep/', 'safe', '1.5s', '600ms', 0, [{ service: 'desk', weight: 90 }, { service: 'office', weight: 10 }], 2, null]
+  const configuration = decodeConfiguration(encode(describeConfiguration(7, { extraRoutes: [extra] })))._unsafeUnwrap()
+  expect(configuration.version).toBe(7)
+  const findRoute = createRouteFinder(configuration.routes)
+  expect(findRoute(`${HOST}:80`, '/safe/deep/x?y=/unsafe/')?.services).toEqual([{ service: 'desk', weight: 90 }, { service: 'office', weight: 10 }])
+  expect(findRoute(HOST, '/safe/x')?.name).toBe('safe')
+  expect([findRoute(HOST, '/safe'), findRoute('other', '/safe/x'), findRoute(HOST, '/')]).toEqual([undefined, undefined, undefined])
+})
+
+test('a route without a service or with a kind that is not known spoils the configuration', () => {
+  const without = ['x', HOST, '/x/', 'safe', '1s', '1s', 0, null, 1, null]
+  const odd = ['x', HOST, '/x/', 'odd', '1s', '1s', 0, null, 1, 'desk']
+  for (const row of [without, odd]) expect(decodeConfiguration(encode(describeConfiguration(1, { extraRoutes: [row] }))).isErr()).toBe(true)
+})
+
+test('weighted turns keep their proportion in every short span', () => {
+  const turns = createWeightedTurns([{ name: 'a', weight: 90 }, { name: 'b', weight: 10 }], () => 0.5)
+  const names = Array.from({ length: 300 }, () => turns.take().name)
+  for (let start = 0; start + 20 <= names.length; start += 20) expect(names.slice(start, start + 20).filter((name) => name === 'b').length).toBe(2)
+})
+
+test('the load header is read with or without its fourth figure', () => {
+  expect(decodeLoad({ 'medlarcove-upstream-load': '3,1,8,250' })).toEqual({ running: 3, waiting: 1, slots: 8, slowdown: 2.5 })
+  expect(decodeLoad({ 'medlarcove-upstream-load': '3,0,8' })).toEqual({ running: 3, waiting: 0, slots: 8, slowdown: 1 })
+  expect([decodeLoad({}), decodeLoad({ 'medlarcove-upstream-load': 'x' })]).toEqual([undefined, undefined])
+})
+
+test('only an answer that says so, or one of another target, means that the request was not run', () => {
+  expect(isNotExecuted(503, { 'medlarcove-not-executed': '1' })).toBe(true)
+  expect(isNotExecuted(421, {})).toBe(true)
+  expect([isNotExecuted(503, {}), isNotExecuted(421, { 'medlarcove-response-signature': 's' })]).toEqual([false, false])
+})
--- /dev/null
+++ b/test/support/gateway-system.ts
@@ -0,0 +1,184 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
+import { connect, createServer as createTcpServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { createHostClock } from '../../src/clock.ts'
+import type { BootSettings } from '../../src/platform/boot-file.ts'
+import { startGateway } from '../../src/process/gateway/gateway.ts'
+import type { Gateway } from '../../src/process/gateway/gateway.ts'
+import type { Logger, LogFields } from '../../src/process/logger.ts'
+import { toBrand } from '../../src/types.ts'
+import { startPlatformStore } from '../../stand-ins/platform-store.ts'
+import type { PlatformStore } from '../../stand-ins/platform-store.ts'
+
+export const HOST = 'desk.example'
+
+/** A target that tells its load and counts what reaches it. */
+export interface FakeTarget {
+  id: string
+  /** Attempt ids of requests that reached it, in order. */
+  seen: string[]
+  /** Attempt ids of requests that were cut while it worked. */
+  cut: string[]
+  load: string
+  listen: RequestListener
+  server: Server
+  port: number
+}
+
+export interface LogLine { part: string, message: string, fields: LogFields }
+
+export function createListLogger (lines: LogLine[]): Logger {
+  return {
+    forPart (part) {
+      const write = (message: string, fields: LogFields = {}) => { lines.push({ part, message, fields }) }
+      return { debug: write, info: write, warn: write, error: write }
+    }
+  }
+}
+
+/** Answers like a target: with the attempt's id, a signature and the load. */
+export function answerWhole (target: FakeTarget, incoming: IncomingMessage, outgoing: ServerResponse, text = 'whole'): void {
+  outgoing.writeHead(200, {
+    'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'],
+    'medlarcove-response-signature': target.id,
+    'medlarcove-upstream-load': target.load
+  }).end(text)
+}
+
+export async function startFakeTarget (id: string, listen?: (target: FakeTarget, incoming: IncomingMessage, outgoing: ServerResponse) => void): Promise<FakeTarget> {
+  const target: FakeTarget = { id, seen: [], cut: [], load: '0,0,4,100', listen: () => undefined, server: createServer(), port: 0 }
+  target.listen = (incoming, outgoing) => listen ? listen(target, incoming, outgoing) : answerWhole(target, incoming, outgoing)
+  target.server.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
+    if (incoming.url === '/health') {
+      outgoing.writeHead(200, { 'medlarcove-instance-id': id, 'medlarcove-upstream-load': target.load }).end()
+      return
+    }
+    const attempt = String(incoming.headers['medlarcove-attempt-id'])
+    target.seen.push(attempt)
+    outgoing.on('close', () => { if (!outgoing.writableFinished) target.cut.push(attempt) })
+    target.listen(incoming, outgoing)
+  })
+  await new Promise<void>((resolve) => { target.server.listen(0, '127.0.0.1', resolve) })
+  target.port = (target.server.address() as AddressInfo).port
+  return target
+}
+
+export function describeTarget (target: Pick<FakeTarget, 'port'>, changes: { state?: string, service?: string, sequence?: number, born?: number } = {}) {
+  const { state = 'ready', service = 'desk', sequence = 1, born = 1 } = changes
+  return {
+    address: `127.0.0.1:${target.port}`,
+    born,
+    info: { service, version: 'v1', zone: 'kyu-a', slots: 4 },
+    status: { state, sequence, warmupLeft: '0ms' }
+  }
+}
+
+/** A configuration with one route of each kind: /safe/, /unsafe/ and /download/. */
+export function describeConfiguration (version: number, changes: { timeout?: string, service?: string, extraRoutes?: unknown[][] } = {}) {
+  const { timeout = '1500ms', service = 'desk', extraRoutes = [] } = changes
+  const rows = ['safe', 'unsafe', 'download'].map((kind) => [kind, HOST, `/${kind}/`, kind, timeout, '600ms', 1, null, 2, service])
+  return {
+    version,
+    routes: { columns: ['name', 'host', 'pathPrefix', 'kind', 'timeout', 'targetLatency', 'priority', 'split', 'maxAttempts', 'service'], rows: [...rows, ...extraRoutes] },
+    services: { columns: ['name', 'healthPath', 'maxConnections', 'protocol', 'tls'], rows: [[service, '/health', 260, 'h1', false]] },
+    limits: { maxHeaderBytes: 16384, maxBodyBytes: 1000000, headerTimeout: '3000ms', idleTimeout: '15000ms' }
+  }
+}
+
+async function findFreePort (): Promise<number> {
+  const server = createTcpServer()
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => { server.close(resolve) })
+  return port
+}
+
+export interface GatewaySystem {
+  store: PlatformStore
+  targets: FakeTarget[]
+  gateway: Gateway
+  settings: BootSettings
+  log: LogLine[]
+  /** Sends a request by `fetch` semantics of undici, through the gateway. */
+  url: string
+  readyUrl: string
+  resolveUrl: string
+  close(): Promise<void>
+}
+
+export async function buildSettings (store: PlatformStore, changes: Partial<BootSettings> = {}): Promise<BootSettings> {
+  const address = '127.0.0.1'
+  return {
+    entry: toBrand('front-1'),
+    zone: toBrand('kyu-a'),
+    region: 'kyushu',
+    address,
+    listen: {
+      front: { address, port: await findFreePort() },
+      ready: { address, port: await findFreePort() },
+      directory: { address, port: await findFreePort() }
+    },
+    internalPorts: [await findFreePort(), 65_535],
+    store: { address, port: store.port },
+    targetHeartbeatMs: 1_500,
+    drainMs: 2_000,
+    graceMs: 6_000,
+    configurationApplyMs: 2_000,
+    addressReuseMs: 2_000,
+    longestAddressLifetimeMs: 5_000,
+    repeats: { share: 0.2, slack: 62, windowMs: 10_000 },
+    looksPerSecond: 60,
+    memoryMb: 512,
+    ...changes
+  }
+}
+
+/** Starts a store, the targets and one gateway, and waits until it is ready. */
+export async function startGatewaySystem (targets: FakeTarget[], changes: Partial<BootSettings> = {}): Promise<GatewaySystem> {
+  const store = await startPlatformStore()
+  store.put('keyed.op', 'config', describeConfiguration(1))
+  for (const target of targets) store.put('keyed.servers', target.id, describeTarget(target))
+  const settings = await buildSettings(store, changes)
+  const log: LogLine[] = []
+  const started = await startGateway({ settings, clock: createHostClock(), logger: createListLogger(log), metricsPort: await findFreePort() })
+  const gateway = started._unsafeUnwrap()
+  const { front, ready, directory } = settings.listen
+  const readyUrl = `http://127.0.0.1:${ready.port}/ready`
+  while ((await fetch(readyUrl)).status !== 200) await new Promise((resolve) => setTimeout(resolve, 10))
+  return {
+    store,
+    targets,
+    gateway,
+    settings,
+    log,
+    url: `http://127.0.0.1:${front.port}`,
+    readyUrl,
+    resolveUrl: `http://127.0.0.1:${directory.port}/resolve?name=${HOST}&region=kyushu&zone=kyu-a`,
+    async close () {
+      await gateway.close()
+      store.close()
+      for (const { server } of targets) {
+        server.close()
+        server.closeAllConnections()
+      }
+    }
+  }
+}
+
+/** Reads everything that comes back on a raw connection until it closes or `ms` have passed. */
+export function sendRaw (port: number, text: string, ms = 1_000): Promise<{ text: string, isClosed: boolean }> {
+  return new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1', () => socket.write(text))
+    let received = ''
+    const finish = (isClosed: boolean): void => {
+      clearTimeout(timer)
+      socket.destroy()
+      resolve({ text: received, isClosed })
+    }
+    const timer = setTimeout(() => finish(false), ms)
+    socket.on('data', (chunk) => { received += chunk.toString('latin1') })
+    socket.on('close', () => finish(true))
+    socket.on('error', () => finish(true))
+  })
+}
--- /dev/null
+++ b/test/support/modelled-service.ts
@@ -0,0 +1,114 @@
+import type { Clock, TestClock } from '../../src/clock.ts'
+import { createTestClock } from '../../src/clock.ts'
+import type { LookResult } from '../../src/connection/send-look.ts'
+import type { TargetConnection, TargetPool } from '../../src/connection/target-pool.ts'
+import { createTargetRegistry } from '../../src/process/discovery/target-registry.ts'
+import { createServicePlacer } from '../../src/process/placement/service-placer.ts'
+import { createTargetStates } from '../../src/process/placement/target-states.ts'
+import type { TargetState } from '../../src/process/placement/target-states.ts'
+import { toBrand } from '../../src/types.ts'
+import type { ServiceId, TargetId, ZoneId } from '../../src/types.ts'
+
+/** A small generator with a seed, so that every run plays the same load. */
+export function createSeededRandom (seed: number): () => number {
+  let state = seed >>> 0
+  return () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0
+    return state / 2 ** 32
+  }
+}
+
+interface ModelledTarget { id: TargetId, running: number, slowdown: number, isSilent: boolean }
+
+/** Targets with slots whose speed shifts: at any time a share of them works `slowFactor` times slower. */
+export interface ServiceModel {
+  targets: number
+  slots: number
+  slowShare: number
+  slowFactor: number
+  /** Between two changes of speed, in ms. */
+  shiftMs: number
+  seed: number
+}
+
+export interface PlayedRequest { priority: number, startedMs: number, placedMs?: number, endedMs?: number, refusedMs?: number }
+
+const LOOK_MS = 2
+const SERVICE = toBrand<ServiceId>('desk')
+const SILENT_POOL: TargetPool = {
+  takeConnection: () => ({ client: undefined, isFresh: false, wasReset: () => false, release: () => undefined, destroy: () => undefined }) as unknown as TargetConnection,
+  countConnections: () => ({ open: 1, idle: 1 }),
+  close: () => undefined
+}
+
+function createTargets (model: ServiceModel, clock: Clock, random: () => number): Map<TargetId, ModelledTarget> {
+  const targets = Array.from({ length: model.targets }, (_, index): ModelledTarget => ({ id: toBrand<TargetId>(`t${index}`), running: 0, slowdown: 1, isSilent: false }))
+  const shift = (): void => {
+    for (const target of targets) target.slowdown = random() < model.slowShare ? model.slowFactor : 1
+    clock.startTimer(model.shiftMs, shift)
+  }
+  shift()
+  return new Map(targets.map((target) => [target.id, target]))
+}
+
+/** Creates a placer over modelled targets; `play` sends requests and tells what became of each. */
+export function createModelledService (model: ServiceModel) {
+  const clock: TestClock = createTestClock()
+  const random = createSeededRandom(model.seed)
+  const targets = createTargets(model, clock, random)
+  const registry = createTargetRegistry()
+  for (const { id } of targets.values()) {
+    const report = { id, service: SERVICE, address: '10.0.0.1', port: 80, zone: toBrand<ZoneId>('a'), slots: model.slots, isDraining: false, bornMs: 1, sequence: 1, warmupLeftMs: 0 }
+    registry.apply({ type: 'report', report }, 0, false)
+  }
+  const states = createTargetStates({ clock, largestConnections: 10, createPool: () => SILENT_POOL })
+  const describeLoad = ({ running, slowdown }: ModelledTarget) => ({ running: Math.min(running, model.slots), waiting: Math.max(0, running - model.slots), slots: model.slots, slowdown })
+  const placer = createServicePlacer({
+    service: SERVICE,
+    zone: toBrand<ZoneId>('a'),
+    registry,
+    states,
+    clock,
+    random,
+    logger: { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined },
+    getLooksPerSecond: () => 48,
+    getHealthPath: () => '/health',
+    handleLeaving: () => undefined,
+    async lookAt (_, { target, timeoutMs }): Promise<LookResult> {
+      const modelled = targets.get(target)!
+      await clock.wait(modelled.isSilent ? timeoutMs : LOOK_MS)
+      return modelled.isSilent ? { kind: 'silent' } : { kind: 'load', report: describeLoad(modelled) }
+    }
+  })
+  const runAt = async (state: TargetState, workMs: number): Promise<void> => {
+    const target = targets.get(state.registered.report.id)!
+    target.running += 1
+    const ahead = Math.max(0, target.running - model.slots)
+    await clock.wait(workMs * target.slowdown * (1 + ahead / model.slots))
+    target.running -= 1
+    placer.release(state, describeLoad(target))
+  }
+  const send = async (options: { priority?: number, workMs: number, aimMs: number, deadlineMs: number }): Promise<PlayedRequest> => {
+    const startedMs = clock.monotonicMs()
+    const { priority = 1, workMs, aimMs, deadlineMs } = options
+    const played: PlayedRequest = { priority, startedMs }
+    const placement = await placer.place({ priority, workMs, aimAtMs: startedMs + aimMs, deadlineAtMs: startedMs + deadlineMs, farPenalty: 0, excluded: new Set(), isGone: () => false })
+    if (placement.isErr()) return { ...played, refusedMs: clock.monotonicMs() }
+    const placedMs = clock.monotonicMs()
+    await runAt(placement.value.state, workMs)
+    return { ...played, placedMs, endedMs: clock.monotonicMs() }
+  }
+  /** Sends `perSecond` requests a second for `lengthMs`, then lets all of them end. */
+  const play = async (options: { perSecond: number, lengthMs: number, workMs: number, aimMs: number, deadlineMs: number, urgentShare?: number }): Promise<PlayedRequest[]> => {
+    const sent: Promise<PlayedRequest>[] = []
+    const count = Math.round(options.perSecond * options.lengthMs / 1000)
+    for (let index = 0; index < count; index++) {
+      const priority = random() < (options.urgentShare ?? 0) ? 0 : 1
+      sent.push(send({ ...options, priority }))
+      await clock.advance(1000 / options.perSecond)
+    }
+    await clock.advance(options.deadlineMs * 2)
+    return Promise.all(sent)
+  }
+  return { clock, targets, placer, send, play, registry }
+}
