--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -21,7 +21,9 @@
 
 const STATUS_OK = 200
 const STATUS_GONE = 410
-const READ_TIMEOUT_MS = 1_500
+/** How long a read may take beyond the wait that it asked for, in ms; it doubles while the store is that slow. */
+const READ_TIMEOUT_MS = 800
+const LONGEST_READ_TIMEOUT_MS = 4_000
 const APPEND_TIMEOUT_MS = 2_000
 
 /** A stretch of a keyed topic. */
@@ -80,15 +82,18 @@
 export function createStoreClient (options: { store: HostPort, clock: Clock }): StoreClient {
   const { store, clock } = options
   const connections = createLogConnections({ url: `http://${store.address}:${store.port}`, clock })
+  let readTimeoutMs = READ_TIMEOUT_MS
   const use: StoreUse = { reads: 0, appends: 0, failures: 0, receivedBytes: 0 }
 
   const readAnswer = async (path: string, { waitMs, signal }: FollowOptions): Promise<Result<LogAnswer, AppError>> => {
     use.reads += 1
-    const sent = await connections.send({ method: 'GET', path, limitMs: READ_TIMEOUT_MS + waitMs, signal })
+    const sent = await connections.send({ method: 'GET', path, limitMs: readTimeoutMs + waitMs, signal })
     if (sent.isErr()) {
       use.failures += 1
+      if (sent.error.isTimeout) readTimeoutMs = Math.min(LONGEST_READ_TIMEOUT_MS, readTimeoutMs * 2)
       return err(createError('log-unavailable', `The store gave no answer: ${describeCause(sent.error.cause)}`, sent.error.cause))
     }
+    readTimeoutMs = Math.max(READ_TIMEOUT_MS, readTimeoutMs / 2)
     use.receivedBytes += sent.value.body.byteLength
     if (sent.value.status === STATUS_OK) return ok(sent.value)
     if (sent.value.status === STATUS_GONE) return err(createError('log-gap', 'The store no longer keeps the records asked for.'))
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -34,6 +34,8 @@
   clock: Clock
   logger: PartLogger
   metrics: GatewayMetrics
+  /** Returns when the process ends, by the monotonic clock in ms; undefined while it is to go on. */
+  getEndAtMs(): number | undefined
 }
 
 /** Taken off the time that is left, for the answer's way back to the caller, in ms. */
@@ -41,7 +43,8 @@
 const LONGEST_BODY_PAUSE_MS = 5_000
 
 /** Creates the request handling. */
-export function createGatewayRequests ({ state, clock, logger, metrics }: GatewayRequestsOptions): GatewayRequests {
+export function createGatewayRequests (options: GatewayRequestsOptions): GatewayRequests {
+  const { state, clock, logger, metrics } = options
   const log = createRequestLog({ logger, clock })
   const work = createWorkMeter()
   let inProgress = 0
@@ -94,11 +97,16 @@
       refuse(call, outgoing, answer.error)
       return
     }
-    const end = await relayAnswer(answer.value, outgoing)
+    const end = await relayAnswer(call, answer.value, outgoing)
     call.record.status = answer.value.head.status
     call.record.end = end.kind
     if (end.kind === 'broken') call.record.detail = end.error.message
   }
+  /** Whether the process lasts as long as the request usually takes. */
+  const canFinish = ({ route }: GatewayCall): boolean => {
+    const endAtMs = options.getEndAtMs()
+    return endAtMs === undefined || clock.monotonicMs() + Math.min(route.targetLatencyMs, route.timeoutMs) <= endAtMs
+  }
   const recordEnd = (call: GatewayCall): void => {
     call.record.tookMs = clock.monotonicMs() - call.startedAtMs
     log.write(call.record)
@@ -125,6 +133,7 @@
     const bounds = { largestBytes: inForce.configuration.limits.largestBodyBytes, longestPauseMs: LONGEST_BODY_PAUSE_MS }
     const body = await readBody(incoming, bounds, clock)
     if (body.isErr()) refuse(call, outgoing, body.error)
+    else if (!canFinish(call)) refuse(call, outgoing, createError('entry-stopping', 'This entry ends before the request could.'))
     else await serve({ ...call, body: body.value }, outgoing)
     recordEnd(call)
   }
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -71,7 +71,7 @@
   /** The most connections of this process to one target. */
   largestConnections: number
   /** Told when a version comes into force. */
-  handleVersion(version: number): void
+  handleConfiguration(configuration: Configuration): void
   /** Told when this process finds by itself that a target leaves. */
   handleLeaving(service: ServiceId, target: TargetId): void
 }
@@ -136,7 +136,7 @@
     if (current !== undefined && version <= current) return
     inForce = createInForce(decoded.value, random)
     logger.info('A configuration is in force.', { version, before: current, routes: routes.length, offset: record.offset })
-    options.handleVersion(version)
+    options.handleConfiguration(decoded.value)
   }
   const decodeChange = (record: KeyedRecord): TargetChange | undefined => {
     if (!record.value) return { type: 'removal', id: toBrand<TargetId>(record.key) }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -90,9 +90,11 @@
   targetsFollower: TopicFollower
   servers: GatewayServers
   isStopping: boolean
+  /** When the process ends at the latest, by the monotonic clock in ms; undefined while it is to go on. */
+  endAtMs: number | undefined
 }
 
-type PartsBase = Pick<GatewayParts, 'settings' | 'clock' | 'random' | 'logger' | 'log' | 'incarnation' | 'isStopping'>
+type PartsBase = Partial<Pick<GatewayParts, 'servers'>> & Pick<GatewayParts, 'settings' | 'clock' | 'random' | 'logger' | 'log' | 'incarnation' | 'isStopping' | 'endAtMs'>
 
 function createSelf ({ settings, incarnation }: PartsBase): PeerIdentity {
   return {
@@ -115,7 +117,10 @@
     repeats: { share: settings.repeats.share * USED_REPEAT_SHARE, largest: Math.floor(settings.repeats.slack * USED_SHARE / MOST_ENTRIES) },
     getLooksPerSecond: () => base.settings.looksPerSecond * USED_SHARE / Math.max(1, mesh.listLiveEntries().length),
     largestConnections: MOST_CONNECTIONS_TO_TARGET,
-    handleVersion: (version) => mesh.setContractOffset(toBrand<Offset>(version)),
+    handleConfiguration ({ version, limits }) {
+      mesh.setContractOffset(toBrand<Offset>(version))
+      base.servers?.setIdleTimeout(limits.idleTimeoutMs)
+    },
     handleLeaving: (service, target) => mesh.broadcast({ type: 'target-leaving', customer: SERVICE_OWNER, service, target })
   })
   mesh.watchMessages((_, message) => {
@@ -160,7 +165,7 @@
 function createParts (options: GatewayOptions): GatewayParts {
   const { settings, clock, logger, random = Math.random, countDroppedLines = () => 0 } = options
   const incarnation = toBrand<Incarnation>(`${clock.wallMs().toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
-  const base: PartsBase = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, isStopping: false }
+  const base: PartsBase = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, isStopping: false, endAtMs: undefined }
   const self = createSelf(base)
   const store = createStoreClient({ store: settings.store, clock })
   const directory = createEntryDirectory({ self, store, clock, logger: logger.forPart('directory') })
@@ -168,7 +173,7 @@
   const mesh = createPeerMesh({ self, peerKey, hostList: directory, clock, logger: logger.forPart('peers'), timing: PEER_TIMING })
   const state = createState(base, mesh)
   const metrics = createGatewayMetrics()
-  const requests = createGatewayRequests({ state, clock, logger: logger.forPart('request'), metrics })
+  const requests = createGatewayRequests({ state, clock, logger: logger.forPart('request'), metrics, getEndAtMs: () => base.endAtMs })
   const parts: GatewayParts = Object.assign(base, {
     store,
     directory,
@@ -198,9 +203,11 @@
 }
 
 /** Serves until callers have gone to other entries and no request is left, but no longer than the platform allows. */
-async function waitForCallers ({ clock, settings, requests }: GatewayParts): Promise<void> {
+async function waitForCallers (parts: GatewayParts): Promise<void> {
+  const { clock, settings, requests } = parts
   const startedAtMs = clock.monotonicMs()
   const lastAtMs = startedAtMs + settings.graceMs - KILL_MARGIN_MS
+  parts.endAtMs = lastAtMs
   const callersGoneAtMs = startedAtMs + ADDRESS_LIFETIME_MS * KEPT_LONGER_FACTOR + UPKEEP_MS
   for (;;) {
     const nowMs = clock.monotonicMs()
