--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -9,6 +9,7 @@
 import type { CommandIo } from './command.ts'
 import { runContract } from './contract.ts'
 import { runEntry } from './entry.ts'
+import { runExplain } from './explain.ts'
 import { runGateway } from './gateway.ts'
 import { runStatus } from './status.ts'
 
@@ -17,6 +18,7 @@
 Commands:
   entry      run the daemon of one entry host
   gateway    run an entry on the users' platform
+  explain    tell the story of one request from the logs of gateways
   contract   check, publish, show or list versions of a contract
   audit      print the audit trail of changes
   status     print what an entry knows: contracts, peers, targets, budgets
@@ -33,6 +35,7 @@
   switch (command) {
     case 'entry': return runEntry(rest, io)
     case 'gateway': return runGateway(rest, io)
+    case 'explain': return runExplain(rest, io)
     case 'contract': return runContract(rest, io)
     case 'audit': return runAudit(rest, io)
     case 'status': return runStatus(rest, io)
@@ -45,7 +48,7 @@
     case 'help':
       io.stdout(HELP)
       return EXIT_CODES.ok
-    case undefined: return printFailure(io, createError('usage', 'Name a command: entry, gateway, contract, audit, status or addresses.'), false)
+    case undefined: return printFailure(io, createError('usage', 'Name a command: entry, gateway, explain, contract, audit, status or addresses.'), false)
     default: return printFailure(io, createError('usage', `There is no command "${command}".`), args.includes('--json'))
   }
 }
--- a/src/request/gateway/gateway-headers.ts
+++ b/src/request/gateway/gateway-headers.ts
@@ -4,6 +4,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { DEADLINE_HEADER, TARGET_HEADER } from '../../platform/wire-names.ts'
 import type { TargetId } from '../../types.ts'
+import { listConnectionHeaders } from '../headers.ts'
 
 /** Headers that concern one connection only. */
 const CONNECTION_HEADERS = new Set([
@@ -11,17 +12,10 @@
   'transfer-encoding', 'upgrade', 'expect'
 ])
 const OWN_HEADERS = new Set(['content-length', DEADLINE_HEADER, TARGET_HEADER])
-const NO_HEADERS: ReadonlySet<string> = new Set()
-
-/** Lists the headers that a `Connection` header names as its own. */
-function listNamedHeaders (connection: string | undefined): ReadonlySet<string> {
-  if (!connection || connection === 'keep-alive' || connection === 'close') return NO_HEADERS
-  return new Set(connection.split(',').map((name) => name.trim().toLowerCase()))
-}
 
 /** Returns the caller's headers that go on to a target. */
 export function filterRequestHeaders (headers: IncomingHttpHeaders): Record<string, string> {
-  const named = listNamedHeaders(headers.connection)
+  const named = listConnectionHeaders(headers.connection)
   const passed: Record<string, string> = {}
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined || CONNECTION_HEADERS.has(name) || OWN_HEADERS.has(name) || named.has(name)) continue
@@ -37,7 +31,7 @@
 
 /** Returns the headers of a target's answer that go on to the caller. */
 export function filterResponseHeaders (headers: IncomingHttpHeaders): Record<string, string | string[]> {
-  const named = listNamedHeaders(headers.connection)
+  const named = listConnectionHeaders(headers.connection)
   const passed: Record<string, string | string[]> = {}
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined || CONNECTION_HEADERS.has(name) || named.has(name)) continue
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -27,7 +27,7 @@
 const NO_HEADERS: ReadonlySet<string> = new Set()
 
 /** Lists the headers that a `Connection` header names as its own. */
-function listConnectionHeaders (connection: string | undefined): ReadonlySet<string> {
+export function listConnectionHeaders (connection: string | undefined): ReadonlySet<string> {
   if (!connection || connection === 'keep-alive' || connection === 'close') return NO_HEADERS
   return new Set(connection.split(',').map((name) => name.trim().toLowerCase()))
 }
