Keep a reset of a paused answer from ending the process

An answer that ended or broke before its body was taken was also never told as ended. Change: the library is told of a reset by another code, and an exchange keeps what comes before its sink. Before: test/exchange.test.ts failed with the assertion and a request without an end; after: passes.

--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -53,14 +53,22 @@
 
 const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true })
 
+/** A code for a reset that the library has no special treatment for. */
+const RESET_CODE = 'EPIPE'
+
 /**
- * Calls `action` when a connection is reset. The library takes a reset for the end of an answer without a length, and
- * the runtime tells of a reset that comes with the last bytes as of an end; a write tells the two apart.
+ * Lets a reset never pass for the end of an answer. The library ends an answer without a length at a reset, and fails
+ * an assertion when the answer is paused then; so it is told of another error. The runtime tells of a reset that comes
+ * with the last bytes as of an end; a write tells the two apart.
  */
-function watchReset (socket: Socket, action: () => void): void {
-  socket.on('error', (error: NodeJS.ErrnoException) => { if (error.syscall) action() })
+function watchSocket (socket: Socket, pooled: PooledClient): void {
+  socket.on('error', (error: NodeJS.ErrnoException) => {
+    if (error.code === 'ECONNRESET') error.code = RESET_CODE
+  })
   socket.on('end', () => {
-    socket.write('', (error) => { if ((error as NodeJS.ErrnoException | null | undefined)?.syscall) action() })
+    socket.write('', (error) => {
+      if ((error as NodeJS.ErrnoException | null | undefined)?.syscall) pooled.wasReset = true
+    })
   })
 }
 
@@ -87,7 +95,7 @@
   const openClient = (): PooledClient => {
     const client = new Client(`http://${target.address}:${target.port}`, {
       connect: (place, done) => connectSocket(place, (...connected) => {
-        if (connected[1]) watchReset(connected[1], () => { pooled.wasReset = true })
+        if (connected[1]) watchSocket(connected[1], pooled)
         done(...connected)
       }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -68,6 +68,9 @@
   const startedMs = clock.monotonicMs()
   let controller: Dispatcher.DispatchController | undefined
   let sink: AnswerSink | undefined
+  /** What came, and how the answer ended, before there was a sink. */
+  const early: Uint8Array[] = []
+  let ending: 'whole' | AppError | undefined
   let isHeadSettled = false
   let isOver = false
   let hasBegun = false
@@ -90,8 +93,9 @@
   const fail = (error: AppError): void => {
     if (!finish()) return
     stopConnection(error.kind === 'target-timeout')
-    if (isHeadSettled) sink?.fail(error)
-    else settleHead(err(error))
+    if (!isHeadSettled) settleHead(err(error))
+    else if (sink) sink.fail(error)
+    else ending = error
     isHeadSettled = true
   }
   const watchBody = (): void => {
@@ -114,7 +118,8 @@
     }
     if (!finish()) return
     connection.release()
-    sink?.end()
+    if (sink) sink.end()
+    else ending = 'whole'
   }
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart (started) {
@@ -140,7 +145,8 @@
     onResponseData (_, chunk) {
       if (isOver) return
       lastDataMs = clock.monotonicMs()
-      if (sink?.write(chunk) === false) controller?.pause()
+      if (!sink) early.push(chunk)
+      else if (!sink.write(chunk)) controller?.pause()
     },
     onResponseEnd () {
       // Whether an answer without a length is whole shows only after the events of its connection's end.
@@ -163,6 +169,10 @@
     head,
     pipe (target) {
       sink = target
+      for (const chunk of early.splice(0)) target.write(chunk)
+      if (ending === 'whole') target.end()
+      else if (ending) target.fail(ending)
+      if (isOver) return
       lastDataMs = clock.monotonicMs()
       watchBody()
       controller?.resume()
--- /dev/null
+++ b/test/exchange.test.ts
@@ -0,0 +1,62 @@
+import { createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { afterEach, expect, test } from 'vitest'
+import { createHostClock } from '../src/clock.ts'
+import { createTargetPool } from '../src/connection/target-pool.ts'
+import { startExchange } from '../src/request/exchange.ts'
+import { toBrand } from '../src/types.ts'
+import type { RequestId } from '../src/types.ts'
+
+const clock = createHostClock()
+const servers: Server[] = []
+
+afterEach(() => { for (const server of servers.splice(0)) server.close() })
+
+async function startExchangeWith (answer: (socket: Socket) => void) {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined)
+    socket.once('data', () => answer(socket))
+  })
+  servers.push(server)
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  const pool = createTargetPool({ target: { address: '127.0.0.1', port }, largestConnections: 1, clock })
+  const request = { id: toBrand<RequestId>('r'), method: 'GET', path: '/', headers: {}, body: undefined, firstByteTimeoutMs: 1_000, canSend: () => true }
+  return startExchange(pool.takeConnection({ needsProof: false })!, request, clock)
+}
+
+function readEnd (exchange: Awaited<ReturnType<typeof startExchangeWith>>): Promise<string> {
+  return new Promise((resolve) => {
+    let text = ''
+    exchange.pipe({
+      write: (chunk) => { text += Buffer.from(chunk).toString(); return true },
+      end: () => resolve(`whole: ${text}`),
+      fail: (error) => resolve(error.kind)
+    })
+  })
+}
+
+const HEADS = {
+  'without a length': 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n',
+  'with a length and its last connection': 'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9\r\n\r\n',
+  'with a length': 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n'
+}
+
+for (const [name, head] of Object.entries(HEADS)) {
+  test(`an answer ${name} that is reset while it is paused is told as truncated`, async () => {
+    const exchange = await startExchangeWith((socket) => {
+      socket.write(`${head}half`)
+      setTimeout(() => socket.resetAndDestroy(), 20)
+    })
+    expect((await exchange.head).isOk()).toBe(true)
+    await clock.wait(60)
+    expect(await readEnd(exchange)).toBe('answer-truncated')
+  })
+}
+
+test('an answer without a length that ends as it should while it is paused is whole', async () => {
+  const exchange = await startExchangeWith((socket) => { socket.end(`${HEADS['without a length']}all of it`) })
+  expect((await exchange.head).isOk()).toBe(true)
+  await clock.wait(30)
+  expect(await readEnd(exchange)).toBe('whole: all of it')
+})
