--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -27,14 +27,30 @@
 const MOST_RELATED_LINES = 20
 
 const attemptSchema = z.object({
-  target: z.string(), by: z.string(), waitedMs: z.number(), expectedMs: z.number(), load: z.string(),
-  loadAgeMs: z.number().optional(), atMs: z.number(), end: z.string(), status: z.number().optional()
+  target: z.string(),
+  by: z.string(),
+  waitedMs: z.number(),
+  expectedMs: z.number(),
+  load: z.string(),
+  loadAgeMs: z.number().optional(),
+  atMs: z.number(),
+  end: z.string(),
+  status: z.number().optional()
 })
 const lineSchema = z.looseObject({ entry: z.string(), time: z.string(), msg: z.string() })
 const requestSchema = lineSchema.extend({
-  id: z.string(), route: z.string(), service: z.string(), version: z.number(), leftMs: z.number(), tookMs: z.number(),
-  attempts: z.array(attemptSchema), status: z.number().optional(), end: z.string().optional(), error: z.string().optional(),
-  detail: z.string().optional(), standsFor: z.number()
+  id: z.string(),
+  route: z.string(),
+  service: z.string(),
+  version: z.number(),
+  leftMs: z.number(),
+  tookMs: z.number(),
+  attempts: z.array(attemptSchema),
+  status: z.number().optional(),
+  end: z.string().optional(),
+  error: z.string().optional(),
+  detail: z.string().optional(),
+  standsFor: z.number()
 })
 
 type LogLine = z.infer<typeof lineSchema>
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -6,9 +6,19 @@
 }
 
 const REQUEST = {
-  id: 'a1', route: 'r', service: 'desk', version: 3, leftMs: 1200, tookMs: 40, status: 502, end: 'whole', error: 'target-broken', detail: 'reset',
+  id: 'a1',
+  route: 'r',
+  service: 'desk',
+  version: 3,
+  leftMs: 1200,
+  tookMs: 40,
+  status: 502,
+  end: 'whole',
+  error: 'target-broken',
+  detail: 'reset',
   attempts: [{ target: 'i-1', by: 'looked', waitedMs: 2, expectedMs: 90, load: '1+0/4 x1', loadAgeMs: 1, atMs: 3, end: 'broken: reset' }],
-  standsFor: 1, msg: '[request] Did not serve a request.'
+  standsFor: 1,
+  msg: '[request] Did not serve a request.'
 }
 const LOG = [
   `  4.9 front-1 ${formatLine({ time: '2026-01-01T00:00:04.900Z', target: 'i-1', because: 'it fails many requests', msg: '[gateway] Avoid a target.' })}`,
--- a/test/target-registry.test.ts
+++ b/test/target-registry.test.ts
@@ -13,8 +13,17 @@
 
 function buildReport (changes: Partial<TargetReport> = {}): TargetReport {
   return {
-    id: toId('i-1'), service: SERVICE, address: '10.0.0.1', port: 80, zone: toBrand<ZoneId>('a'), slots: 4,
-    isDraining: false, bornMs: 1, sequence: 1, warmupLeftMs: 0, ...changes
+    id: toId('i-1'),
+    service: SERVICE,
+    address: '10.0.0.1',
+    port: 80,
+    zone: toBrand<ZoneId>('a'),
+    slots: 4,
+    isDraining: false,
+    bornMs: 1,
+    sequence: 1,
+    warmupLeftMs: 0,
+    ...changes
   }
 }
 
