--- a/stand-ins/platform-log.ts
+++ b/stand-ins/platform-log.ts
@@ -37,7 +37,7 @@
 }
 
 /** Cuts a body into records. */
-export function cutRecords (body: Buffer): Buffer[] {
+export function splitRecords (body: Buffer): Buffer[] {
   const records: Buffer[] = []
   for (let at = 0; at + LENGTH_BYTES <= body.length;) {
     const end = at + LENGTH_BYTES + body.readUInt32BE(at)
--- a/stand-ins/platform-store.ts
+++ b/stand-ins/platform-store.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { buffer } from 'node:stream/consumers'
 import { setTimeout as wait } from 'node:timers/promises'
-import { createPlatformTopic, cutRecords } from './platform-log.ts'
+import { createPlatformTopic, splitRecords } from './platform-log.ts'
 import type { AppendResult, PlatformTopic, StoredRecord } from './platform-log.ts'
 
 /** How the store misbehaves: it refuses, resets, keeps silent, or does what it is asked and loses the answer. */
@@ -71,7 +71,7 @@
 function answerAppend (topic: PlatformTopic, query: URLSearchParams, body: Buffer): AppendResult {
   const producer = query.get('producer')
   const revision = query.get('storeRevision')
-  return topic.append(cutRecords(body), {
+  return topic.append(splitRecords(body), {
     ...(revision === null ? {} : { expectedEnd: Number(revision) }),
     ...(producer === null ? {} : { producer: { name: producer, epoch: Number(query.get('epoch')), sequence: Number(query.get('sequence')) } })
   })
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -53,8 +53,8 @@
 })
 
 test('an unsafe request whose connection breaks runs once and is never told as not run', async () => {
-  const breakOff = (_: FakeTarget, incoming: { socket: { destroy(): void } }): void => { incoming.socket.destroy() }
-  const targets = [await startFakeTarget('i-1', breakOff), await startFakeTarget('i-2', breakOff)]
+  const closeConnection = (_: FakeTarget, incoming: { socket: { destroy(): void } }): void => { incoming.socket.destroy() }
+  const targets = [await startFakeTarget('i-1', closeConnection), await startFakeTarget('i-2', closeConnection)]
   const system = await setup(targets)
   const answer = await send(system, '/unsafe/a', { method: 'POST' })
   expect(answer.status).toBe(502)
--- a/test/service-placer.test.ts
+++ b/test/service-placer.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
-import { canMeetAim, createWaitingQueue } from '../src/request/placement/waiting-queue.ts'
+import { createWaitingQueue } from '../src/request/placement/waiting-queue.ts'
+import type { QueueOrder } from '../src/request/placement/waiting-queue.ts'
 import { estimateTarget } from '../src/request/placement/estimate.ts'
 import { createModelledService } from './support/modelled-service.ts'
 import type { PlayedRequest } from './support/modelled-service.ts'
@@ -14,14 +15,14 @@
 // Load: half of the slots that are of usual speed; a third of the targets is five times slower at any time.
 test('under half load nearly all requests meet their aim although targets turn slow', async () => {
   const service = createModelledService({ ...SHIFTING, seed: 11 })
-  const requests = await service.play({ ...WORK, perSecond: 0.5 * 26 / 0.07, lengthMs: 2_000 })
+  const requests = await service.runLoad({ ...WORK, perSecond: 0.5 * 26 / 0.07, lengthMs: 2_000 })
   expect(computeShareInAim(requests)).toBeGreaterThan(0.95)
 })
 
 // Load: twice what all targets can do. Each request in aim needs a slot of usual speed for 70 ms.
 test('under twice the load the refused hear early and the slots still serve in time', async () => {
   const service = createModelledService({ ...SHIFTING, seed: 12 })
-  const requests = await service.play({ ...WORK, perSecond: 2 * 40 / 0.07, lengthMs: 1_500 })
+  const requests = await service.runLoad({ ...WORK, perSecond: 2 * 40 / 0.07, lengthMs: 1_500 })
   const served = requests.filter(({ endedMs }) => endedMs !== undefined)
   const refused = requests.filter(({ refusedMs }) => refusedMs !== undefined)
   expect(refused.length).toBeGreaterThan(0)
@@ -34,7 +35,7 @@
 // Load: one and a half times what all targets can do, a fifth of it urgent.
 test('urgent requests are served before others', async () => {
   const service = createModelledService({ ...SHIFTING, seed: 13 })
-  const requests = await service.play({ ...WORK, perSecond: 1.5 * 40 / 0.07, lengthMs: 1_500, urgentShare: 0.2 })
+  const requests = await service.runLoad({ ...WORK, perSecond: 1.5 * 40 / 0.07, lengthMs: 1_500, urgentShare: 0.2 })
   const urgent = requests.filter(({ priority }) => priority === 0)
   const others = requests.filter(({ priority }) => priority === 1)
   expect(computeShareInAim(urgent)).toBeGreaterThan(0.9)
@@ -45,19 +46,19 @@
   const service = createModelledService({ ...SHIFTING, slowShare: 0, seed: 14 })
   const silent = [...service.targets.values()].slice(0, 4)
   for (const target of silent) target.isSilent = true
-  const requests = await service.play({ ...WORK, perSecond: 100, lengthMs: 1_500 })
+  const requests = await service.runLoad({ ...WORK, perSecond: 100, lengthMs: 1_500 })
   expect(computeShareInAim(requests)).toBe(1)
   expect(silent.map(({ running }) => running)).toEqual([0, 0, 0, 0])
 })
 
 test('a service without targets refuses at once', async () => {
   const service = createModelledService({ ...SHIFTING, targets: 0, seed: 15 })
-  const requests = await service.play({ ...WORK, perSecond: 100, lengthMs: 50 })
+  const requests = await service.runLoad({ ...WORK, perSecond: 100, lengthMs: 50 })
   expect(requests.map(({ startedMs, refusedMs }) => refusedMs! - startedMs)).toEqual([0, 0, 0, 0, 0])
 })
 
 test('a request that can still meet its aim goes before a late one, and the more urgent before the less', () => {
-  const queue = createWaitingQueue<{ name: string, request: Parameters<typeof canMeetAim>[0] & { priority: number, deadlineAtMs: number, isGone(): boolean } }>()
+  const queue = createWaitingQueue<{ name: string, request: QueueOrder }>()
   const add = (name: string, priority: number, aimAtMs: number): void => queue.add({ name, request: { priority, aimAtMs, workMs: 10, deadlineAtMs: 1_000, isGone: () => false } })
   add('late', 0, 5)
   add('soon', 1, 100)
--- a/test/support/modelled-service.ts
+++ b/test/support/modelled-service.ts
@@ -43,15 +43,15 @@
 
 function createTargets (model: ServiceModel, clock: Clock, random: () => number): Map<TargetId, ModelledTarget> {
   const targets = Array.from({ length: model.targets }, (_, index): ModelledTarget => ({ id: toBrand<TargetId>(`t${index}`), running: 0, slowdown: 1, isSilent: false }))
-  const shift = (): void => {
+  const updateSpeeds = (): void => {
     for (const target of targets) target.slowdown = random() < model.slowShare ? model.slowFactor : 1
-    clock.startTimer(model.shiftMs, shift)
+    clock.startTimer(model.shiftMs, updateSpeeds)
   }
-  shift()
+  updateSpeeds()
   return new Map(targets.map((target) => [target.id, target]))
 }
 
-/** Creates a placer over modelled targets; `play` sends requests and tells what became of each. */
+/** Creates a placer over modelled targets; `runLoad` sends requests and tells what became of each. */
 export function createModelledService (model: ServiceModel) {
   const clock: TestClock = createTestClock()
   const random = createSeededRandom(model.seed)
@@ -99,7 +99,7 @@
     return { ...played, placedMs, endedMs: clock.monotonicMs() }
   }
   /** Sends `perSecond` requests a second for `lengthMs`, then lets all of them end. */
-  const play = async (options: { perSecond: number, lengthMs: number, workMs: number, aimMs: number, deadlineMs: number, urgentShare?: number }): Promise<PlayedRequest[]> => {
+  const runLoad = async (options: { perSecond: number, lengthMs: number, workMs: number, aimMs: number, deadlineMs: number, urgentShare?: number }): Promise<PlayedRequest[]> => {
     const sent: Promise<PlayedRequest>[] = []
     const count = Math.round(options.perSecond * options.lengthMs / 1000)
     for (let index = 0; index < count; index++) {
@@ -110,5 +110,5 @@
     await clock.advance(options.deadlineMs * 2)
     return Promise.all(sent)
   }
-  return { clock, targets, placer, send, play, registry }
+  return { clock, targets, placer, send, runLoad, registry }
 }
