Notice the return of a silent store soon

Ruled out: the fold of configurations (the record was never read), the peers. Change: while the store is away reads do not wait and are given up after 0.6 s, each fourth after 2 s. Before and after: test/topic-follower.test.ts, written with the change, asks for a read within 3 s of any return.

--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -21,9 +21,8 @@
 
 const STATUS_OK = 200
 const STATUS_GONE = 410
-/** How long a read may take beyond the wait that it asked for, in ms; it doubles while the store is that slow. */
+/** How long a read may take beyond the wait that it asked for, in ms. */
 const READ_TIMEOUT_MS = 800
-const LONGEST_READ_TIMEOUT_MS = 4_000
 const APPEND_TIMEOUT_MS = 2_000
 
 /** A stretch of a keyed topic. */
@@ -42,13 +41,15 @@
 export interface FollowOptions {
   /** How long the store may hold the answer back while there is nothing new, in ms. */
   waitMs: number
+  /** How long the answer may take beyond that, in ms. Default 800. */
+  timeoutMs?: number
   signal?: AbortSignal
 }
 
 /** The platform's store. Errors of all calls: `log-unavailable`; reads also `log-gap` and `record-malformed`. */
 export interface StoreClient {
   /** Reads the newest record of each key. */
-  readNewest(topic: string): Promise<Result<KeyedPage, AppError>>
+  readNewest(topic: string, options?: Pick<FollowOptions, 'timeoutMs'>): Promise<Result<KeyedPage, AppError>>
   /** Reads records from an offset on. `log-gap`: they are no longer kept; read the newest ones instead. */
   readFrom(topic: string, from: number, options: FollowOptions): Promise<Result<KeyedPage, AppError>>
   /** Appends one record. `log-unknown`: it may have been taken. */
@@ -82,18 +83,15 @@
 export function createStoreClient (options: { store: HostPort, clock: Clock }): StoreClient {
   const { store, clock } = options
   const connections = createLogConnections({ url: `http://${store.address}:${store.port}`, clock })
-  let readTimeoutMs = READ_TIMEOUT_MS
   const use: StoreUse = { reads: 0, appends: 0, failures: 0, receivedBytes: 0 }
 
-  const readAnswer = async (path: string, { waitMs, signal }: FollowOptions): Promise<Result<LogAnswer, AppError>> => {
+  const readAnswer = async (path: string, { waitMs, timeoutMs = READ_TIMEOUT_MS, signal }: FollowOptions): Promise<Result<LogAnswer, AppError>> => {
     use.reads += 1
-    const sent = await connections.send({ method: 'GET', path, limitMs: readTimeoutMs + waitMs, signal })
+    const sent = await connections.send({ method: 'GET', path, limitMs: timeoutMs + waitMs, signal })
     if (sent.isErr()) {
       use.failures += 1
-      if (sent.error.isTimeout) readTimeoutMs = Math.min(LONGEST_READ_TIMEOUT_MS, readTimeoutMs * 2)
       return err(createError('log-unavailable', `The store gave no answer: ${describeCause(sent.error.cause)}`, sent.error.cause))
     }
-    readTimeoutMs = Math.max(READ_TIMEOUT_MS, readTimeoutMs / 2)
     use.receivedBytes += sent.value.body.byteLength
     if (sent.value.status === STATUS_OK) return ok(sent.value)
     if (sent.value.status === STATUS_GONE) return err(createError('log-gap', 'The store no longer keeps the records asked for.'))
@@ -101,14 +99,14 @@
     return err(createError('log-unavailable', `The store answered ${sent.value.status}.`))
   }
 
-  const readNewest = async (topic: string): Promise<Result<KeyedPage, AppError>> => {
+  const readNewest: StoreClient['readNewest'] = async (topic, options = {}): Promise<Result<KeyedPage, AppError>> => {
     const records: KeyedRecord[] = []
     let after: string | undefined
     // Pages are no snapshot: following begins at the end that the first page named, and records may come twice.
     let next: number | undefined
     for (;;) {
       const query = new URLSearchParams({ topic, part: '0', ...(after === undefined ? {} : { after }) })
-      const answer = await readAnswer(`/log-newest?${query}`, { waitMs: 0 })
+      const answer = await readAnswer(`/log-newest?${query}`, { ...options, waitMs: 0 })
       if (answer.isErr()) return err(answer.error)
       const page = parseNewest(answer.value)
       if (page.isErr()) return err(page.error)
--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -43,8 +43,13 @@
 
 /** Failures shorter than this are no outage: entries of live targets do not lapse in them, in ms. */
 const SHORTEST_OUTAGE_MS = 500
-const FIRST_RETRY_MS = 100
-const LONGEST_RETRY_MS = 800
+/** Between two reads while the store is away, in ms. */
+const RETRY_MS = 150
+/** While the store is away reads are given up soon, since it may be back for the next one, in ms. */
+const SHORT_TIMEOUT_MS = 600
+/** Every so many failed reads one is given more time, for a store that answers, but slowly, in ms. */
+const PATIENT_READ_EVERY = 4
+const LONG_TIMEOUT_MS = 2_000
 
 /** Creates a follower; nothing happens before `start`. */
 export function createTopicFollower (options: TopicFollowerOptions): TopicFollower {
@@ -52,7 +57,7 @@
   const stop = new AbortController()
   const status: FollowerStatus = { hasRead: false, failingSinceMs: undefined, outageEndedAtMs: -Infinity }
   let next: number | undefined
-  let retryMs = FIRST_RETRY_MS
+  let failedReads = 0
   let wakeUp = new AbortController()
 
   const recordSuccess = (): void => {
@@ -64,7 +69,7 @@
     }
     status.failingSinceMs = undefined
     status.hasRead = true
-    retryMs = FIRST_RETRY_MS
+    failedReads = 0
   }
   const recordFailure = (error: AppError): void => {
     if (error.kind === 'log-gap') {
@@ -73,14 +78,21 @@
       return
     }
     if (error.kind === 'record-malformed') next = undefined
+    failedReads += 1
     if (status.failingSinceMs === undefined) logger.warn('The store cannot be read.', { topic, error: error.message })
     status.failingSinceMs ??= clock.monotonicMs()
   }
+  /** A read that the store may never answer must not hide its return. */
+  const getReadLimits = () => {
+    if (failedReads === 0) return {}
+    return { waitMs: 0, timeoutMs: failedReads % PATIENT_READ_EVERY === 0 ? LONG_TIMEOUT_MS : SHORT_TIMEOUT_MS }
+  }
   const readOnce = async (): Promise<boolean> => {
     const isWhole = next === undefined
+    const limits = getReadLimits()
     const page = next === undefined
-      ? await store.readNewest(topic)
-      : await store.readFrom(topic, next, { waitMs: options.waitMs, signal: stop.signal })
+      ? await store.readNewest(topic, limits)
+      : await store.readFrom(topic, next, { waitMs: options.waitMs, ...limits, signal: stop.signal })
     if (stop.signal.aborted) return false
     if (page.isErr()) {
       recordFailure(page.error)
@@ -104,8 +116,7 @@
         if (options.pauseMs > 0) await pause(options.pauseMs)
         continue
       }
-      await pause(retryMs * (0.5 + random()))
-      retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2)
+      await pause(RETRY_MS * (0.5 + random()))
     }
   }
   return {
--- /dev/null
+++ b/test/topic-follower.test.ts
@@ -0,0 +1,70 @@
+import { err, ok } from 'neverthrow'
+import { expect, test } from 'vitest'
+import { createTestClock } from '../src/clock.ts'
+import { createError } from '../src/errors.ts'
+import type { FollowOptions, StoreClient } from '../src/platform/store-client.ts'
+import { createTopicFollower } from '../src/process/discovery/topic-follower.ts'
+
+const LOGGER = { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined }
+const DEFAULT_TIMEOUT_MS = 800
+
+/** A store that answers after `answerMs`, and keeps silent on calls that reach it while it is away. */
+function setup (answerMs: number) {
+  const clock = createTestClock()
+  const state = { isAway: false, calls: 0, appliedAtMs: -1 }
+  const read = async ({ timeoutMs = DEFAULT_TIMEOUT_MS, waitMs = 0 }: Partial<FollowOptions>) => {
+    state.calls += 1
+    const isLost = state.isAway
+    const tookMs = answerMs + waitMs
+    if (isLost || answerMs > timeoutMs) {
+      await clock.wait(timeoutMs + waitMs)
+      return err(createError('log-unavailable', 'no answer'))
+    }
+    await clock.wait(tookMs)
+    return ok({ records: [], next: 1, malformed: 0 })
+  }
+  const store: StoreClient = {
+    readNewest: (_, options = {}) => read(options),
+    readFrom: (_, __, options) => read(options),
+    append: async () => ok(undefined),
+    report: () => ({ reads: 0, appends: 0, failures: 0, receivedBytes: 0 }),
+    close: async () => undefined
+  }
+  const follower = createTopicFollower({
+    topic: 't', store, clock, random: () => 0.5, logger: LOGGER, waitMs: 1_400, pauseMs: 0, applyRecords: () => { state.appliedAtMs = clock.monotonicMs() }
+  })
+  follower.start()
+  return { clock, state, follower }
+}
+
+// A version must be in force 2 s after it is written, and an entry is bound again 3 s after the store's return.
+test('a store that was silent is read again within 3 s of its return, whenever it returns', async () => {
+  for (let awayMs = 300; awayMs < 9_000; awayMs += 470) {
+    const { clock, state, follower } = setup(5)
+    await clock.advance(1_000)
+    state.isAway = true
+    await clock.advance(awayMs)
+    state.isAway = false
+    const returnedAtMs = clock.monotonicMs()
+    await clock.advance(3_000)
+    expect(state.appliedAtMs).toBeGreaterThan(returnedAtMs)
+    follower.close()
+  }
+})
+
+test('a store that takes longer than the usual limit is still read', async () => {
+  const { clock, state, follower } = setup(1_500)
+  await clock.advance(10_000)
+  expect(state.appliedAtMs).toBeGreaterThan(0)
+  follower.close()
+})
+
+test('reads of a store that is away are bounded', async () => {
+  const { clock, state, follower } = setup(5)
+  await clock.advance(10)
+  state.isAway = true
+  const before = state.calls
+  await clock.advance(10_000)
+  expect(state.calls - before).toBeLessThan(20)
+  follower.close()
+})
