--- /dev/null
+++ b/test/gateway-process.test.ts
@@ -0,0 +1,88 @@
+import { execFileSync, spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
+import { afterEach, beforeAll, expect, test } from 'vitest'
+import type { BootSettings, HostPort } from '../src/platform/boot-file.ts'
+import { startPlatformStore } from '../stand-ins/platform-store.ts'
+import { buildSettings, describeConfiguration, describeTarget, HOST, sendRaw, startFakeTarget } from './support/gateway-system.ts'
+
+
+const PROGRAM = 'target/gateway.cjs'
+const cleanups: (() => void)[] = []
+
+beforeAll(() => { execFileSync(process.execPath, ['scripts/bundle.mjs', '--platform']) })
+afterEach(() => { for (const cleanup of cleanups.splice(0)) cleanup() })
+
+function formatBootFile (settings: BootSettings): string {
+  const formatPlace = ({ address, port }: HostPort) => `${address}:${port}`
+  const fields = {
+    node: settings.entry,
+    zone: settings.zone,
+    ip: settings.address,
+    'listen.front': formatPlace(settings.listen.front),
+    'listen.ready': formatPlace(settings.listen.ready),
+    'listen.directory': formatPlace(settings.listen.directory),
+    internalPorts: settings.internalPorts.join(','),
+    'platform.address': formatPlace(settings.store),
+    'bounds.grace': `${settings.graceMs}ms`
+  }
+  return Object.entries(fields).map(([key, value]) => `${key}=${value}\n`).join('')
+}
+
+/** Starts the program that the platform runs, with a store and one target. */
+async function startProgram () {
+  const store = await startPlatformStore()
+  const target = await startFakeTarget('i-1')
+  store.put('keyed.op', 'config', describeConfiguration(1))
+  store.put('keyed.servers', 'i-1', describeTarget(target))
+  const settings = await buildSettings(store, { graceMs: 1_200 })
+  const folder = mkdtempSync(path.join(tmpdir(), 'medlarcove-gateway-'))
+  const bootFile = path.join(folder, 'boot.conf')
+  writeFileSync(bootFile, formatBootFile(settings))
+  const child: ChildProcess = spawn(process.execPath, [PROGRAM], { env: { ...process.env, MEDLARCOVE_BOOT: bootFile }, stdio: ['ignore', 'pipe', 'inherit'] })
+  let output = ''
+  child.stdout?.on('data', (chunk: Buffer) => { output += chunk.toString() })
+  const exited = new Promise<number | null>((resolve) => { child.once('exit', (code) => resolve(code)) })
+  cleanups.push(() => {
+    child.kill('SIGKILL')
+    store.close()
+    target.server.closeAllConnections()
+    target.server.close()
+    rmSync(folder, { recursive: true })
+  })
+  const readyUrl = `http://127.0.0.1:${settings.listen.ready.port}/ready`
+  const isReady = () => fetch(readyUrl).then(({ status }) => status === 200, () => false)
+  while (!await isReady()) await new Promise((resolve) => setTimeout(resolve, 20))
+  return { child, exited, settings, bootFile, getOutput: () => output }
+}
+
+async function waitFor (isDone: () => boolean): Promise<void> {
+  while (!isDone()) await new Promise((resolve) => setTimeout(resolve, 20))
+}
+
+function sendRequest (settings: BootSettings, id: string) {
+  return sendRaw(settings.listen.front.port, `GET /safe/a HTTP/1.1\r\nHost: ${HOST}\r\nMedlarcove-Attempt-Id: ${id}\r\nConnection: close\r\n\r\n`)
+}
+
+test('the program that the platform runs serves, outlives SIGHUP with bad settings, and stops with 0', async () => {
+  const { child, exited, settings, bootFile, getOutput } = await startProgram()
+  expect((await sendRequest(settings, 'a-1')).text.slice(9, 12)).toBe('200')
+  writeFileSync(bootFile, 'node=front-1\n')
+  child.kill('SIGHUP')
+  await waitFor(() => getOutput().includes('The changed settings are wrong'))
+  expect((await sendRequest(settings, 'a-2')).text.slice(9, 12)).toBe('200')
+  child.kill('SIGTERM')
+  expect(await exited).toBe(0)
+  expect(getOutput()).toContain('[gateway] Stopped.')
+})
+
+test('the program names every fault of a bad boot file and exits with 3', () => {
+  const folder = mkdtempSync(path.join(tmpdir(), 'medlarcove-gateway-'))
+  cleanups.push(() => rmSync(folder, { recursive: true }))
+  const bootFile = path.join(folder, 'boot.conf')
+  writeFileSync(bootFile, 'zone=a\n')
+  expect(() => execFileSync(process.execPath, [PROGRAM, '--check'], { env: { ...process.env, MEDLARCOVE_BOOT: bootFile }, stdio: 'pipe' }))
+    .toThrow(/boot\.conf: .*node: expected a text.*platform\.address: expected an address with a port/)
+})
