--- a/test/gateway-process.test.ts
+++ b/test/gateway-process.test.ts
@@ -8,7 +8,6 @@
 import { startPlatformStore } from '../stand-ins/platform-store.ts'
 import { buildSettings, describeConfiguration, describeTarget, HOST, sendRaw, startFakeTarget } from './support/gateway-system.ts'
 
-
 const PROGRAM = 'target/gateway.cjs'
 const cleanups: (() => void)[] = []
 
