Serve although the port of the metrics is taken

Change: such a failure is logged and requests are served without metrics. Before: the new test of the gateway failed to start; after: it passes.

--- a/src/process/gateway/gateway-servers.ts
+++ b/src/process/gateway/gateway-servers.ts
@@ -32,6 +32,8 @@
 export interface GatewayServers {
   /** Begins to listen. Errors: `settings-invalid` when an address cannot be used. */
   start(): Promise<Result<void, AppError>>
+  /** Begins to serve metrics. Errors: `settings-invalid` when the port is taken; requests are served without them. */
+  startMetrics(): Promise<Result<void, AppError>>
   /** From now on each answer asks the caller to close its connection. */
   closeAfterAnswers(): void
   /** Sets how long an idle connection of a caller is kept, in ms. */
@@ -88,7 +90,7 @@
   const ownListener = getRequestListener(createOwnPaths(options).fetch)
   const own = [settings.listen.ready, settings.listen.directory].map((place) => ({ place, server: createServer(ownListener) }))
   const metricsListener = getRequestListener(createMetricsPath(options).fetch)
-  own.push({ place: { address: settings.address, port: options.metricsPort }, server: createServer(metricsListener) })
+  const metrics = createServer(metricsListener)
   return {
     async start () {
       for (const { place, server } of [...own, { place: settings.listen.front, server: front }]) {
@@ -97,11 +99,12 @@
       }
       return ok(undefined)
     },
+    startMetrics: () => startListening(metrics, { address: settings.address, port: options.metricsPort }),
     closeAfterAnswers () { isClosing = true },
     setIdleTimeout (idleTimeoutMs) { front.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS },
     countConnections: () => new Promise((resolve) => { front.getConnections((_, count) => resolve(count)) }),
     close () {
-      for (const server of [front, ...own.map((each) => each.server)]) {
+      for (const server of [front, metrics, ...own.map((each) => each.server)]) {
         server.close()
         server.closeAllConnections()
       }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -248,6 +248,8 @@
   if (joined.isErr()) return err(joined.error)
   const listening = await parts.servers.start()
   if (listening.isErr()) return err(listening.error)
+  const metrics = await parts.servers.startMetrics()
+  if (metrics.isErr()) log.warn('Metrics are not served.', { error: metrics.error.message })
   const upkeep = setInterval(() => state.removeLapsed(targetsFollower.getStatus().failingSinceMs !== undefined), UPKEEP_MS)
   log.info('Started.', { entry: settings.entry, zone: settings.zone, incarnation: parts.incarnation })
   const close = async (): Promise<void> => {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -5,7 +5,7 @@
 import { startGateway } from '../src/process/gateway/gateway.ts'
 import { startPlatformStore } from '../stand-ins/platform-store.ts'
 import { answerWhole, buildSettings, createListLogger, describeConfiguration, describeTarget, HOST, sendRaw, startFakeTarget, startGatewaySystem } from './support/gateway-system.ts'
-import type { FakeTarget, GatewaySystem } from './support/gateway-system.ts'
+import type { FakeTarget, GatewaySystem, LogLine } from './support/gateway-system.ts'
 
 const systems: GatewaySystem[] = []
 
@@ -220,3 +220,14 @@
   const line = system.log.find(({ fields }) => fields.id === id)
   expect(line).toMatchObject({ part: 'request', fields: { route: 'safe', service: 'desk', version: 1, status: 200, end: 'whole', attempts: [{ target: 'i-1', end: 'answered' }] } })
 })
+
+test('an entry serves although the port of its metrics is taken', async () => {
+  const store = await startPlatformStore()
+  const lines: LogLine[] = []
+  const settings = await buildSettings(store)
+  const started = await startGateway({ settings, clock: createHostClock(), logger: createListLogger(lines), metricsPort: settings.listen.ready.port })
+  expect(lines.map(({ message }) => message)).toContain('Metrics are not served.')
+  expect((await fetch(`http://127.0.0.1:${settings.listen.ready.port}/ready`)).status).toBe(503)
+  await started._unsafeUnwrap().close()
+  store.close()
+})
