Return a connection when its answer is done, and take settings' bounds for the pauses

Cause: the connection went back to its pool one turn after the end of its answer was told, so the next request opened another one. Change: the end of an answer is told one turn after its last chunk, and the connection returns at once. The first estimate of work stays below a short timeout.

--- a/src/connection/send-look.ts
+++ b/src/connection/send-look.ts
@@ -1,7 +1,6 @@
 /**
  * One look at a target's health endpoint on a kept connection, for the load that it tells there.
  */
-import { setImmediate } from 'node:timers/promises'
 import type { Clock } from '../clock.ts'
 import { decodeLoad, getInstanceId } from '../platform/wire-names.ts'
 import { startExchange } from '../request/exchange.ts'
@@ -70,7 +69,5 @@
   const head = await exchange.head
   if (head.isErr()) return { kind: exchange.wasSent() ? 'silent' : 'unreachable' }
   const isWhole = await finishAnswer(exchange)
-  // The connection is back in its pool only once the chunk that ended the answer has been parsed.
-  await setImmediate()
   return isWhole ? toResult(target, head.value) : { kind: 'silent' }
 }
--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -135,10 +135,6 @@
     removeIdle(oldest)
     return true
   }
-  const keep = (pooled: PooledClient): void => {
-    if (isClosed || pooled.client.destroyed || pooled.isEnded) destroyClient(pooled)
-    else idle.push(pooled)
-  }
   const toConnection = (pooled: PooledClient, isFresh: boolean): TargetConnection => {
     let isTaken = true
     const leave = (): boolean => {
@@ -154,8 +150,8 @@
         if (!leave()) return
         if (!isFresh) silentInRow = 0
         pooled.lastAnswerMs = clock.monotonicMs()
-        // The rest of the chunk that ended the answer is parsed first: bytes beyond the answer close the connection.
-        setImmediate(keep, pooled)
+        if (isClosed || pooled.client.destroyed || pooled.isEnded) destroyClient(pooled)
+        else idle.push(pooled)
       },
       destroy (isSilent) {
         if (!leave()) return
--- a/src/platform/boot-file.ts
+++ b/src/platform/boot-file.ts
@@ -22,7 +22,6 @@
 export interface BootSettings {
   entry: EntryId
   zone: ZoneId
-  region: string
   /** IP address of this host. */
   address: string
   listen: {
@@ -37,23 +36,18 @@
   internalPorts: readonly [number, number]
   /** Base address of the platform's store. */
   store: HostPort
-  /** Between two reports of a target to the store. */
-  targetHeartbeatMs: number
   /** The longest from the acknowledgement that a target leaves to the last request that it gets. */
   drainMs: number
   /** From SIGTERM to SIGKILL. */
   graceMs: number
   /** The longest from the acknowledgement of a configuration until it is in force. */
   configurationApplyMs: number
-  /** How long after its end the address of a target may belong to another service. */
-  addressReuseMs: number
   /** The longest that callers may keep an address answer. */
   longestAddressLifetimeMs: number
   /** Repeats allowed over all entries: a share of the requests of a service, and a constant, in a sliding window. */
-  repeats: { share: number, slack: number, windowMs: number }
+  repeats: { share: number, slack: number }
   /** Looks at a target's health endpoint over all entries, a second. */
   looksPerSecond: number
-  memoryMb: number
 }
 
 type Fields = ReadonlyMap<string, string>
@@ -88,7 +82,7 @@
   const parseNumber = (text: string): number | undefined => text !== '' && Number.isFinite(Number(text)) ? Number(text) : undefined
   return {
     faults,
-    readText: (key: string, fallback?: string) => readField(key, 'a text', (text) => text || undefined, fallback),
+    readText: (key: string) => readField(key, 'a text', (text) => text || undefined),
     readNumber: (key: string, fallback?: number) => readField(key, 'a number', parseNumber, fallback),
     readDuration: (key: string, fallback?: number) => readField(key, 'a duration such as 1500ms', parseDurationMs, fallback),
     readHostPort: (key: string) => readField(key, 'an address with a port', parseHostPort)
@@ -96,17 +90,13 @@
 }
 
 const DEFAULTS = {
-  targetHeartbeatMs: 1_500,
   drainMs: 2_000,
   graceMs: 6_000,
   configurationApplyMs: 2_000,
-  addressReuseMs: 2_000,
   longestAddressLifetimeMs: 5_000,
   repeatShare: 0.2,
   repeatSlack: 0,
-  repeatWindowMs: 10_000,
-  looksPerSecond: 60,
-  memoryMb: 512
+  looksPerSecond: 60
 }
 
 function parsePorts (text: string): readonly [number, number] | undefined {
@@ -124,7 +114,6 @@
   const settings: BootSettings = {
     entry: toBrand<EntryId>(reader.readText('node')),
     zone: toBrand<ZoneId>(reader.readText('zone')),
-    region: reader.readText('region', 'default'),
     address: reader.readText('ip'),
     listen: {
       front: reader.readHostPort('listen.front'),
@@ -133,19 +122,15 @@
     },
     internalPorts: internalPorts ?? [1, 1],
     store: reader.readHostPort('platform.address'),
-    targetHeartbeatMs: reader.readDuration('heartbeat', DEFAULTS.targetHeartbeatMs),
     drainMs: reader.readDuration('bounds.drain', DEFAULTS.drainMs),
     graceMs: reader.readDuration('bounds.grace', DEFAULTS.graceMs),
     configurationApplyMs: reader.readDuration('bounds.configApply', DEFAULTS.configurationApplyMs),
-    addressReuseMs: reader.readDuration('bounds.reuseAfter', DEFAULTS.addressReuseMs),
     longestAddressLifetimeMs: reader.readDuration('bounds.ttl_max', DEFAULTS.longestAddressLifetimeMs),
     repeats: {
       share: reader.readNumber('bounds.budgetRatio', DEFAULTS.repeatShare),
-      slack: reader.readNumber('bounds.budgetSlack', DEFAULTS.repeatSlack),
-      windowMs: reader.readDuration('bounds.budgetWindow', DEFAULTS.repeatWindowMs)
+      slack: reader.readNumber('bounds.budgetSlack', DEFAULTS.repeatSlack)
     },
-    looksPerSecond: reader.readNumber('bounds.probesPerS', DEFAULTS.looksPerSecond),
-    memoryMb: reader.readNumber('limits.memoryMb', DEFAULTS.memoryMb)
+    looksPerSecond: reader.readNumber('bounds.probesPerS', DEFAULTS.looksPerSecond)
   }
   if (reader.faults.length > 0) return err(createError('settings-invalid', `${path}: ${reader.faults.join('; ')}`))
   return ok(settings)
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -55,10 +55,10 @@
 /** How long callers may keep an address answer, in ms; some keep it three times as long, and a stop must outlast that. */
 const ADDRESS_LIFETIME_MS = 1_000
 const KEPT_LONGER_FACTOR = 3
-/** How long the store may hold back a read of the configuration, in ms: a dead connection is noticed that much later. */
-const CONFIGURATION_WAIT_MS = 1_400
-/** Between two reads of the targets, in ms: a leaving target must be known within the drain bound. */
-const TARGETS_PAUSE_MS = 600
+/** How long the store may hold back a read of the configuration, as a share of the time until it must be in force. */
+const CONFIGURATION_WAIT_SHARE = 0.7
+/** Between two reads of the targets, as a share of the time after which a leaving target gets nothing. */
+const TARGETS_PAUSE_SHARE = 0.3
 const UPKEEP_MS = 100
 /** The process ends this long before it would be killed, in ms. */
 const KILL_MARGIN_MS = 500
@@ -135,7 +135,7 @@
   const configurationFollower = createTopicFollower({
     ...shared,
     topic: OPERATOR_TOPIC,
-    waitMs: CONFIGURATION_WAIT_MS,
+    waitMs: base.settings.configurationApplyMs * CONFIGURATION_WAIT_SHARE,
     pauseMs: 0,
     applyRecords: (records) => state.applyConfigurationRecords(records)
   })
@@ -143,7 +143,7 @@
     ...shared,
     topic: TARGETS_TOPIC,
     waitMs: 0,
-    pauseMs: TARGETS_PAUSE_MS,
+    pauseMs: base.settings.drainMs * TARGETS_PAUSE_SHARE,
     applyRecords (records, isWhole) {
       const { outageEndedAtMs } = targetsFollower.getStatus()
       state.applyTargetRecords(records, isWhole, clock.monotonicMs() - outageEndedAtMs < LAPSE_RETURN_MS)
@@ -185,7 +185,7 @@
       settings,
       isReady: () => isReady(parts),
       listAddresses: () => listAddresses(parts),
-      addressLifetimeMs: ADDRESS_LIFETIME_MS,
+      addressLifetimeMs: Math.min(ADDRESS_LIFETIME_MS, settings.longestAddressLifetimeMs),
       metricsPort: options.metricsPort ?? METRICS_PORT,
       handleRequest: (incoming, outgoing) => { requests.handleRequest(incoming, outgoing).catch(() => outgoing.destroy()) },
       renderMetrics: () => metrics.renderText({
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -74,7 +74,6 @@
   let isHeadSettled = false
   let isOver = false
   let hasBegun = false
-  let hasLength = true
   let lastDataMs = startedMs
   let cancelTimer: Cancel = () => undefined
   let settleHead: (head: Result<AnswerHead, AppError>) => void = () => undefined
@@ -138,7 +137,6 @@
       cancelTimer()
       controller?.pause()
       isHeadSettled = true
-      hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
       lastDataMs = clock.monotonicMs()
       settleHead(ok({ status, headers, firstByteMs: lastDataMs - startedMs }))
     },
@@ -149,9 +147,9 @@
       else if (!sink.write(chunk)) controller?.pause()
     },
     onResponseEnd () {
-      // Whether an answer without a length is whole shows only after the events of its connection's end.
-      if (hasLength) endAnswer()
-      else setImmediate(endAnswer)
+      // The rest of the chunk is parsed first: bytes beyond the answer close the connection. Whether an answer without
+      // a length is whole shows only after the events of its connection's end.
+      setImmediate(endAnswer)
     },
     onResponseError (_, cause) {
       const kind = isHeadSettled ? 'answer-truncated' : hasBegun ? 'target-broken' : 'target-unreachable'
--- a/src/request/gateway/run-attempts.ts
+++ b/src/request/gateway/run-attempts.ts
@@ -23,7 +23,7 @@
 const HEDGE_SLACK_MS = 60
 /** A target that refuses although it has room may take the next attempt, so that the caller may return at once, in s. */
 const SHED_RETURN_S = 0.01
-/** Share of the objective that the work is taken to need until an answer has told. */
+/** Share of the objective, or of a shorter timeout, that the work is taken to need until an answer has told. */
 const FIRST_WORK_SHARE = 0.35
 /** What a crossing of zones costs downloads and other requests; 1 stands for a full target. */
 const FAR_PENALTY = { download: 0.9, safe: 0.3, unsafe: 0.3 } as const
@@ -52,7 +52,7 @@
   const { route } = call
   return {
     priority: route.priority,
-    workMs: call.work.getWorkMs(route.name, route.targetLatencyMs * FIRST_WORK_SHARE),
+    workMs: call.work.getWorkMs(route.name, Math.min(route.targetLatencyMs, route.timeoutMs) * FIRST_WORK_SHARE),
     aimAtMs: call.startedAtMs + route.targetLatencyMs,
     deadlineAtMs: call.endsAtMs,
     farPenalty: FAR_PENALTY[route.kind],
