--- a/src/process/gateway/entry-directory.ts
+++ b/src/process/gateway/entry-directory.ts
@@ -11,15 +11,15 @@
 import type { KeyedRecord } from '../../platform/store-frames.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
-import type { Cancel, ZoneId } from '../../types.ts'
+import type { ZoneId } from '../../types.ts'
 import type { HostListClient, ListedHost } from '../host-list-client.ts'
 import type { PartLogger } from '../logger.ts'
 
 /** The topic of our own in which entries name their places. */
 export const ENTRIES_TOPIC = 'keyed.entries'
 
-/** Instants of the reads after the start, in ms; later ones follow at the last distance. */
-const READ_AFTER_MS = [0, 400, 1_500, 5_000, 15_000]
+/** Pauses between the reads after the start, in ms; the last one goes on. */
+const READ_PAUSES_MS = [400, 1_100, 3_500, 10_000]
 const RETRY_MS = 500
 
 const placeSchema = z.object({ zone: z.string(), address: z.ipv4(), port: z.number().int(), peerPort: z.number().int() })
@@ -70,15 +70,12 @@
   const runReading = async (): Promise<void> => {
     for (let turn = 0; !stop.signal.aborted; turn++) {
       const isRead = await readHosts()
-      const at = READ_AFTER_MS.length - 1
-      const next = READ_AFTER_MS[Math.min(turn + 1, at)] ?? 0
-      const last = READ_AFTER_MS[Math.min(turn, at - 1)] ?? 0
-      await clock.wait(isRead ? next - last : RETRY_MS, stop.signal)
+      const pauseMs = READ_PAUSES_MS[Math.min(turn, READ_PAUSES_MS.length - 1)] ?? RETRY_MS
+      await clock.wait(isRead ? pauseMs : RETRY_MS, stop.signal)
     }
   }
-  const runTask = (name: string, task: () => Promise<void>): Cancel => {
+  const runTask = (name: string, task: () => Promise<void>): void => {
     task().catch((cause: unknown) => logger.error(`${name} ended.`, { error: describeCause(cause) }))
-    return () => stop.abort()
   }
   return {
     start () {
--- a/src/process/placement/service-placer.ts
+++ b/src/process/placement/service-placer.ts
@@ -71,6 +71,7 @@
 const FRESH_REPORT_MS = 6
 /** What the pause between two places is taken to be until one has told, in ms. */
 const FIRST_PLACE_INTERVAL_MS = 10
+const LONGEST_PLACE_INTERVAL_MS = 100
 const INTERVAL_WEIGHT = 0.1
 /** A refused request may return after this long, spread by as much again, in s. */
 const RETURN_AFTER_S = 0.2
@@ -172,7 +173,7 @@
   const settleWaiting = (waiting: Waiting, placement: Placement): void => {
     const nowMs = clock.monotonicMs()
     queue.remove(waiting)
-    placeIntervalMs += INTERVAL_WEIGHT * (Math.min(nowMs - lastPlaceAtMs, FIRST_PLACE_INTERVAL_MS * 10) - placeIntervalMs)
+    placeIntervalMs += INTERVAL_WEIGHT * (Math.min(nowMs - lastPlaceAtMs, LONGEST_PLACE_INTERVAL_MS) - placeIntervalMs)
     lastPlaceAtMs = nowMs
     waiting.isSettled = true
     waiting.settle(ok(placement))
--- a/src/process/placement/work-meter.ts
+++ b/src/process/placement/work-meter.ts
@@ -10,10 +10,8 @@
   record(route: string, tookMs: number, slowdown: number): void
 }
 
-/** The share of each new answer in the mean. */
+/** The share of each new answer in the mean, once there are enough; the first ones count evenly. */
 const WEIGHT = 0.05
-/** The share of the first answers, so that the mean settles soon. */
-const FIRST_ANSWERS = 10
 
 /** Creates a meter that has learned nothing. */
 export function createWorkMeter (): WorkMeter {
@@ -28,8 +26,7 @@
         return
       }
       known.answers += 1
-      const weight = Math.max(WEIGHT, 1 / Math.min(known.answers, FIRST_ANSWERS * 2))
-      known.meanMs += weight * (sampleMs - known.meanMs)
+      known.meanMs += Math.max(WEIGHT, 1 / known.answers) * (sampleMs - known.meanMs)
     }
   }
 }
--- a/src/request/placement/order-candidates.ts
+++ b/src/request/placement/order-candidates.ts
@@ -23,9 +23,12 @@
   farPenalty: number
 }
 
+/** Penalties are in shares of a full target. */
 const CONNECTION_PENALTY = 0.3
 const WARMING_PENALTY = 0.5
 const BAD_PENALTY = 1
+/** Candidates that differ by less than this are taken in turn by chance. */
+const RANDOM_SPREAD = 0.25
 /** After this long a bad report says nothing any more, in ms. */
 const BAD_REPORT_LIFETIME_MS = 120
 
@@ -38,5 +41,5 @@
     (candidate.hasIdleConnection ? 0 : CONNECTION_PENALTY) +
     (candidate.isWarming ? WARMING_PENALTY : 0) +
     bad * BAD_PENALTY +
-    random * 0.25
+    random * RANDOM_SPREAD
 }
