Keep the end of a paused connection from ending the process

Ruled out: resets, mended before. Change: the exchange resumes right before the library learns of the end, and does not pause after it. Before: three new cases of test/exchange.test.ts ended the process; after: they pass.

--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -21,6 +21,8 @@
   readonly isFresh: boolean
   /** Whether the connection was reset: an answer that ends with its connection is then not whole. */
   wasReset(): boolean
+  /** Calls `action` right before the library learns that the target has ended the connection. */
+  watchEnd(action: () => void): void
   /** Returns it to the pool after a whole answer. */
   release(): void
   /** Closes it; it is never used again. `isSilent` tells that a request was sent and no byte came back. */
@@ -49,7 +51,7 @@
   clock: Clock
 }
 
-interface PooledClient { client: Client, lastAnswerMs: number, isEnded: boolean, isDropped: boolean, wasReset: boolean }
+interface PooledClient { client: Client, lastAnswerMs: number, isEnded: boolean, isDropped: boolean, wasReset: boolean, handleEnd: () => void }
 
 const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true })
 
@@ -66,6 +68,7 @@
     if (error.code === 'ECONNRESET') error.code = RESET_CODE
   })
   socket.on('end', () => {
+    pooled.handleEnd()
     socket.write('', (error) => {
       if ((error as NodeJS.ErrnoException | null | undefined)?.syscall) pooled.wasReset = true
     })
@@ -104,7 +107,7 @@
       bodyTimeout: 0,
       pipelining: 1
     })
-    const pooled: PooledClient = { client, lastAnswerMs: -Infinity, isEnded: false, isDropped: false, wasReset: false }
+    const pooled: PooledClient = { client, lastAnswerMs: -Infinity, isEnded: false, isDropped: false, wasReset: false, handleEnd: () => undefined }
     client.on('disconnect', () => {
       pooled.isEnded = true
       removeIdle(pooled)
@@ -146,6 +149,7 @@
       client: pooled.client,
       isFresh,
       wasReset: () => pooled.wasReset,
+      watchEnd (action) { pooled.handleEnd = action },
       release () {
         if (!leave()) return
         if (!isFresh) silentInRow = 0
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -74,6 +74,7 @@
   let isHeadSettled = false
   let isOver = false
   let hasBegun = false
+  let hasConnectionEnded = false
   let lastDataMs = startedMs
   let cancelTimer: Cancel = () => undefined
   let settleHead: (head: Result<AnswerHead, AppError>) => void = () => undefined
@@ -135,7 +136,7 @@
         return
       }
       cancelTimer()
-      controller?.pause()
+      if (!hasConnectionEnded) controller?.pause()
       isHeadSettled = true
       lastDataMs = clock.monotonicMs()
       settleHead(ok({ status, headers, firstByteMs: lastDataMs - startedMs }))
@@ -143,8 +144,9 @@
     onResponseData (_, chunk) {
       if (isOver) return
       lastDataMs = clock.monotonicMs()
+      if (chunk.byteLength === 0) return
       if (!sink) early.push(chunk)
-      else if (!sink.write(chunk)) controller?.pause()
+      else if (!sink.write(chunk) && !hasConnectionEnded) controller?.pause()
     },
     onResponseEnd () {
       // The rest of the chunk is parsed first: bytes beyond the answer close the connection. Whether an answer without
@@ -156,6 +158,11 @@
       fail(createError(kind, `The exchange with the target failed: ${describeCause(cause)}.`, cause))
     }
   }
+  // The library fails an assertion when an answer is paused while its connection ends.
+  connection.watchEnd(() => {
+    hasConnectionEnded = true
+    controller?.resume()
+  })
   connection.client.dispatch({
     method: request.method,
     path: request.path,
--- a/test/exchange.test.ts
+++ b/test/exchange.test.ts
@@ -60,3 +60,30 @@
   await clock.wait(30)
   expect(await readEnd(exchange)).toBe('whole: all of it')
 })
+
+for (const [name, head] of Object.entries({ 'without a length': HEADS['without a length'], 'with a length': HEADS['with a length and its last connection'] })) {
+  test(`an answer ${name} whose connection ends right after its head does not end the process`, async () => {
+    const exchange = await startExchangeWith((socket) => { socket.end(head) })
+    expect((await exchange.head).isOk()).toBe(true)
+    await clock.wait(30)
+    expect(await readEnd(exchange)).toBe(name === 'with a length' ? 'answer-truncated' : 'whole: ')
+  })
+}
+
+test('an answer whose last part is paused when its connection ends is whole', async () => {
+  const exchange = await startExchangeWith((socket) => { socket.end(`${HEADS['without a length']}all of it`) })
+  expect((await exchange.head).isOk()).toBe(true)
+  const parts: string[] = []
+  const end = await new Promise<string>((resolve) => {
+    exchange.pipe({
+      write (chunk) {
+        parts.push(Buffer.from(chunk).toString())
+        setTimeout(() => exchange.resume(), 30)
+        return false
+      },
+      end: () => resolve('whole'),
+      fail: (error) => resolve(error.kind)
+    })
+  })
+  expect([...parts, end]).toEqual(['all of it', 'whole'])
+})
