Remove what nothing calls from the follower, the target states and the listeners

Cause: waking a follower, finding or listing states and counting callers' connections had no caller; the follower kept a second abort controller for it. Change: removed; a pause waits on the follower's own signal. Behaviour is the same. Checked: types, linter and formatter of these folders, and the tests of the gateway, the follower and the placer: 27 passed.

--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -35,8 +35,6 @@
 /** A follower. */
 export interface TopicFollower {
   start(): void
-  /** Reads again now instead of after the pause. */
-  wake(): void
   getStatus(): FollowerStatus
   close(): void
 }
@@ -58,7 +56,6 @@
   const status: FollowerStatus = { hasRead: false, failingSinceMs: undefined, outageEndedAtMs: -Infinity }
   let next: number | undefined
   let failedReads = 0
-  let wakeUp = new AbortController()
 
   const recordSuccess = (): void => {
     const nowMs = clock.monotonicMs()
@@ -104,11 +101,7 @@
     options.applyRecords(page.value.records, isWhole)
     return true
   }
-  const pause = async (durationMs: number): Promise<void> => {
-    wakeUp = new AbortController()
-    stop.signal.addEventListener('abort', () => wakeUp.abort(), { once: true, signal: wakeUp.signal })
-    await clock.wait(durationMs, wakeUp.signal)
-  }
+  const pause = (durationMs: number): Promise<void> => clock.wait(durationMs, stop.signal)
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
       const isRead = await readOnce()
@@ -123,7 +116,6 @@
     start () {
       run().catch((cause: unknown) => logger.error('Following a topic ended.', { topic, err: cause }))
     },
-    wake: () => wakeUp.abort(),
     getStatus: () => status,
     close: () => stop.abort()
   }
--- a/src/process/gateway/gateway-servers.ts
+++ b/src/process/gateway/gateway-servers.ts
@@ -38,7 +38,6 @@
   closeAfterAnswers(): void
   /** Sets how long an idle connection of a caller is kept, in ms. */
   setIdleTimeout(idleTimeoutMs: number): void
-  countConnections(): Promise<number>
   close(): void
 }
 
@@ -102,7 +101,6 @@
     startMetrics: () => startListening(metrics, { address: settings.address, port: options.metricsPort }),
     closeAfterAnswers () { isClosing = true },
     setIdleTimeout (idleTimeoutMs) { front.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS },
-    countConnections: () => new Promise((resolve) => { front.getConnections((_, count) => resolve(count)) }),
     close () {
       for (const server of [front, metrics, ...own.map((each) => each.server)]) {
         server.close()
--- a/src/process/placement/target-states.ts
+++ b/src/process/placement/target-states.ts
@@ -36,10 +36,8 @@
 export interface TargetStates {
   /** Returns the state of a target, after creating it when it is new. */
   get(registered: RegisteredTarget): TargetState
-  find(id: TargetId): TargetState | undefined
   /** Drops the states of targets that are gone; requests under way end by themselves. */
   removeGone(isKnown: (registered: RegisteredTarget) => boolean): void
-  list(): Iterable<TargetState>
   close(): void
 }
 
@@ -80,7 +78,6 @@
       states.set(registered.report.id, created)
       return created
     },
-    find: (id) => states.get(id),
     removeGone (isKnown) {
       for (const [id, state] of states) {
         if (isKnown(state.registered)) continue
@@ -88,7 +85,6 @@
         states.delete(id)
       }
     },
-    list: () => states.values(),
     close () {
       for (const state of states.values()) state.pool.close()
     }
