Ask a just-started entry once it has a contract; mark the dispatcher idle as its queue empties

Red test (killed-claim). Cause: the restarted entry answers on its operators' port before it has read a contract, so the repeated ticket was refused with 503 no-contract, fate not-run: a true refusal of that attempt. Seen by recording the kind (1 of 4 runs beside load). Ruled out: the claim fold and the exchange; no other kind was seen.

Dispatcher of a placer. Cause: it was marked idle in a callback of its promise, so a request that queued between the empty queue and that callback had nobody to search for it or to refuse it (test failed first: 'never answered'). Change: marked idle in the same step. Waiting requests are settled in one place.

--- a/src/process/placement/service-placer.ts
+++ b/src/process/placement/service-placer.ts
@@ -170,21 +170,20 @@
     state.inFlight -= 1
     state.sent -= 1
   }
-  const settleWaiting = (waiting: Waiting, placement: Placement): void => {
+  const settle = (waiting: Waiting, result: Result<Placement, AppError>): void => {
+    waiting.isSettled = true
+    waiting.settle(result)
+  }
+  const placeWaiting = (waiting: Waiting, placement: Placement): void => {
     const nowMs = clock.monotonicMs()
-    queue.remove(waiting)
     placeIntervalMs += INTERVAL_WEIGHT * (Math.min(nowMs - lastPlaceAtMs, LONGEST_PLACE_INTERVAL_MS) - placeIntervalMs)
     lastPlaceAtMs = nowMs
-    waiting.isSettled = true
-    waiting.settle(ok(placement))
+    queue.remove(waiting)
+    settle(waiting, ok(placement))
   }
   /** Refuses the waiting requests that have nothing to wait for any more. */
   const refuseHopeless = (): void => {
     const nowMs = clock.monotonicMs()
-    const settle = (waiting: Waiting, result: Result<Placement, AppError>): void => {
-      waiting.isSettled = true
-      waiting.settle(result)
-    }
     for (const waiting of queue.takeExpired(nowMs)) settle(waiting, refuse('queue-timeout', 'No target became free in time.'))
     for (const waiting of queue.takeLateBehindOthers(nowMs)) settle(waiting, refuse('queue-full', 'The answer would come too late, and others wait whose would not.'))
   }
@@ -192,12 +191,16 @@
     for (;;) {
       refuseHopeless()
       const head = queue.peek(clock.monotonicMs())
-      if (!head) return
+      if (!head) {
+        // Not in a callback of the promise: what queues before that callback runs would find nobody to search for it.
+        isDispatching = false
+        return
+      }
       const placement = await search(head.request, [QUEUE_ROUND_SIZE], head.queuedAtMs)
       if (placement) {
         // An answer may have given the request another target during the search.
         if (head.isSettled) giveBack(placement)
-        else settleWaiting(head, placement)
+        else placeWaiting(head, placement)
         continue
       }
       await clock.wait(ROUND_PAUSE_MS)
@@ -206,9 +209,10 @@
   const startDispatching = (): void => {
     if (isDispatching) return
     isDispatching = true
-    dispatch()
-      .catch((cause: unknown) => logger.error('Dispatching failed.', { service, err: cause }))
-      .finally(() => { isDispatching = false })
+    dispatch().catch((cause: unknown) => {
+      isDispatching = false
+      logger.error('Dispatching failed.', { service, err: cause })
+    })
   }
   const waitForPlace = (request: PlacementRequest, queuedAtMs: number): Promise<Result<Placement, AppError>> => new Promise((resolve) => {
     const nowMs = clock.monotonicMs()
@@ -240,7 +244,7 @@
     const head = queue.peek(nowMs)
     if (!head || state.registered.isLeaving || state.avoidUntilMs > nowMs || head.request.excluded.has(state.registered.report.id)) return
     const estimate = looks.estimate(state, head.request.workMs, state.sentAtReport)
-    if (estimate.isGood) settleWaiting(head, take({ state, estimate }, head.queuedAtMs, 'waited'))
+    if (estimate.isGood) placeWaiting(head, take({ state, estimate }, head.queuedAtMs, 'waited'))
   }
   return {
     place,
--- a/test/claim-processes.test.ts
+++ b/test/claim-processes.test.ts
@@ -1,4 +1,5 @@
 import { afterAll, beforeAll, expect, test } from 'vitest'
+import type { EntryHost } from '../replay/deployment.ts'
 import { startClaimSystem } from './support/claim-system.ts'
 import type { ClaimSystem, TicketAnswer } from './support/claim-system.ts'
 
@@ -27,6 +28,16 @@
   return runs
 }
 
+/** Asks an entry that has just started; it refuses until it has read a contract. */
+async function sendUntilServing (entry: EntryHost, lot: string): Promise<TicketAnswer> {
+  for (let tries = 1; ; tries++) {
+    const answer = await claims.askTicket(entry, lot)
+    if (answer.kind !== 'no-contract' || tries === LARGEST_TRIES) return answer
+    expect(answer).toMatchObject({ status: 503, fate: 'not-run' })
+    await wait(500)
+  }
+}
+
 /** Brings an entry to where a claim is granted and its request waits unsent, and stops it there by a signal. */
 async function stopBetweenClaimAndSend (signal: 'SIGSTOP' | 'SIGKILL') {
   const [owner] = claims.entries
@@ -135,6 +146,6 @@
   }
   expect(await claims.countRuns(lot)).toBe(0)
   await claims.system.startEntry(claims.entries[0]!.id)
-  expect((await claims.askTicket(claims.entries[0]!, lot)).fate).toBe('unknown')
+  expect(await sendUntilServing(claims.entries[0]!, lot)).toMatchObject({ status: 409, fate: 'unknown', kind: 'claim-elsewhere' })
   expect(await claims.countRuns(lot)).toBe(0)
 })
--- a/test/service-placer.test.ts
+++ b/test/service-placer.test.ts
@@ -57,6 +57,27 @@
   expect(requests.map(({ startedMs, refusedMs }) => refusedMs! - startedMs)).toEqual([0, 0, 0, 0, 0])
 })
 
+test('a request that queues in the instant in which the queue empties is answered by its deadline', async () => {
+  const service = createModelledService({ ...SHIFTING, targets: 1, slowShare: 0, looksPerSecond: 0.001, seed: 16 })
+  const [target] = service.targets.values()
+  target!.running = 400
+  let isGone = false
+  let next: Promise<PlayedRequest> | undefined
+  const first = service.send({
+    ...WORK,
+    isGone () {
+      if (isGone && !next) queueMicrotask(() => { next = service.send(WORK) })
+      return isGone
+    }
+  })
+  await service.clock.advance(150)
+  isGone = true
+  await service.clock.advance(WORK.deadlineMs * 2)
+  expect((await first).refusedMs).toBeDefined()
+  const played = await Promise.race([next!, Promise.resolve('never answered')])
+  expect(played).toMatchObject({ refusedMs: expect.any(Number) })
+})
+
 test('a request that can still meet its aim goes before a late one, and the more urgent before the less', () => {
   const queue = createWaitingQueue<{ name: string, request: QueueOrder }>()
   const add = (name: string, priority: number, aimAtMs: number): void => queue.add({ name, request: { priority, aimAtMs, workMs: 10, deadlineAtMs: 1_000, isGone: () => false } })
--- a/test/support/modelled-service.ts
+++ b/test/support/modelled-service.ts
@@ -28,6 +28,8 @@
   slowFactor: number
   /** Between two changes of speed, in ms. */
   shiftMs: number
+  /** Looks at one target, a second. */
+  looksPerSecond?: number
   seed: number
 }
 
@@ -71,7 +73,7 @@
     clock,
     random,
     logger: { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined },
-    getLooksPerSecond: () => 48,
+    getLooksPerSecond: () => model.looksPerSecond ?? 48,
     getHealthPath: () => '/health',
     handleLeaving: () => undefined,
     async lookAt (_, { target, timeoutMs }): Promise<LookResult> {
@@ -88,11 +90,11 @@
     target.running -= 1
     placer.release(state, describeLoad(target))
   }
-  const send = async (options: { priority?: number, workMs: number, aimMs: number, deadlineMs: number }): Promise<PlayedRequest> => {
+  const send = async (options: { priority?: number, workMs: number, aimMs: number, deadlineMs: number, isGone?: () => boolean }): Promise<PlayedRequest> => {
     const startedMs = clock.monotonicMs()
-    const { priority = 1, workMs, aimMs, deadlineMs } = options
+    const { priority = 1, workMs, aimMs, deadlineMs, isGone = () => false } = options
     const played: PlayedRequest = { priority, startedMs }
-    const placement = await placer.place({ priority, workMs, aimAtMs: startedMs + aimMs, deadlineAtMs: startedMs + deadlineMs, farPenalty: 0, excluded: new Set(), isGone: () => false })
+    const placement = await placer.place({ priority, workMs, aimAtMs: startedMs + aimMs, deadlineAtMs: startedMs + deadlineMs, farPenalty: 0, excluded: new Set(), isGone })
     if (placement.isErr()) return { ...played, refusedMs: clock.monotonicMs() }
     const placedMs = clock.monotonicMs()
     await runAt(placement.value.state, workMs)
