Share the reads of the store between entries; bound heartbeats and saved repeats in any fleet

Change: the live entry with the lowest id reads both topics and tells the others what changed; the others read by themselves at the start, after a gap, for stretches too large to share, and when the reader is silent for longer than the bounds allow. Heartbeats of an entry stay at 50 a second over all links; saved repeats are divided by the entries alive. Ruled out: two readers (the fallback by silence already covers a lost one), relaying heartbeats of targets (1.5 MB/s from one link). Tests: shared reading under cuts, lost store, gaps, compaction and late own reads; timing for 1 to 1,000 peers.

--- a/bench/capacity-peers.ts
+++ b/bench/capacity-peers.ts
@@ -45,7 +45,7 @@
     const self = createPeer(values.network ?? '', index)
     const events = { handleOpen: () => true, handleFrame: () => {}, handleBeat: () => {}, handleSilent: () => {}, handleMalformed: () => {} }
     const describeSelf = () => ({ offset: toBrand<Offset>(1), isLeaving: false })
-    const options = { self, peerKey: PEER_KEY, role: 'acceptor' as const, clock, timing: DEFAULT_LINK_TIMING, events, describeSelf }
+    const options = { self, peerKey: PEER_KEY, role: 'acceptor' as const, clock, getTiming: () => DEFAULT_LINK_TIMING, events, describeSelf }
     const server = createServer((socket) => { servePeerLink(socket, options).catch(console.error) })
     await new Promise<void>((resolve) => server.listen(self.peerPort, self.address, resolve))
   }
--- a/src/connection/peer-frames.ts
+++ b/src/connection/peer-frames.ts
@@ -43,6 +43,16 @@
   }),
   z.object({ type: z.literal('contract-pull'), from: counter }),
   z.object({ type: z.literal('target-leaving'), customer: id, service: id, target: id }),
+  z.object({
+    type: z.literal('topic-stretch'),
+    stretch: z.object({
+      topic: id,
+      from: counter,
+      next: counter,
+      isAfterOutage: z.boolean(),
+      records: z.array(z.object({ offset: counter, key: z.string(), value: bytes.optional() })).max(MOST_RECORDS)
+    })
+  }),
   z.object({
     type: z.literal('forward-request'),
     call: counter,
--- a/src/connection/peer-link.ts
+++ b/src/connection/peer-link.ts
@@ -26,8 +26,19 @@
   handshakeMs: number
 }
 
+/** Heartbeats that an entry sends over all links, a second, before it sends fewer on each. */
+const MOST_BEATS_PER_SECOND = 50
+const MS_PER_SECOND = 1000
+
 export const DEFAULT_LINK_TIMING: LinkTiming = { heartbeatMs: 500, silentAfterMs: 1_500, deadAfterMs: 10_000, handshakeMs: 1_000 }
 
+/** Stretches the times of a link with the number of links, so that heartbeats cost an entry the same in any fleet. */
+export function computeLinkTiming (timing: LinkTiming, linkCount: number): LinkTiming {
+  const heartbeatMs = Math.max(timing.heartbeatMs, linkCount * MS_PER_SECOND / MOST_BEATS_PER_SECOND)
+  const factor = heartbeatMs / timing.heartbeatMs
+  return { ...timing, heartbeatMs, silentAfterMs: timing.silentAfterMs * factor, deadAfterMs: timing.deadAfterMs * factor }
+}
+
 const LARGEST_BUFFERED_BYTES = 4_194_304
 /** A stranger can make this process buffer no more than this. */
 const LARGEST_HANDSHAKE_FRAME_BYTES = 4_096
@@ -65,7 +76,8 @@
 export interface PeerLinkOptions extends HandshakeOptions {
   role: LinkRole
   clock: Clock
-  timing: LinkTiming
+  /** Returns the times that hold now; they grow with the number of peers. */
+  getTiming(): LinkTiming
   events: LinkEvents
   /** What the heartbeats tell besides life. */
   describeSelf(): { offset: Offset, isLeaving: boolean }
@@ -126,7 +138,7 @@
   getSilenceMs(): number
 }
 
-function createLifeSigns (clock: Clock, heartbeatMs: number): LifeSigns {
+function createLifeSigns (clock: Clock, getTiming: () => LinkTiming): LifeSigns {
   let heardMs = clock.monotonicMs()
   let acknowledgedMs = heardMs
   let lastTickMs = heardMs
@@ -147,7 +159,7 @@
     takeBeat () {
       const nowMs = clock.monotonicMs()
       // After a pause of this process the silence is its own: what arrived meanwhile is read first.
-      if (nowMs - lastTickMs > PAUSE_BEATS * heartbeatMs) heardMs = acknowledgedMs = nowMs
+      if (nowMs - lastTickMs > PAUSE_BEATS * getTiming().heartbeatMs) heardMs = acknowledgedMs = nowMs
       lastTickMs = nowMs
       seq += 1
       return { seq, ack: heardSeq }
@@ -168,7 +180,7 @@
 
 /** Sends heartbeats until the returned function is called. */
 function startBeats (link: PeerLink, signs: LifeSigns, options: PeerLinkOptions): () => void {
-  const { clock, timing, events } = options
+  const { clock, getTiming, events } = options
   let wasSilent = false
   let sentOffset: Offset | undefined
   let cancel = () => {}
@@ -178,6 +190,7 @@
     if (offset !== sentOffset) beat.offset = offset
     if (isLeaving) beat.leaving = true
     if (link.sendFrame(beat)) sentOffset = offset
+    const timing = getTiming()
     const isSilent = signs.getSilenceMs() > timing.silentAfterMs
     if (isSilent && !wasSilent) events.handleSilent(link)
     wasSilent = isSilent
@@ -210,12 +223,13 @@
 
 /** Runs one link from handshake to end, and returns why it ended. Errors: `peer-refused`, `frame-malformed`, `peer-broken`. */
 export async function servePeerLink (socket: Duplex, options: PeerLinkOptions): Promise<AppError> {
-  const { clock, timing, events, role } = options
+  const { clock, getTiming, events, role } = options
+  const { handshakeMs } = getTiming()
   const counts: LinkCounts = { sentBytes: 0, sentFrames: 0, receivedBytes: 0, receivedFrames: 0 }
   // Errors reach the reader as well; without a listener they would end the process.
   socket.on('error', () => {})
   const stream = createFrameStream(socket, counts)
-  const cancelHandshake = clock.startTimer(timing.handshakeMs, () => socket.destroy(new Error('handshake timeout')))
+  const cancelHandshake = clock.startTimer(handshakeMs, () => socket.destroy(new Error('handshake timeout')))
   const handshake = role === 'initiator' ? connectHandshake : answerHandshake
   const peer = await handshake(stream, options)
   cancelHandshake()
@@ -224,15 +238,15 @@
     return peer.error
   }
   stream.setOpen()
-  const signs = createLifeSigns(clock, timing.heartbeatMs)
+  const signs = createLifeSigns(clock, getTiming)
   const link: PeerLink = {
     peer: peer.value,
     role,
     openedMs: clock.monotonicMs(),
     counts,
     sendFrame: (frame) => stream.writeFrame(frame),
-    isSilent: () => signs.getSilenceMs() > timing.silentAfterMs,
-    close: () => closeSocket(socket, clock, timing.handshakeMs)
+    isSilent: () => signs.getSilenceMs() > getTiming().silentAfterMs,
+    close: () => closeSocket(socket, clock, handshakeMs)
   }
   if (!events.handleOpen(link)) {
     link.close()
--- a/src/process/contract-passing.ts
+++ b/src/process/contract-passing.ts
@@ -39,6 +39,7 @@
         publishOffset()
         break
       case 'target-leaving':
+      case 'topic-stretch':
       case 'forward-request':
       case 'forward-answer':
     }
--- a/src/process/discovery/target-registry.ts
+++ b/src/process/discovery/target-registry.ts
@@ -39,8 +39,8 @@
   lapsesAtMs: number | undefined
 }
 
-/** What a change did to the registry. */
-export type ChangeOutcome = 'added' | 'updated' | 'leaving' | 'removed' | 'lapsing' | 'stale'
+/** What a change did to the registry; `back`: its entry was about to lapse. */
+export type ChangeOutcome = 'added' | 'updated' | 'back' | 'leaving' | 'removed' | 'lapsing' | 'stale'
 
 /** The registry. */
 export interface TargetRegistry {
@@ -114,8 +114,9 @@
     }
     known.report = report
     known.warmUntilMs = nowMs + report.warmupLeftMs
+    const wasLapsing = known.lapsesAtMs !== undefined
     known.lapsesAtMs = undefined
-    if (!report.isDraining || known.isLeaving) return 'updated'
+    if (!report.isDraining || known.isLeaving) return wasLapsing ? 'back' : 'updated'
     known.isLeaving = true
     return 'leaving'
   }
--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -1,12 +1,45 @@
 /**
  * Follows one keyed topic of the platform's store: everything at first, then what is new, through outages and gaps.
+ *
+ * One entry, the reader, reads for all and shares what it has read; the others read by themselves at the start, after a
+ * gap, and while they hear nothing from the reader.
  */
 import type { Clock } from '../../clock.ts'
 import type { AppError } from '../../errors.ts'
 import type { KeyedRecord } from '../../platform/store-frames.ts'
-import type { StoreClient } from '../../platform/store-client.ts'
+import type { KeyedPage, StoreClient } from '../../platform/store-client.ts'
 import type { PartLogger } from '../logger.ts'
 
+/** What one entry has read of a topic, for those that have read it up to `from`. */
+export interface SharedStretch {
+  topic: string
+  from: number
+  /** Where the next read goes on. */
+  next: number
+  /** Whether the store was away shortly before. */
+  isAfterOutage: boolean
+  /** The records that change something; a stretch that is too large to share comes without them and begins at its end. */
+  records: KeyedRecord[]
+}
+
+/** How entries share their reads. */
+export interface SharedReading {
+  /** Whether this entry is the one that reads for all. */
+  isReader(): boolean
+  /** Tells the other entries. */
+  publish(stretch: SharedStretch): void
+  /** Without a word from the reader for this long an entry reads by itself, in ms. */
+  silentAfterMs: number
+}
+
+/** How records are to be taken. */
+export interface PageContext {
+  /** The records are the newest of every key. */
+  isWhole: boolean
+  /** The store was away shortly before: entries that are missing may have lapsed only because of that. */
+  isAfterOutage: boolean
+}
+
 /** How to follow a topic. Times in ms. */
 export interface TopicFollowerOptions {
   topic: string
@@ -18,8 +51,12 @@
   waitMs: number
   /** Between two reads. */
   pauseMs: number
-  /** Applies records; `isWhole` tells that they are the newest of every key. */
-  applyRecords(records: readonly KeyedRecord[], isWhole: boolean): void
+  /** For how long after its return the store counts as having been away, in ms. Default 0. */
+  outageEchoMs?: number
+  /** Applies records and returns those that changed something. */
+  applyRecords(records: readonly KeyedRecord[], context: PageContext): KeyedRecord[]
+  /** Left out when this process alone follows the topic. */
+  sharing?: SharedReading
 }
 
 /** What is known of the store by one follower. */
@@ -35,10 +72,14 @@
 /** A follower. */
 export interface TopicFollower {
   start(): void
+  /** Takes what another entry has read. */
+  applyShared(stretch: SharedStretch): void
   getStatus(): FollowerStatus
   close(): void
 }
 
+/** Stretches with larger records are read by each entry itself, so that no link carries them once for each peer, in bytes. */
+const LARGEST_SHARED_BYTES = 8_192
 /** Failures shorter than this are no outage: entries of live targets do not lapse in them, in ms. */
 const SHORTEST_OUTAGE_MS = 500
 /** Between two reads while the store is away, in ms. */
@@ -49,13 +90,24 @@
 const PATIENT_READ_EVERY = 4
 const LONG_TIMEOUT_MS = 2_000
 
+/** Leaves the records out of a stretch that is too large to share: who has not read them is to read them. */
+function toSharedStretch (stretch: SharedStretch): SharedStretch {
+  const sizeBytes = stretch.records.reduce((sum, { value }) => sum + (value?.byteLength ?? 0), 0)
+  return sizeBytes <= LARGEST_SHARED_BYTES ? stretch : { ...stretch, from: stretch.next, records: [] }
+}
+
 /** Creates a follower; nothing happens before `start`. */
 export function createTopicFollower (options: TopicFollowerOptions): TopicFollower {
-  const { topic, store, clock, random, logger } = options
+  const { topic, store, clock, random, logger, sharing, outageEchoMs = 0 } = options
   const stop = new AbortController()
   const status: FollowerStatus = { hasRead: false, failingSinceMs: undefined, outageEndedAtMs: -Infinity }
   let next: number | undefined
   let failedReads = 0
+  /** When the reader was heard last. */
+  let heardAtMs = -Infinity
+  /** How far the reader has read, by its own word. */
+  let readerNext = 0
+  let wake = new AbortController()
 
   const recordSuccess = (): void => {
     const nowMs = clock.monotonicMs()
@@ -72,6 +124,7 @@
     if (error.kind === 'log-gap') {
       logger.info('Records are no longer kept; reading the newest ones.', { topic, from: next })
       next = undefined
+      readerNext = 0
       return
     }
     if (error.kind === 'record-malformed') next = undefined
@@ -84,12 +137,22 @@
     if (failedReads === 0) return {}
     return { waitMs: 0, timeoutMs: failedReads % PATIENT_READ_EVERY === 0 ? LONG_TIMEOUT_MS : SHORT_TIMEOUT_MS }
   }
+  const isAfterOutage = (): boolean => clock.monotonicMs() - status.outageEndedAtMs < outageEchoMs
+  /** Applies a page, but for what the reader has told meanwhile. */
+  const applyPage = (page: KeyedPage, from: number | undefined): void => {
+    const context: PageContext = { isWhole: from === undefined, isAfterOutage: isAfterOutage() }
+    const appliedTo = next ?? 0
+    const news = options.applyRecords(context.isWhole ? page.records : page.records.filter(({ offset }) => offset >= appliedTo), context)
+    next = Math.max(page.next, appliedTo)
+    if (from === undefined || !sharing?.isReader()) return
+    sharing.publish(toSharedStretch({ topic, from, next: page.next, isAfterOutage: context.isAfterOutage, records: news }))
+  }
   const readOnce = async (): Promise<boolean> => {
-    const isWhole = next === undefined
+    const from = next
     const limits = getReadLimits()
-    const page = next === undefined
+    const page = from === undefined
       ? await store.readNewest(topic, limits)
-      : await store.readFrom(topic, next, { waitMs: options.waitMs, ...limits, signal: stop.signal })
+      : await store.readFrom(topic, from, { waitMs: options.waitMs, ...limits, signal: stop.signal })
     if (stop.signal.aborted) return false
     if (page.isErr()) {
       recordFailure(page.error)
@@ -97,13 +160,26 @@
     }
     recordSuccess()
     if (page.value.malformed > 0) logger.warn('Skipped records without a key.', { topic, count: page.value.malformed })
-    next = page.value.next
-    options.applyRecords(page.value.records, isWhole)
+    applyPage(page.value, from)
     return true
   }
   const pause = (durationMs: number): Promise<void> => clock.wait(durationMs, stop.signal)
+  /** Returns for how long this process may rely on the reader, in ms; 0 when it is to read by itself. */
+  const getReliedMs = (): number => {
+    if (!sharing || next === undefined || failedReads > 0 || next < readerNext || sharing.isReader()) return 0
+    return Math.max(0, heardAtMs + sharing.silentAfterMs - clock.monotonicMs())
+  }
+  const waitForReader = async (durationMs: number): Promise<void> => {
+    wake = new AbortController()
+    await clock.wait(durationMs, AbortSignal.any([wake.signal, stop.signal]))
+  }
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
+      const reliedMs = getReliedMs()
+      if (reliedMs > 0) {
+        await waitForReader(reliedMs)
+        continue
+      }
       const isRead = await readOnce()
       if (isRead) {
         if (options.pauseMs > 0) await pause(options.pauseMs)
@@ -116,6 +192,21 @@
     start () {
       run().catch((cause: unknown) => logger.error('Following a topic ended.', { topic, err: cause }))
     },
+    applyShared (stretch) {
+      heardAtMs = clock.monotonicMs()
+      readerNext = Math.max(readerNext, stretch.next)
+      if (next === undefined || stretch.next <= next) return
+      if (stretch.from > next) {
+        wake.abort()
+        return
+      }
+      const from = next
+      next = stretch.next
+      options.applyRecords(stretch.records.filter(({ offset }) => offset >= from), {
+        isWhole: false,
+        isAfterOutage: stretch.isAfterOutage || isAfterOutage()
+      })
+    },
     getStatus: () => status,
     close: () => stop.abort()
   }
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -14,6 +14,7 @@
 import type { Configuration, FindRoute, Route, WeightedService } from '../../version/configuration.ts'
 import { createWeightedTurns } from '../../version/weighted-turns.ts'
 import type { WeightedTurns } from '../../version/weighted-turns.ts'
+import type { PageContext } from '../discovery/topic-follower.ts'
 import { createTargetRegistry } from '../discovery/target-registry.ts'
 import type { TargetChange, TargetReport } from '../discovery/target-registry.ts'
 import type { PartLogger } from '../logger.ts'
@@ -46,11 +47,14 @@
 export interface GatewayState {
   getInForce(): ConfigurationInForce | undefined
   getService(name: ServiceId): GatewayService
-  applyConfigurationRecords(records: readonly KeyedRecord[]): void
-  /** `isOutage`: entries that are removed may have lapsed only because the store was away. */
-  applyTargetRecords(records: readonly KeyedRecord[], isWhole: boolean, isOutage: boolean): void
+  /** Returns the records that changed something. */
+  applyConfigurationRecords(records: readonly KeyedRecord[]): KeyedRecord[]
+  /** Returns the records that changed something; a target's word that all is as before does not. */
+  applyTargetRecords(records: readonly KeyedRecord[], context: PageContext): KeyedRecord[]
   /** Applies a peer's word that a target is leaving. */
   markLeaving(target: TargetId): void
+  /** Changes the most repeats that may be saved up for a service. */
+  updateLargestRepeats(largest: number): void
   /** Drops targets whose entries lapsed; call it now and then. */
   removeLapsed(isStoreAway: boolean): void
   hasTargets(): boolean
@@ -97,6 +101,7 @@
   const services = new Map<ServiceId, GatewayService>()
   let inForce: ConfigurationInForce | undefined
   let hasTargets = false
+  let largestRepeats = options.repeats.largest
 
   const handleLeaving = (service: ServiceId, state: TargetState, evidence: string): void => {
     const { id } = state.registered.report
@@ -108,7 +113,7 @@
     const handleOwnLeaving = (state: TargetState, evidence: string): void => handleLeaving(name, state, evidence)
     return {
       name,
-      repeats: createRatioBudget(options.repeats),
+      repeats: createRatioBudget({ share: options.repeats.share, largest: largestRepeats }),
       handleLeaving: handleOwnLeaving,
       placer: createServicePlacer({
         service: name,
@@ -124,19 +129,20 @@
       })
     }
   }
-  const applyConfiguration = (record: KeyedRecord): void => {
-    if (record.key !== CONFIGURATION_KEY || !record.value) return
+  const applyConfiguration = (record: KeyedRecord): boolean => {
+    if (record.key !== CONFIGURATION_KEY || !record.value) return false
     const decoded = decodeConfiguration(record.value)
     if (decoded.isErr()) {
       logger.warn('Skipped a configuration that cannot be read.', { offset: record.offset, error: decoded.error.message })
-      return
+      return false
     }
     const current = inForce?.configuration.version
     const { version, routes } = decoded.value
-    if (current !== undefined && version <= current) return
+    if (current !== undefined && version <= current) return false
     inForce = createInForce(decoded.value, random)
     logger.info('A configuration is in force.', { version, before: current, routes: routes.length, offset: record.offset })
     options.handleConfiguration(decoded.value)
+    return true
   }
   const decodeChange = (record: KeyedRecord): TargetChange | undefined => {
     if (!record.value) return { type: 'removal', id: toBrand<TargetId>(record.key) }
@@ -145,11 +151,17 @@
     logger.debug('Skipped a target record that cannot be read.', { offset: record.offset, error: decoded.error.message })
     return undefined
   }
-  const applyChange = (change: TargetChange, isOutage: boolean, offset: number): void => {
-    const outcome = registry.apply(change, clock.monotonicMs(), isOutage)
-    if (outcome === 'updated' || outcome === 'stale') return
-    const id = change.type === 'report' ? change.report.id : change.id
-    logger.info(`A target is ${outcome}.`, { target: id, offset })
+  const applyTargetRecord = (record: KeyedRecord, isAfterOutage: boolean): boolean => {
+    const change = decodeChange(record)
+    const outcome = change ? registry.apply(change, clock.monotonicMs(), isAfterOutage) : 'stale'
+    if (outcome === 'updated' || outcome === 'stale') return false
+    logger.info(`A target is ${outcome}.`, { target: record.key, offset: record.offset })
+    return true
+  }
+  const applyAllTargets = (records: readonly KeyedRecord[], isAfterOutage: boolean): void => {
+    const reports: TargetReport[] = records.map(decodeChange).flatMap((change) => change?.type === 'report' ? [change.report] : [])
+    registry.replaceAll(reports, clock.monotonicMs(), isAfterOutage)
+    logger.info('Read all targets.', { count: registry.countTargets() })
   }
   return {
     getInForce: () => inForce,
@@ -158,24 +170,21 @@
       services.set(name, known)
       return known
     },
-    applyConfigurationRecords: (records) => records.forEach(applyConfiguration),
-    applyTargetRecords (records, isWhole, isOutage) {
-      if (isWhole) {
-        const reports: TargetReport[] = records.map(decodeChange).flatMap((change) => change?.type === 'report' ? [change.report] : [])
-        registry.replaceAll(reports, clock.monotonicMs(), isOutage)
-        logger.info('Read all targets.', { count: registry.countTargets() })
-      } else {
-        for (const record of records) {
-          const change = decodeChange(record)
-          if (change) applyChange(change, isOutage, record.offset)
-        }
-      }
+    applyConfigurationRecords: (records) => records.filter(applyConfiguration),
+    applyTargetRecords (records, { isWhole, isAfterOutage }) {
+      if (isWhole) applyAllTargets(records, isAfterOutage)
+      const news = isWhole ? [...records] : records.filter((record) => applyTargetRecord(record, isAfterOutage))
       hasTargets = true
       states.removeGone((registered) => registry.get(registered.report.id) === registered)
+      return news
     },
     markLeaving (target) {
       if (registry.markLeaving(target)) logger.info('A target leaves.', { target, because: 'a peer says so' })
     },
+    updateLargestRepeats (largest) {
+      largestRepeats = largest
+      for (const { repeats } of services.values()) repeats.updateLargest(largest)
+    },
     removeLapsed (isStoreAway) {
       const nowMs = clock.monotonicMs()
       if (isStoreAway) registry.extendLapses(nowMs + 1)
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -11,9 +11,9 @@
 import { createStoreClient, OPERATOR_TOPIC, TARGETS_TOPIC } from '../../platform/store-client.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
-import type { CustomerId, Incarnation, Offset } from '../../types.ts'
+import type { CustomerId, EntryId, Incarnation, Offset } from '../../types.ts'
 import { createTopicFollower } from '../discovery/topic-follower.ts'
-import type { TopicFollower } from '../discovery/topic-follower.ts'
+import type { SharedReading, TopicFollower } from '../discovery/topic-follower.ts'
 import { LAPSE_RETURN_MS } from '../discovery/target-registry.ts'
 import type { Logger, PartLogger } from '../logger.ts'
 import { canServe } from '../membership/address-order.ts'
@@ -56,15 +56,18 @@
 const ADDRESS_LIFETIME_MS = 1_000
 const KEPT_LONGER_FACTOR = 3
 /** How long the store may hold back a read of the configuration, as a share of the time until it must be in force. */
-const CONFIGURATION_WAIT_SHARE = 0.7
+const CONFIGURATION_WAIT_SHARE = 0.5
+/** An entry that hears no news of a topic for longer than this share of those times reads it by itself. */
+const CONFIGURATION_SILENT_SHARE = 0.65
+const TARGETS_SILENT_SHARE = 0.45
 /** Between two reads of the targets, as a share of the time after which a leaving target gets nothing. */
 const TARGETS_PAUSE_SHARE = 0.3
 const UPKEEP_MS = 100
 /** The process ends this long before it would be killed, in ms. */
 const KILL_MARGIN_MS = 500
 const STOP_POLL_MS = 50
-/** The most entries that may be alive at once; what is saved up of a budget over all entries is divided by it. */
-const MOST_ENTRIES = 10
+/** What is saved up of a budget over all entries is divided by the entries known, and by no less than this. */
+const FEWEST_SHARERS = 10
 /** The share of the looks and saved repeats allowed over all entries that is used. */
 const USED_SHARE = 0.8
 /** Requests at an entry may count for another window than their repeats, so not all of the share is used. */
@@ -107,15 +110,21 @@
   }
 }
 
+/** Computes how many repeats an entry may save up for a service. */
+function computeLargestRepeats ({ repeats }: BootSettings, liveEntries: number): number {
+  return Math.max(1, Math.floor(repeats.slack * USED_SHARE / Math.max(FEWEST_SHARERS, liveEntries)))
+}
+
 function createState (base: PartsBase, mesh: PeerMesh): GatewayState {
   const { clock, random, log, settings } = base
+  let liveEntries = 1
   const state = createGatewayState({
     zone: settings.zone,
     clock,
     random,
     logger: log,
-    repeats: { share: settings.repeats.share * USED_REPEAT_SHARE, largest: Math.floor(settings.repeats.slack * USED_SHARE / MOST_ENTRIES) },
-    getLooksPerSecond: () => base.settings.looksPerSecond * USED_SHARE / Math.max(1, mesh.listLiveEntries().length),
+    repeats: { share: settings.repeats.share * USED_REPEAT_SHARE, largest: computeLargestRepeats(settings, 1) },
+    getLooksPerSecond: () => base.settings.looksPerSecond * USED_SHARE / liveEntries,
     largestConnections: MOST_CONNECTIONS_TO_TARGET,
     handleConfiguration ({ version, limits }) {
       mesh.setContractOffset(toBrand<Offset>(version))
@@ -123,35 +132,56 @@
     },
     handleLeaving: (service, target) => mesh.broadcast({ type: 'target-leaving', customer: SERVICE_OWNER, service, target })
   })
-  mesh.watchMessages((_, message) => {
-    if (message.type === 'target-leaving') state.markLeaving(message.target)
+  mesh.watchEntries((live) => {
+    liveEntries = Math.max(1, live.length)
+    state.updateLargestRepeats(computeLargestRepeats(settings, live.length))
   })
   return state
 }
 
-function createFollowers (base: PartsBase, store: StoreClient, state: GatewayState) {
-  const { clock, random } = base
+/** Shares the reads of a topic: the live entry with the lowest id reads for all. */
+function createSharing (mesh: PeerMesh, self: EntryId, silentAfterMs: number): SharedReading {
+  let reader = self
+  mesh.watchEntries((live) => { reader = live[0] ?? self })
+  return {
+    isReader: () => reader === self,
+    publish: (stretch) => mesh.broadcast({ type: 'topic-stretch', stretch }),
+    silentAfterMs
+  }
+}
+
+function createFollowers (base: PartsBase, store: StoreClient, state: GatewayState, mesh: PeerMesh) {
+  const { clock, random, settings } = base
   const shared = { store, clock, random, logger: base.logger.forPart('store') }
   const configurationFollower = createTopicFollower({
     ...shared,
     topic: OPERATOR_TOPIC,
-    waitMs: base.settings.configurationApplyMs * CONFIGURATION_WAIT_SHARE,
+    waitMs: settings.configurationApplyMs * CONFIGURATION_WAIT_SHARE,
     pauseMs: 0,
-    applyRecords: (records) => state.applyConfigurationRecords(records)
+    applyRecords: (records) => state.applyConfigurationRecords(records),
+    sharing: createSharing(mesh, settings.entry, settings.configurationApplyMs * CONFIGURATION_SILENT_SHARE)
   })
   const targetsFollower: TopicFollower = createTopicFollower({
     ...shared,
     topic: TARGETS_TOPIC,
     waitMs: 0,
-    pauseMs: base.settings.drainMs * TARGETS_PAUSE_SHARE,
-    applyRecords (records, isWhole) {
-      const { outageEndedAtMs } = targetsFollower.getStatus()
-      state.applyTargetRecords(records, isWhole, clock.monotonicMs() - outageEndedAtMs < LAPSE_RETURN_MS)
-    }
+    pauseMs: settings.drainMs * TARGETS_PAUSE_SHARE,
+    outageEchoMs: LAPSE_RETURN_MS,
+    applyRecords: (records, context) => state.applyTargetRecords(records, context),
+    sharing: createSharing(mesh, settings.entry, settings.drainMs * TARGETS_SILENT_SHARE)
   })
   return { configurationFollower, targetsFollower }
 }
 
+/** Takes what the other entries tell. */
+function watchPeers (mesh: PeerMesh, state: GatewayState, followers: ReturnType<typeof createFollowers>): void {
+  const byTopic = new Map([[OPERATOR_TOPIC, followers.configurationFollower], [TARGETS_TOPIC, followers.targetsFollower]])
+  mesh.watchMessages((_, message) => {
+    if (message.type === 'target-leaving') state.markLeaving(message.target)
+    if (message.type === 'topic-stretch') byTopic.get(message.stretch.topic)?.applyShared(message.stretch)
+  })
+}
+
 function isReady ({ isStopping, state }: Pick<GatewayParts, 'isStopping' | 'state'>): boolean {
   return !isStopping && state.getInForce() !== undefined && state.hasTargets()
 }
@@ -172,6 +202,8 @@
   const peerKey = `medlarcove ${settings.store.address}:${settings.store.port}`
   const mesh = createPeerMesh({ self, peerKey, hostList: directory, clock, logger: logger.forPart('peers'), timing: PEER_TIMING })
   const state = createState(base, mesh)
+  const followers = createFollowers(base, store, state, mesh)
+  watchPeers(mesh, state, followers)
   const metrics = createGatewayMetrics()
   const requests = createGatewayRequests({ state, clock, logger: logger.forPart('request'), metrics, getEndAtMs: () => base.endAtMs })
   const parts: GatewayParts = Object.assign(base, {
@@ -180,7 +212,7 @@
     mesh,
     state,
     requests,
-    ...createFollowers(base, store, state),
+    ...followers,
     servers: createGatewayServers({
       settings,
       isReady: () => isReady(parts),
--- a/src/process/membership/mesh-links.ts
+++ b/src/process/membership/mesh-links.ts
@@ -46,6 +46,7 @@
     case 'contract-records':
     case 'contract-pull':
     case 'target-leaving':
+    case 'topic-stretch':
       return parts.messages.runAll(from, frame)
   }
 }
@@ -90,7 +91,7 @@
 
 /** Runs a link on a socket; resolves at the end of the handshake, true when the link is open. */
 export function runLink (parts: MeshParts, socket: Duplex, role: LinkRole): Promise<boolean> {
-  const { options, timing, counts } = parts
+  const { options, getTiming, counts } = parts
   let opened: PeerLink | undefined
   return new Promise((resolve) => {
     const events: LinkEvents = {
@@ -114,7 +115,7 @@
     }
     const describeSelf = () => ({ offset: parts.contractOffset, isLeaving: parts.isLeaving })
     startTask(parts, 'a link', async () => {
-      const error = await servePeerLink(socket, { ...options, timing, role, events, describeSelf })
+      const error = await servePeerLink(socket, { ...options, getTiming, role, events, describeSelf })
       resolve(false)
       if (opened) handleEnd(parts, opened)
       else handleRefused(parts, role, error)
--- a/src/process/membership/mesh-parts.ts
+++ b/src/process/membership/mesh-parts.ts
@@ -24,7 +24,8 @@
 /** What the tasks of a mesh share. */
 export interface MeshParts {
   options: PeerMeshOptions
-  timing: LinkTiming
+  /** Returns the times of links that hold now. */
+  getTiming(): LinkTiming
   table: MemberTable
   links: PeerLinks
   calls: PeerCalls
--- a/src/process/membership/peer-links.ts
+++ b/src/process/membership/peer-links.ts
@@ -24,6 +24,8 @@
   /** Sums over all links, closed ones included. */
   countTraffic(): LinkCounts
   countLinks(): number
+  /** Counts the peers with a link. */
+  countPeers(): number
 }
 
 /** For how long two links to one peer are both kept, in ms, so that both ends choose the same one. */
@@ -84,6 +86,7 @@
       for (const link of [...byPeer.values()].flat()) addCounts(sum, link.counts)
       return sum
     },
-    countLinks: () => [...byPeer.values()].flat().length
+    countLinks: () => [...byPeer.values()].flat().length,
+    countPeers: () => byPeer.size
   }
 }
--- a/src/process/membership/peer-mesh.ts
+++ b/src/process/membership/peer-mesh.ts
@@ -5,6 +5,7 @@
 import type { AppError } from '../../errors.ts'
 import type { Cancel, EntryId, Fate, Incarnation, Offset, ServiceId, CustomerId, TargetId, ZoneId } from '../../types.ts'
 import type { ContractRecord } from '../contracts/contract-state.ts'
+import type { SharedStretch } from '../discovery/topic-follower.ts'
 
 /** A request that may not be repeated, passed to the entry that ranks first for its key. */
 export interface ForwardedRequest {
@@ -35,6 +36,8 @@
   | { type: 'contract-pull', from: Offset }
   /** A target was seen leaving. */
   | { type: 'target-leaving', customer: CustomerId, service: ServiceId, target: TargetId }
+  /** What the sender has read of a topic of the platform's store. */
+  | { type: 'topic-stretch', stretch: SharedStretch }
   | { type: 'forward-request', call: number, request: ForwardedRequest }
   | { type: 'forward-answer', call: number, answer: ForwardedAnswer }
 
--- a/src/process/membership/tcp-peer-mesh.ts
+++ b/src/process/membership/tcp-peer-mesh.ts
@@ -8,7 +8,7 @@
 import type { Result } from 'neverthrow'
 import type { Clock } from '../../clock.ts'
 import type { PeerIdentity } from '../../connection/peer-frames.ts'
-import { DEFAULT_LINK_TIMING } from '../../connection/peer-link.ts'
+import { computeLinkTiming, DEFAULT_LINK_TIMING } from '../../connection/peer-link.ts'
 import type { LinkCounts, LinkTiming } from '../../connection/peer-link.ts'
 import { createError, describeCause } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
@@ -114,7 +114,7 @@
   while (!parts.stop.signal.aborted) {
     parts.links.closeReplaced()
     flushChanges(parts)
-    await parts.options.clock.wait(parts.timing.heartbeatMs, parts.stop.signal)
+    await parts.options.clock.wait(parts.getTiming().heartbeatMs, parts.stop.signal)
   }
 }
 
@@ -141,13 +141,15 @@
 function createMeshParts (options: PeerMeshOptions): MeshParts {
   const { self, clock } = options
   const stop = new AbortController()
+  const links = createPeerLinks(self.id, clock)
+  const timing = { ...DEFAULT_LINK_TIMING, ...options.timing }
   // Every peer's task waits on this signal.
   setMaxListeners(0, stop.signal)
   const shared = {
     options,
-    timing: { ...DEFAULT_LINK_TIMING, ...options.timing },
+    getTiming: () => computeLinkTiming(timing, links.countPeers()),
     table: createMemberTable({ self, clock, ...options.members }),
-    links: createPeerLinks(self.id, clock),
+    links,
     calls: createPeerCalls(clock),
     counts: { refused: 0, malformedFrames: 0, silentLinks: 0, listFailures: 0 },
     messages: createListeners<[never, never]>(),
--- a/src/request/balancing/ratio-budget.ts
+++ b/src/request/balancing/ratio-budget.ts
@@ -20,6 +20,8 @@
   take(): boolean
   /** Changes what an ordinary request earns. */
   updateShare(share: number): void
+  /** Changes the most that may be saved up; what is over it is dropped. */
+  updateLargest(largest: number): void
   /** The number of extra requests taken so far. */
   countTaken(): number
 }
@@ -30,7 +32,8 @@
 
 /** Creates a ratio budget. */
 export function createRatioBudget (options: RatioBudgetOptions): RatioBudget {
-  const { largest = DEFAULT_LARGEST, initial = 0 } = options
+  const { initial = 0 } = options
+  let { largest = DEFAULT_LARGEST } = options
   let share = options.share
   let saved = initial
   let taken = 0
@@ -47,6 +50,10 @@
     updateShare (next) {
       share = next
     },
+    updateLargest (next) {
+      largest = next
+      saved = Math.min(largest, saved)
+    },
     countTaken: () => taken
   }
 }
--- a/test/peer-mesh.test.ts
+++ b/test/peer-mesh.test.ts
@@ -2,6 +2,7 @@
 import { err } from 'neverthrow'
 import { afterEach, expect, test, vi } from 'vitest'
 import { encodeFrame, LARGEST_FRAME_BYTES } from '../src/connection/frame-codec.ts'
+import { computeLinkTiming } from '../src/connection/peer-link.ts'
 import { createError } from '../src/errors.ts'
 import type { ForwardedRequest, PeerMessage } from '../src/process/membership/peer-mesh.ts'
 import type { TcpPeerMesh } from '../src/process/membership/tcp-peer-mesh.ts'
@@ -193,3 +194,13 @@
   for (const relay of relays) relay.setRefusing(false)
   await expect.poll(() => [getState(first, 1), getState(second, 0)], PATIENCE).toEqual(['live', 'live'])
 })
+
+test('an entry sends at most 60 heartbeats a second in a fleet of any size, and a link is silent only after three', () => {
+  const base = { heartbeatMs: 200, silentAfterMs: 600, deadAfterMs: 4_000, handshakeMs: 400 }
+  for (let peers = 1; peers <= 1_000; peers++) {
+    const timing = computeLinkTiming(base, peers)
+    expect(peers * 1000 / timing.heartbeatMs).toBeLessThanOrEqual(60)
+    expect(timing.silentAfterMs / timing.heartbeatMs).toBeCloseTo(3)
+  }
+  expect(computeLinkTiming(base, 5)).toEqual(base)
+})
--- /dev/null
+++ b/test/shared-reading.test.ts
@@ -0,0 +1,168 @@
+import { err, ok } from 'neverthrow'
+import { expect, test } from 'vitest'
+import { createTestClock } from '../src/clock.ts'
+import { createError } from '../src/errors.ts'
+import type { StoreClient } from '../src/platform/store-client.ts'
+import type { KeyedRecord } from '../src/platform/store-frames.ts'
+import { createTopicFollower } from '../src/process/discovery/topic-follower.ts'
+import type { SharedStretch, TopicFollower } from '../src/process/discovery/topic-follower.ts'
+
+const LOGGER = { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined }
+const READ_MS = 4
+const PAUSE_MS = 600
+const SILENT_AFTER_MS = 900
+/** A leaving target must get nothing after this time. */
+const DRAIN_MS = 2_000
+const LARGE_BYTES = 100_000
+
+interface Follower { follower: TopicFollower, known: Map<string, string>, reads: number, readMs: number, isStoreLost: boolean, isCut: boolean }
+
+/** Followers of one topic that share their reads; the first is the reader while it is up. Values that begin with `~` change nothing. */
+function setup (count: number) {
+  const clock = createTestClock()
+  const log: KeyedRecord[] = []
+  const followers: Follower[] = []
+  const state = { reader: 0, firstKept: 0 }
+  const write = (key: string, value: string): void => { log.push({ offset: log.length, key, value: Buffer.from(value) }) }
+  const createStore = (self: () => Follower): StoreClient => {
+    const read = async (from: number) => {
+      self().reads += 1
+      const page = { records: log.slice(from), next: log.length, malformed: 0 }
+      await clock.wait(self().readMs)
+      if (self().isStoreLost) return err(createError('log-unavailable', 'no answer'))
+      if (from < state.firstKept) return err(createError('log-gap', 'compacted'))
+      return ok(page)
+    }
+    return {
+      async readNewest () {
+        const kept = state.firstKept
+        state.firstKept = 0
+        const page = await read(0)
+        state.firstKept = kept
+        return page
+      },
+      readFrom: (_, from) => read(from),
+      append: async () => ok(undefined),
+      report: () => ({ reads: 0, appends: 0, failures: 0, receivedBytes: 0 }),
+      close: async () => undefined
+    }
+  }
+  const publishFrom = (from: number, stretch: SharedStretch): void => {
+    if (followers[from]!.isCut) return
+    for (const [index, { follower, isCut }] of followers.entries()) if (index !== from && !isCut) follower.applyShared(stretch)
+  }
+  for (let index = 0; index < count; index++) {
+    const known = new Map<string, string>()
+    const follower = createTopicFollower({
+      topic: 't',
+      store: createStore(() => followers[index]!),
+      clock,
+      random: () => 0.5,
+      logger: LOGGER,
+      waitMs: 0,
+      pauseMs: PAUSE_MS,
+      applyRecords (records) {
+        const news = records.filter(({ value }) => value && !Buffer.from(value).toString().startsWith('~'))
+        for (const { key, value } of news) known.set(key, Buffer.from(value!).toString())
+        return news
+      },
+      sharing: { isReader: () => state.reader === index, publish: (stretch) => publishFrom(index, stretch), silentAfterMs: SILENT_AFTER_MS }
+    })
+    followers.push({ follower, known, reads: 0, readMs: READ_MS, isStoreLost: false, isCut: false })
+  }
+  for (const { follower } of followers) follower.start()
+  return { clock, state, followers, write, log }
+}
+
+function countOthersReads (followers: readonly Follower[]): number {
+  return followers.slice(1).reduce((sum, { reads }) => sum + reads, 0)
+}
+
+// Load: 30 entries, a store that is read by one of them.
+test('what one entry reads all know within the time of a drain, and the others do not read', async () => {
+  const { clock, followers, write } = setup(30)
+  await clock.advance(2_000)
+  const before = countOthersReads(followers)
+  for (let turn = 0; turn < 20; turn++) {
+    write('a', `${turn}`)
+    write('b', '~beat')
+    await clock.advance(DRAIN_MS)
+    expect(followers.map(({ known }) => known.get('a'))).toEqual(followers.map(() => `${turn}`))
+  }
+  expect(countOthersReads(followers) - before).toBe(0)
+})
+
+test('when the reader is cut off or loses the store, the others know within the time of a drain', async () => {
+  for (const fault of ['isCut', 'isStoreLost'] as const) {
+    for (let offsetMs = 0; offsetMs < PAUSE_MS; offsetMs += 70) {
+      const { clock, followers, write } = setup(4)
+      await clock.advance(2_000 + offsetMs)
+      followers[0]![fault] = true
+      write('a', 'news')
+      await clock.advance(DRAIN_MS - PAUSE_MS)
+      expect(followers.slice(1).map(({ known }) => known.get('a'))).toEqual(['news', 'news', 'news'])
+    }
+  }
+})
+
+test('an entry that missed a stretch reads it by itself', async () => {
+  const { clock, followers, write } = setup(3)
+  await clock.advance(2_000)
+  followers[2]!.isCut = true
+  write('a', 'missed')
+  await clock.advance(PAUSE_MS + READ_MS)
+  followers[2]!.isCut = false
+  write('b', 'heard')
+  await clock.advance(DRAIN_MS)
+  expect([...followers[2]!.known]).toEqual([['a', 'missed'], ['b', 'heard']])
+})
+
+test('records that are too large to share are read by each entry at once', async () => {
+  const { clock, followers, write } = setup(3)
+  await clock.advance(2_000)
+  write('large', 'x'.repeat(LARGE_BYTES))
+  await clock.advance(PAUSE_MS + 3 * READ_MS)
+  expect(followers.map(({ known }) => known.get('large')?.length)).toEqual([LARGE_BYTES, LARGE_BYTES, LARGE_BYTES])
+})
+
+test('a compacted topic is read in full and shared reading goes on', async () => {
+  const { clock, state, followers, write, log } = setup(3)
+  await clock.advance(2_000)
+  write('a', '1')
+  write('a', '2')
+  state.firstKept = log.length
+  await clock.advance(DRAIN_MS)
+  expect(followers.map(({ known }) => known.get('a'))).toEqual(['2', '2', '2'])
+  const before = countOthersReads(followers)
+  write('a', '3')
+  await clock.advance(DRAIN_MS)
+  expect(followers.map(({ known }) => known.get('a'))).toEqual(['3', '3', '3'])
+  expect(countOthersReads(followers) - before).toBe(0)
+})
+
+test('what comes late from an own read never undoes what the reader told', async () => {
+  const { clock, followers, write } = setup(2)
+  await clock.advance(2_000)
+  const [, late] = followers
+  late!.isCut = true
+  late!.readMs = PAUSE_MS / 2
+  write('a', 'old')
+  const { reads } = late!
+  for (let waitedMs = 0; late!.reads === reads && waitedMs < 2 * SILENT_AFTER_MS; waitedMs++) await clock.advance(1)
+  // The own read is under way and will bring the old value only.
+  late!.follower.applyShared({ topic: 't', from: 0, next: 1, isAfterOutage: false, records: [{ offset: 0, key: 'a', value: Buffer.from('newer') }] })
+  await clock.advance(PAUSE_MS / 2)
+  expect(late!.known.get('a')).toBe('newer')
+})
+
+test('an entry that is behind what the reader told reads on until it has caught up', async () => {
+  const { clock, followers, write } = setup(2)
+  await clock.advance(2_000)
+  const [, late] = followers
+  late!.readMs = 50
+  late!.follower.applyShared({ topic: 't', from: 5, next: 5, isAfterOutage: false, records: [] })
+  await clock.advance(10)
+  for (let index = 0; index < 5; index++) write('a', `${index}`)
+  await clock.advance(PAUSE_MS + 2 * 50)
+  expect(late!.known.get('a')).toBe('4')
+})
--- a/test/target-budgets.test.ts
+++ b/test/target-budgets.test.ts
@@ -138,3 +138,10 @@
     setup.set.close()
   }), { seed: 77, numRuns: 150 })
 }, 40_000)
+
+test('what a budget may save up shrinks when more entries share it, and drops what is over it', () => {
+  const budget = createRatioBudget({ share: 1, largest: 5 })
+  for (let turn = 0; turn < 9; turn++) budget.add()
+  budget.updateLargest(2)
+  expect([budget.take(), budget.take(), budget.take()]).toEqual([true, true, false])
+})
--- a/test/topic-follower.test.ts
+++ b/test/topic-follower.test.ts
@@ -31,7 +31,17 @@
     close: async () => undefined
   }
   const follower = createTopicFollower({
-    topic: 't', store, clock, random: () => 0.5, logger: LOGGER, waitMs: 1_400, pauseMs: 0, applyRecords: () => { state.appliedAtMs = clock.monotonicMs() }
+    topic: 't',
+    store,
+    clock,
+    random: () => 0.5,
+    logger: LOGGER,
+    waitMs: 1_400,
+    pauseMs: 0,
+    applyRecords (records) {
+      state.appliedAtMs = clock.monotonicMs()
+      return [...records]
+    }
   })
   follower.start()
   return { clock, state, follower }
