Number the runs of an entry by the store, not by its time of day

Cause: peers order the runs of an entry by its time of day at the start, so one that restarted after its clock was set back was taken for an earlier run: peers refused it for 30 s and told it that it had been replaced, so that it left the addresses for good (test failed first). Ruled out: taking any handshake as newer, which a paused host would abuse. Change: the place that an entry writes to the store holds the number of its run; a start takes one above it.

--- a/src/process/gateway/entry-directory.ts
+++ b/src/process/gateway/entry-directory.ts
@@ -11,7 +11,7 @@
 import type { KeyedRecord } from '../../platform/store-frames.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
-import type { ZoneId } from '../../types.ts'
+import type { EntryId, ZoneId } from '../../types.ts'
 import type { HostListClient, ListedHost } from '../host-list-client.ts'
 import type { PartLogger } from '../logger.ts'
 
@@ -19,10 +19,23 @@
 export const ENTRIES_TOPIC = 'keyed.entries'
 
 /** Pauses between the reads after the start, in ms; the last one goes on. */
-const READ_PAUSES_MS = [400, 1_100, 3_500, 10_000]
+const READ_PAUSES_MS = [400, 1_100, 3_500, 10_000, 30_000]
 const RETRY_MS = 500
 
-const placeSchema = z.object({ zone: z.string(), address: z.ipv4(), port: z.number().int(), peerPort: z.number().int() })
+const placeSchema = z.object({
+  zone: z.string(),
+  address: z.ipv4(),
+  port: z.number().int(),
+  peerPort: z.number().int(),
+  // The number of the run that wrote the place.
+  run: z.number().int().nonnegative()
+})
+
+/** An entry as it names itself in the store. */
+export interface EntryPlace extends ListedHost {
+  /** Grows with each run of the entry. */
+  run: number
+}
 
 /** The directory. It stands in for the platform's list of hosts. */
 export interface EntryDirectory extends HostListClient {
@@ -30,7 +43,20 @@
   close(): void
 }
 
-function decodePlace (record: KeyedRecord): ListedHost | undefined {
+/** How to create a directory. */
+export interface EntryDirectoryOptions {
+  self: PeerIdentity
+  /** The number of this run. */
+  run: number
+  store: StoreClient
+  clock: Clock
+  logger: PartLogger
+}
+
+/** A start waits no longer than this for the place of the run before, in ms. */
+const FIRST_READ_TIMEOUT_MS = 300
+
+function decodePlace (record: KeyedRecord): EntryPlace | undefined {
   if (!record.value) return undefined
   try {
     const place = placeSchema.parse(JSON.parse(Buffer.from(record.value).toString('utf8')))
@@ -40,29 +66,46 @@
   }
 }
 
+/** Reads the places of all entries; undefined, with a log line, when the store does not answer. */
+async function readPlaces (store: StoreClient, logger: PartLogger, timeoutMs?: number): Promise<EntryPlace[] | undefined> {
+  const page = await store.readNewest(ENTRIES_TOPIC, timeoutMs === undefined ? {} : { timeoutMs })
+  if (page.isErr()) {
+    logger.warn('The places of entries could not be read.', { error: page.error.message })
+    return undefined
+  }
+  const places = page.value.records.map(decodePlace)
+  const skipped = places.filter((place) => place === undefined).length
+  if (skipped > 0) logger.warn('Skipped places of entries that cannot be read.', { count: skipped })
+  return places.filter((place) => place !== undefined)
+}
+
+/**
+ * Chooses the number of this run: above that of the run before, which the store knows although the time of day may have
+ * been set back since. While the store is away the time of day alone decides.
+ */
+export async function chooseRun (options: { entry: EntryId, store: StoreClient, clock: Clock, logger: PartLogger }): Promise<number> {
+  const { entry, store, clock, logger } = options
+  const places = await readPlaces(store, logger, FIRST_READ_TIMEOUT_MS)
+  const before = places?.find(({ id }) => id === entry)
+  return Math.max(clock.wallMs(), (before?.run ?? 0) + 1)
+}
+
 /** Creates the directory; nothing happens before `start`. */
-export function createEntryDirectory (options: { self: PeerIdentity, store: StoreClient, clock: Clock, logger: PartLogger }): EntryDirectory {
-  const { self, store, clock, logger } = options
+export function createEntryDirectory (options: EntryDirectoryOptions): EntryDirectory {
+  const { self, run, store, clock, logger } = options
   const stop = new AbortController()
   let hosts: ListedHost[] | undefined
 
   const writeSelf = async (): Promise<boolean> => {
     const { zone, address, port, peerPort } = self
-    const written = await store.append(ENTRIES_TOPIC, self.id, Buffer.from(JSON.stringify({ zone, address, port, peerPort })))
+    const written = await store.append(ENTRIES_TOPIC, self.id, Buffer.from(JSON.stringify({ zone, address, port, peerPort, run })))
     if (written.isErr()) logger.warn('The place of this entry could not be written.', { error: written.error.message })
     return written.isOk()
   }
   const readHosts = async (): Promise<boolean> => {
-    const page = await store.readNewest(ENTRIES_TOPIC)
-    if (page.isErr()) {
-      logger.warn('The places of entries could not be read.', { error: page.error.message })
-      return false
-    }
-    const places = page.value.records.map(decodePlace)
-    const skipped = places.filter((place) => place === undefined).length
-    if (skipped > 0) logger.warn('Skipped places of entries that cannot be read.', { count: skipped })
-    hosts = places.filter((place) => place !== undefined)
-    return true
+    const places = await readPlaces(store, logger)
+    hosts = places ?? hosts
+    return places !== undefined
   }
   const runWriting = async (): Promise<void> => {
     while (!stop.signal.aborted && !await writeSelf()) await clock.wait(RETRY_MS, stop.signal)
--- /dev/null
+++ b/test/gateway-peers.test.ts
@@ -0,0 +1,84 @@
+import { afterEach, expect, test } from 'vitest'
+import { createHostClock } from '../src/clock.ts'
+import type { BootSettings } from '../src/platform/boot-file.ts'
+import { startGateway } from '../src/process/gateway/gateway.ts'
+import type { Gateway } from '../src/process/gateway/gateway.ts'
+import { startPlatformStore } from '../stand-ins/platform-store.ts'
+import type { PlatformStore } from '../stand-ins/platform-store.ts'
+import { toBrand } from '../src/types.ts'
+import type { EntryId } from '../src/types.ts'
+import { buildSettings, createListLogger, describeConfiguration, describeTarget, HOST, sendRaw } from './support/gateway-system.ts'
+
+const WAIT_MS = 3_000
+const HOUR_MS = 3_600_000
+
+const open: { close(): unknown }[] = []
+
+afterEach(async () => { for (const each of open.splice(0).reverse()) await each.close() })
+
+async function startStore (): Promise<PlatformStore> {
+  const store = await startPlatformStore()
+  open.push(store)
+  store.put('keyed.op', 'config', describeConfiguration(1))
+  store.put('keyed.servers', 'i-1', describeTarget({ port: 9 }))
+  return store
+}
+
+/** Starts an entry whose time of day is off by `wallOffsetMs`. */
+async function startEntry (settings: BootSettings, wallOffsetMs = 0): Promise<Gateway> {
+  const hostClock = createHostClock()
+  const clock = { ...hostClock, wallMs: () => hostClock.wallMs() + wallOffsetMs }
+  const gateway = (await startGateway({ settings, clock, logger: createListLogger([]), metricsPort: settings.internalPorts[0] + 1 }))._unsafeUnwrap()
+  open.push(gateway)
+  return gateway
+}
+
+async function listAddresses ({ listen: { directory } }: BootSettings): Promise<string[]> {
+  const answer = await fetch(`http://127.0.0.1:${directory.port}/resolve?name=${HOST}&region=kyushu&zone=kyu-a`)
+  return answer.status === 200 ? (await answer.json() as { addresses: string[] }).addresses : []
+}
+
+async function waitForAddresses (asked: BootSettings, expected: readonly BootSettings[]): Promise<string[]> {
+  const endsAtMs = performance.now() + WAIT_MS
+  for (;;) {
+    const addresses = await listAddresses(asked)
+    if (addresses.length === expected.length || performance.now() > endsAtMs) return addresses.sort()
+    await new Promise((resolve) => setTimeout(resolve, 20))
+  }
+}
+
+function toAddresses (entries: readonly BootSettings[]): string[] {
+  return entries.map(({ listen: { front } }) => `${front.address}:${front.port}`).sort()
+}
+
+test('an entry that restarts after its time of day was set back is listed again, here and by its peers', async () => {
+  const store = await startStore()
+  const entries = [await buildSettings(store), await buildSettings(store, { entry: toBrand<EntryId>('front-2') })]
+  const [first, second] = entries as [BootSettings, BootSettings]
+  const stopped = await startEntry(first)
+  await startEntry(second)
+  expect(await waitForAddresses(second, entries)).toEqual(toAddresses(entries))
+  await stopped.close()
+  expect(await waitForAddresses(second, [second])).toEqual(toAddresses([second]))
+  await startEntry(first, -HOUR_MS)
+  expect(await waitForAddresses(second, entries)).toEqual(toAddresses(entries))
+  expect(await waitForAddresses(first, entries)).toEqual(toAddresses(entries))
+})
+
+test('what the first entry reads the others know without reads of their own', async () => {
+  const store = await startStore()
+  const entries = [await buildSettings(store), await buildSettings(store, { entry: toBrand<EntryId>('front-2') }), await buildSettings(store, { entry: toBrand<EntryId>('front-3') })]
+  for (const settings of entries) await startEntry(settings)
+  for (const settings of entries) await waitForAddresses(settings, entries)
+  store.put('keyed.op', 'config', describeConfiguration(2, { extraRoutes: [['late', HOST, '/late/', 'safe', '1500ms', '600ms', 1, null, 2, 'nobody']] }))
+  for (const { listen: { front } } of entries) {
+    const endsAtMs = performance.now() + WAIT_MS
+    const send = async (): Promise<string> => (await sendRaw(front.port, `GET /late/a HTTP/1.1\r\nHost: ${HOST}\r\nMedlarcove-Attempt-Id: a\r\nConnection: close\r\n\r\n`)).text.slice(9, 12)
+    while (await send() === '404' && performance.now() < endsAtMs) await new Promise((resolve) => setTimeout(resolve, 20))
+    expect(await send()).toBe('503')
+  }
+  const before = store.countCalls()
+  await new Promise((resolve) => setTimeout(resolve, 2_000))
+  // One entry reads: two topics, at most each 0.6 s, and the places of entries now and then.
+  expect(store.countCalls() - before).toBeLessThan(2 * 2_000 / 600 + 1 + 2 * entries.length)
+})
