Read the places of entries less often

The first read, which chooses the number of the run, gives the first list as well, and links tell of entries; reads follow after 0.5 s, 4 s and each 30 s.

--- a/src/process/gateway/entry-directory.ts
+++ b/src/process/gateway/entry-directory.ts
@@ -18,8 +18,8 @@
 /** The topic of our own in which entries name their places. */
 export const ENTRIES_TOPIC = 'keyed.entries'
 
-/** Pauses between the reads after the start, in ms; the last one goes on. */
-const READ_PAUSES_MS = [400, 1_100, 3_500, 10_000, 30_000]
+/** Pauses after the reads that follow the first one, in ms; the last one goes on. Links tell of entries as well. */
+const READ_PAUSES_MS = [500, 4_000, 30_000]
 const RETRY_MS = 500
 
 const placeSchema = z.object({
@@ -43,11 +43,18 @@
   close(): void
 }
 
+/** What a start finds in the store. */
+export interface FirstPlaces {
+  /** The number of this run. */
+  run: number
+  /** The places of all entries; undefined when the store did not answer. */
+  places: EntryPlace[] | undefined
+}
+
 /** How to create a directory. */
 export interface EntryDirectoryOptions {
   self: PeerIdentity
-  /** The number of this run. */
-  run: number
+  first: FirstPlaces
   store: StoreClient
   clock: Clock
   logger: PartLogger
@@ -80,21 +87,21 @@
 }
 
 /**
- * Chooses the number of this run: above that of the run before, which the store knows although the time of day may have
+ * Reads the places of all entries and chooses the number of this run: above that of the run before, which the store knows although the time of day may have
  * been set back since. While the store is away the time of day alone decides.
  */
-export async function chooseRun (options: { entry: EntryId, store: StoreClient, clock: Clock, logger: PartLogger }): Promise<number> {
+export async function readFirstPlaces (options: { entry: EntryId, store: StoreClient, clock: Clock, logger: PartLogger }): Promise<FirstPlaces> {
   const { entry, store, clock, logger } = options
   const places = await readPlaces(store, logger, FIRST_READ_TIMEOUT_MS)
   const before = places?.find(({ id }) => id === entry)
-  return Math.max(clock.wallMs(), (before?.run ?? 0) + 1)
+  return { places, run: Math.max(clock.wallMs(), (before?.run ?? 0) + 1) }
 }
 
 /** Creates the directory; nothing happens before `start`. */
 export function createEntryDirectory (options: EntryDirectoryOptions): EntryDirectory {
-  const { self, run, store, clock, logger } = options
+  const { self, first: { run, places: firstPlaces }, store, clock, logger } = options
   const stop = new AbortController()
-  let hosts: ListedHost[] | undefined
+  let hosts: ListedHost[] | undefined = firstPlaces
 
   const writeSelf = async (): Promise<boolean> => {
     const { zone, address, port, peerPort } = self
@@ -111,10 +118,11 @@
     while (!stop.signal.aborted && !await writeSelf()) await clock.wait(RETRY_MS, stop.signal)
   }
   const runReading = async (): Promise<void> => {
+    let isRead = firstPlaces !== undefined
     for (let turn = 0; !stop.signal.aborted; turn++) {
-      const isRead = await readHosts()
       const pauseMs = READ_PAUSES_MS[Math.min(turn, READ_PAUSES_MS.length - 1)] ?? RETRY_MS
       await clock.wait(isRead ? pauseMs : RETRY_MS, stop.signal)
+      isRead = await readHosts()
     }
   }
   const runTask = (name: string, task: () => Promise<void>): void => {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -20,8 +20,8 @@
 import type { PeerMesh } from '../membership/peer-mesh.ts'
 import { createPeerMesh } from '../membership/tcp-peer-mesh.ts'
 import type { TcpPeerMesh } from '../membership/tcp-peer-mesh.ts'
-import { chooseRun, createEntryDirectory } from './entry-directory.ts'
-import type { EntryDirectory } from './entry-directory.ts'
+import { createEntryDirectory, readFirstPlaces } from './entry-directory.ts'
+import type { EntryDirectory, FirstPlaces } from './entry-directory.ts'
 import { createGatewayMetrics } from './gateway-metrics.ts'
 import { createGatewayRequests } from './gateway-requests.ts'
 import type { GatewayRequests } from './gateway-requests.ts'
@@ -192,12 +192,12 @@
   return usable.map((peer) => `${peer.address}:${peer.port}`)
 }
 
-function createParts (options: GatewayOptions, store: StoreClient, run: number): GatewayParts {
+function createParts (options: GatewayOptions, store: StoreClient, first: FirstPlaces): GatewayParts {
   const { settings, clock, logger, random = Math.random, countDroppedLines = () => 0 } = options
-  const incarnation = toBrand<Incarnation>(`${run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
+  const incarnation = toBrand<Incarnation>(`${first.run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
   const base: PartsBase = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, isStopping: false, endAtMs: undefined }
   const self = createSelf(base)
-  const directory = createEntryDirectory({ self, run, store, clock, logger: logger.forPart('directory') })
+  const directory = createEntryDirectory({ self, first, store, clock, logger: logger.forPart('directory') })
   const peerKey = `medlarcove ${settings.store.address}:${settings.store.port}`
   const mesh = createPeerMesh({ self, peerKey, hostList: directory, clock, logger: logger.forPart('peers'), timing: PEER_TIMING })
   const state = createState(base, mesh)
@@ -272,8 +272,8 @@
 export async function startGateway (options: GatewayOptions): Promise<Result<Gateway, AppError>> {
   const { settings, clock, logger } = options
   const store = createStoreClient({ store: settings.store, clock })
-  const run = await chooseRun({ entry: settings.entry, store, clock, logger: logger.forPart('directory') })
-  const parts = createParts(options, store, run)
+  const first = await readFirstPlaces({ entry: settings.entry, store, clock, logger: logger.forPart('directory') })
+  const parts = createParts(options, store, first)
   const { log, state, targetsFollower } = parts
   parts.configurationFollower.start()
   targetsFollower.start()
