Send callers to other entries while one is too busy

Ruled out: refusing at the slow entry alone, since its callers would come back to it. Tests: late timers, one pause, shares of busy entries.

--- a/bench/capacity-peers.ts
+++ b/bench/capacity-peers.ts
@@ -44,7 +44,7 @@
   for (let index = 1; index <= Number(values.count); index++) {
     const self = createPeer(values.network ?? '', index)
     const events = { handleOpen: () => true, handleFrame: () => {}, handleBeat: () => {}, handleSilent: () => {}, handleMalformed: () => {} }
-    const describeSelf = () => ({ offset: toBrand<Offset>(1), isLeaving: false })
+    const describeSelf = () => ({ offset: toBrand<Offset>(1), isLeaving: false, isBusy: false })
     const options = { self, peerKey: PEER_KEY, role: 'acceptor' as const, clock, getTiming: () => DEFAULT_LINK_TIMING, events, describeSelf }
     const server = createServer((socket) => { servePeerLink(socket, options).catch(console.error) })
     await new Promise<void>((resolve) => server.listen(self.peerPort, self.address, resolve))
--- a/bench/capacity-state.ts
+++ b/bench/capacity-state.ts
@@ -188,6 +188,7 @@
     peerPort: 7_100,
     state: 'live' as const,
     contractOffset: FIRST_OFFSET,
+    isBusy: false,
     isSelf: false
   }))
 }
--- a/src/connection/peer-frames.ts
+++ b/src/connection/peer-frames.ts
@@ -34,7 +34,7 @@
 const headers = z.record(z.string(), z.string())
 
 const linkFrameSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('beat'), seq: counter, ack: counter, offset: z.number().int().optional(), leaving: z.literal(true).optional() }),
+  z.object({ type: z.literal('beat'), seq: counter, ack: counter, offset: z.number().int().optional(), leaving: z.literal(true).optional(), busy: z.literal(true).optional() }),
   z.object({ type: z.literal('members'), facts: z.array(z.object({ ...identity, isHeard: z.boolean(), isLeaving: z.boolean() })).max(MOST_FACTS) }),
   z.object({
     type: z.literal('contract-records'),
@@ -84,7 +84,7 @@
 /** The initiator's proof, its second frame. */
 export interface ProofFrame { type: 'proof', proof: Uint8Array }
 /** Heartbeat: its number, the highest number heard from the other end, and what has changed at the sender. */
-export interface BeatFrame { type: 'beat', seq: number, ack: number, offset?: Offset, leaving?: true }
+export interface BeatFrame { type: 'beat', seq: number, ack: number, offset?: Offset, leaving?: true, busy?: true }
 /** What the sender knows of others; only what has changed, but for the first one on a link. */
 export interface MembersFrame { type: 'members', facts: MemberFact[] }
 /** Frames after the handshake. */
--- a/src/connection/peer-link.ts
+++ b/src/connection/peer-link.ts
@@ -80,7 +80,7 @@
   getTiming(): LinkTiming
   events: LinkEvents
   /** What the heartbeats tell besides life. */
-  describeSelf(): { offset: Offset, isLeaving: boolean }
+  describeSelf(): { offset: Offset, isLeaving: boolean, isBusy: boolean }
 }
 
 interface FrameStream {
@@ -185,10 +185,11 @@
   let sentOffset: Offset | undefined
   let cancel = () => {}
   const sendBeat = () => {
-    const { offset, isLeaving } = options.describeSelf()
+    const { offset, isLeaving, isBusy } = options.describeSelf()
     const beat: BeatFrame = { type: 'beat', ...signs.takeBeat() }
     if (offset !== sentOffset) beat.offset = offset
     if (isLeaving) beat.leaving = true
+    if (isBusy) beat.busy = true
     if (link.sendFrame(beat)) sentOffset = offset
     const timing = getTiming()
     const isSilent = signs.getSilenceMs() > timing.silentAfterMs
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -15,8 +15,9 @@
 import { createTopicFollower } from '../discovery/topic-follower.ts'
 import type { SharedReading, TopicFollower } from '../discovery/topic-follower.ts'
 import { LAPSE_RETURN_MS } from '../discovery/target-registry.ts'
+import { startLatenessWatch } from '../lateness-watch.ts'
 import type { Logger, PartLogger } from '../logger.ts'
-import { canServe } from '../membership/address-order.ts'
+import { canServe, dropBusy } from '../membership/address-order.ts'
 import type { PeerMesh } from '../membership/peer-mesh.ts'
 import { createPeerMesh } from '../membership/tcp-peer-mesh.ts'
 import type { TcpPeerMesh } from '../membership/tcp-peer-mesh.ts'
@@ -189,7 +190,7 @@
 /** Lists the addresses of the entries that take requests. */
 function listAddresses (parts: Pick<GatewayParts, 'isStopping' | 'state' | 'mesh'>): string[] {
   const usable = parts.mesh.listPeers().filter((peer) => peer.isSelf ? isReady(parts) : canServe(peer))
-  return usable.map((peer) => `${peer.address}:${peer.port}`)
+  return dropBusy(usable).map((peer) => `${peer.address}:${peer.port}`)
 }
 
 function createParts (options: GatewayOptions, store: StoreClient, first: FirstPlaces): GatewayParts {
@@ -285,9 +286,17 @@
   const metrics = await parts.servers.startMetrics()
   if (metrics.isErr()) log.warn('Metrics are not served.', { error: metrics.error.message })
   const upkeep = setInterval(() => state.removeLapsed(targetsFollower.getStatus().failingSinceMs !== undefined), UPKEEP_MS)
+  const stopWatching = startLatenessWatch({
+    clock,
+    handleChange (isBusy, latenessMs) {
+      log.warn(isBusy ? 'Too busy: callers are sent to other entries.' : 'No longer too busy.', { latenessMs: Math.round(latenessMs) })
+      parts.mesh.setBusy(isBusy)
+    }
+  })
   log.info('Started.', { entry: settings.entry, zone: settings.zone, incarnation: parts.incarnation })
   const close = async (): Promise<void> => {
     clearInterval(upkeep)
+    stopWatching()
     await closeParts(parts)
   }
   return ok({
--- a/src/process/membership/address-order.ts
+++ b/src/process/membership/address-order.ts
@@ -34,6 +34,15 @@
   return entry.state === 'live' && (entry.isSelf || entry.contractOffset >= 0)
 }
 
+/** When more than this share of the entries is busy, the load is everywhere and none is left out. */
+const MOST_BUSY_SHARE = 1 / 3
+
+/** Leaves out the entries that are too busy, when enough others are not. */
+export function dropBusy (entries: readonly PeerView[]): PeerView[] {
+  const calm = entries.filter(({ isBusy }) => !isBusy)
+  return entries.length - calm.length <= entries.length * MOST_BUSY_SHARE ? calm : [...entries]
+}
+
 /** Lists the entries that are to be answered: the serving ones, else those that may yet be reached. */
 function listUsable (entries: readonly PeerView[]): PeerView[] {
   const serving = entries.filter(canServe)
--- a/src/process/membership/member-state.ts
+++ b/src/process/membership/member-state.ts
@@ -42,6 +42,7 @@
   isHeard: boolean
   lastHeardMs: number
   isLeaving: boolean
+  isBusy: boolean
   contractOffset: Offset
   /** Runs of this entry that other peers hear, by peer. */
   words: Map<EntryId, Incarnation>
@@ -81,6 +82,7 @@
     isHeard: false,
     lastHeardMs: nowMs,
     isLeaving: false,
+    isBusy: false,
     contractOffset: NO_OFFSET,
     words: new Map()
   }
--- a/src/process/membership/member-table.ts
+++ b/src/process/membership/member-table.ts
@@ -29,6 +29,8 @@
   dropWord(reporter: EntryId): void
   /** Moves the known contract offset of a run up; a lower one is ignored. */
   applyOffset(id: EntryId, incarnation: Incarnation, offset: Offset): void
+  /** Notes whether a run has more work than it can do in time. */
+  applyBusy(id: EntryId, incarnation: Incarnation, isBusy: boolean): void
   /** What this entry tells peers: itself and every entry that it has heard itself. */
   listFacts(): MemberFact[]
   listPeers(): PeerView[]
@@ -73,6 +75,7 @@
     member.incarnation = peer.incarnation
     member.isLeaving = state.leavingMarks.hasMark(peer.id, peer.incarnation)
     member.contractOffset = NO_OFFSET
+    member.isBusy = false
   }
   setPlace(member, peer)
   member.isHeard = true
@@ -109,9 +112,9 @@
 }
 
 function toView (state: TableState, member: Member): PeerView {
-  const { id, incarnation, zone, address, port, peerPort, contractOffset } = member
+  const { id, incarnation, zone, address, port, peerPort, contractOffset, isBusy } = member
   const isSelf = member === state.own
-  return { id, incarnation, zone, address, port, peerPort, contractOffset, state: computeMemberState(state, member), isSelf }
+  return { id, incarnation, zone, address, port, peerPort, contractOffset, isBusy, state: computeMemberState(state, member), isSelf }
 }
 
 function listLiveIds (state: TableState): EntryId[] {
@@ -150,6 +153,10 @@
       if (!member || member.incarnation !== incarnation || offset <= member.contractOffset) return
       member.contractOffset = offset
     },
+    applyBusy (id, incarnation, isBusy) {
+      const member = state.members.get(id)
+      if (member?.incarnation === incarnation) member.isBusy = isBusy
+    },
     listFacts: () => [...state.members.values()].flatMap(toFact),
     listPeers: () => [...state.members.values()].map((member) => toView(state, member)),
     listLive: () => listLiveIds(state),
--- a/src/process/membership/mesh-links.ts
+++ b/src/process/membership/mesh-links.ts
@@ -54,6 +54,7 @@
 function applyBeat (parts: MeshParts, link: PeerLink, beat: BeatFrame): void {
   const { id, incarnation } = link.peer
   if (beat.offset !== undefined) parts.table.applyOffset(id, incarnation, beat.offset)
+  parts.table.applyBusy(id, incarnation, beat.busy === true)
   if (!beat.leaving) return
   parts.table.applyLeaving(id, incarnation)
   flushChanges(parts)
@@ -113,7 +114,7 @@
         options.logger?.warn(`membership: malformed frame from ${link.peer.id}: ${error.message}`)
       }
     }
-    const describeSelf = () => ({ offset: parts.contractOffset, isLeaving: parts.isLeaving })
+    const describeSelf = () => ({ offset: parts.contractOffset, isLeaving: parts.isLeaving, isBusy: parts.isBusy })
     startTask(parts, 'a link', async () => {
       const error = await servePeerLink(socket, { ...options, getTiming, role, events, describeSelf })
       resolve(false)
--- a/src/process/membership/mesh-parts.ts
+++ b/src/process/membership/mesh-parts.ts
@@ -37,6 +37,7 @@
   handler: ((request: ForwardedRequest) => Promise<ForwardedAnswer>) | undefined
   contractOffset: Offset
   isLeaving: boolean
+  isBusy: boolean
   /** Whether changes are about to be told. */
   isFlushPending: boolean
   /** Live entries as last told to listeners. */
--- a/src/process/membership/peer-mesh.ts
+++ b/src/process/membership/peer-mesh.ts
@@ -56,6 +56,8 @@
   peerPort: number
   /** The highest contract offset that it is known to have folded. */
   contractOffset: Offset
+  /** Whether it says that it has more work than it can do in time. */
+  isBusy: boolean
   isSelf: boolean
 }
 
@@ -78,6 +80,8 @@
   handleForwards(action: (request: ForwardedRequest) => Promise<ForwardedAnswer>): void
   /** Says on every heartbeat how far this entry has folded the contract stream. */
   setContractOffset(offset: Offset): void
+  /** Says on every heartbeat whether this entry has more work than it can do in time. */
+  setBusy(isBusy: boolean): void
   /** Tells all peers that this entry leaves for good. */
   markLeaving(): void
   close(): Promise<void>
--- a/src/process/membership/tcp-peer-mesh.ts
+++ b/src/process/membership/tcp-peer-mesh.ts
@@ -158,6 +158,7 @@
     handler: undefined,
     contractOffset: NO_OFFSET,
     isLeaving: false,
+    isBusy: false,
     isFlushPending: false,
     toldLive: self.id as string,
     toldFacts: new Map()
@@ -199,6 +200,10 @@
     setContractOffset (offset) {
       if (offset > parts.contractOffset) parts.contractOffset = offset
     },
+    setBusy (isBusy) {
+      parts.isBusy = isBusy
+      table.applyBusy(options.self.id, options.self.incarnation, isBusy)
+    },
     markLeaving () {
       parts.isLeaving = true
       table.applyLeaving(options.self.id, options.self.incarnation)
--- /dev/null
+++ b/test/busy-entries.test.ts
@@ -0,0 +1,54 @@
+import { expect, test } from 'vitest'
+import { createTestClock } from '../src/clock.ts'
+import type { Clock } from '../src/clock.ts'
+import { startLatenessWatch } from '../src/process/lateness-watch.ts'
+import { dropBusy } from '../src/process/membership/address-order.ts'
+import type { PeerView } from '../src/process/membership/peer-mesh.ts'
+
+/** A clock whose timers run late by what `getLateMs` returns. */
+function createLateClock (getLateMs: () => number) {
+  const clock = createTestClock()
+  const late: Clock = { ...clock, startTimer: (delayMs, action) => clock.startTimer(delayMs + getLateMs(), action) }
+  return { clock, late }
+}
+
+function setup () {
+  const state = { lateMs: 1 }
+  const { clock, late } = createLateClock(() => state.lateMs)
+  const changes: boolean[] = []
+  startLatenessWatch({ clock: late, handleChange: (isBusy) => { changes.push(isBusy) } })
+  return { clock, state, changes }
+}
+
+// Load: a machine five times slower than before, whose work piles up, for some seconds.
+test('a process whose timers run late says so within a second, and takes it back within one', async () => {
+  const { clock, state, changes } = setup()
+  await clock.advance(2_000)
+  expect(changes).toEqual([])
+  state.lateMs = 120
+  await clock.advance(1_000)
+  expect(changes).toEqual([true])
+  state.lateMs = 1
+  await clock.advance(1_000)
+  expect(changes).toEqual([true, false])
+})
+
+test('one pause of the whole process is not taken for load', async () => {
+  const { clock, state, changes } = setup()
+  state.lateMs = 3_000
+  await clock.advance(50)
+  state.lateMs = 1
+  await clock.advance(6_000)
+  expect(changes).toEqual([])
+})
+
+function createEntries (busy: readonly boolean[]): PeerView[] {
+  return busy.map((isBusy, index) => ({ id: `e${index}`, isBusy }) as unknown as PeerView)
+}
+
+test('a busy entry is left out of the addresses while most are not busy', () => {
+  expect(dropBusy(createEntries([false, true, false, false])).map(({ id }) => id)).toEqual(['e0', 'e2', 'e3'])
+  expect(dropBusy(createEntries([true, true, false, false]))).toHaveLength(4)
+  expect(dropBusy(createEntries([true]))).toHaveLength(1)
+  expect(dropBusy([])).toEqual([])
+})
