Listen in one place, and outlive connections that cannot be accepted

Cause: three copies of the same function; in two of them a fault after the start, such as no descriptor for a connection, had no listener (or only one) and ended the process.

--- a/src/process/caller-server.ts
+++ b/src/process/caller-server.ts
@@ -2,15 +2,19 @@
  * The HTTP server for callers: addresses by hono, everything else straight to the targets.
  */
 import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 import { getRequestListener } from '@hono/node-server'
 import { Hono } from 'hono'
+import type { Result } from 'neverthrow'
+import { startListening } from '../connection/start-listening.ts'
 import { createError, getErrorAnswer } from '../errors.ts'
+import type { AppError } from '../errors.ts'
 import { buildErrorAnswer } from '../request/error-answer.ts'
 import { toBrand } from '../types.ts'
 import type { CustomerId, ZoneId } from '../types.ts'
 import type { ContractState } from './contracts/contract-state.ts'
+import type { PartLogger } from './logger.ts'
 import { orderAddresses } from './membership/address-order.ts'
 import type { PeerMesh } from './membership/peer-mesh.ts'
 import type { RequestService } from './request-service.ts'
@@ -26,12 +30,13 @@
   contracts: ContractState
   mesh: PeerMesh
   requests: RequestService
+  log: PartLogger
 }
 
 /** The server for callers. */
 export interface CallerServer {
-  /** Begins to listen; rejects when the address cannot be used. */
-  start(): Promise<void>
+  /** Begins to listen. Errors: `settings-invalid` when the address cannot be used. */
+  start(): Promise<Result<void, AppError>>
   /** From now on each answer asks the caller to close its connection. */
   closeAfterAnswers(): void
   /** Stops listening and closes idle connections. Resolves when no connection is left. */
@@ -78,19 +83,9 @@
   socket.end(Buffer.concat([Buffer.from(`HTTP/1.1 ${status} Refused\r\n${head}\r\n`), body]))
 }
 
-function startListening (server: Server, port: number, address: string): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, address, () => {
-      server.off('error', reject)
-      resolve()
-    })
-  })
-}
-
 /** Creates the server for callers. */
 export function createCallerServer (options: CallerServerOptions): CallerServer {
-  const { settings, requests } = options
+  const { settings, requests, log } = options
   const ownListener = getRequestListener(createOwnPaths(options).fetch)
   let isClosing = false
 
@@ -110,7 +105,7 @@
   server.on('clientError', refuseMalformed)
 
   return {
-    start: () => startListening(server, settings.entry.callerPort, settings.entry.address),
+    start: () => startListening(server, { address: settings.entry.address, port: settings.entry.callerPort, handleFault: (message) => log.warn(message) }),
     closeAfterAnswers () { isClosing = true },
     close: () => new Promise((resolve) => { server.close(() => resolve()) }),
     countConnections: () => new Promise((resolve) => { server.getConnections((_, count) => resolve(count)) })
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -100,7 +100,7 @@
   const requests = createRequestService({
     self, idPrefix: `${self}-${incarnation}`, clock, contracts, services, limiter, claims, mesh, metrics, findOwner, longestPauseMs: settings.callers.pauseTimeoutMs, log: logger.forPart('request')
   })
-  const callers = createCallerServer({ settings, contracts, mesh, requests })
+  const callers = createCallerServer({ settings, contracts, mesh, requests, log: logger.forPart('callers') })
   return { settings, clock, self, incarnation, logger, metrics, log, hostList, audit, contracts, mesh, limiter, claims, services, requests, callers }
 }
 
@@ -137,7 +137,8 @@
   const { address, operatorPort } = settings.entry
   metrics.watchFigures(() => readProcessFigures(parts))
   const operators = await startOperatorServer({ address, port: operatorPort, metrics, readStatus: () => readEntryStatus(parts) })
-  await callers.start()
+  const serving = await callers.start()
+  if (serving.isErr()) throw new Error(serving.error.message)
   log.info('Serving.', { address, callerPort: settings.entry.callerPort, incarnation })
 
   const runStop = async (reason: string): Promise<void> => {
--- a/src/process/gateway/gateway-servers.ts
+++ b/src/process/gateway/gateway-servers.ts
@@ -2,14 +2,14 @@
  * The listeners of a gateway: callers, readiness checks, and callers that ask which entries to use.
  */
 import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { getRequestListener } from '@hono/node-server'
 import { Hono } from 'hono'
-import { err, ok } from 'neverthrow'
+import { ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { createError, describeCause } from '../../errors.ts'
+import { startListening } from '../../connection/start-listening.ts'
 import type { AppError } from '../../errors.ts'
-import type { BootSettings, HostPort } from '../../platform/boot-file.ts'
+import type { BootSettings } from '../../platform/boot-file.ts'
 import { formatAddresses } from '../../platform/wire-names.ts'
 
 /** What the listeners need. */
@@ -23,6 +23,8 @@
   addressLifetimeMs: number
   renderMetrics(): Promise<{ contentType: string, text: string }>
   metricsPort: number
+  /** Told of faults of a listener after its start. */
+  handleFault(message: string): void
 }
 
 /** Where metrics are served, under `/metrics`; the deploy file names the same port. */
@@ -50,13 +52,6 @@
 /** Connections that wait to be accepted. */
 const BACKLOG = 1_024
 
-function startListening (server: Server, { address, port }: HostPort): Promise<Result<void, AppError>> {
-  return new Promise((resolve) => {
-    server.once('error', (cause) => resolve(err(createError('settings-invalid', `Cannot listen on ${address}:${port}: ${describeCause(cause)}`, cause))))
-    server.listen({ host: address, port, backlog: BACKLOG }, () => resolve(ok(undefined)))
-  })
-}
-
 function createOwnPaths (options: GatewayServersOptions): Hono {
   const app = new Hono()
   app.get('/ready', (context) => context.body(null, options.isReady() ? STATUS_OK : STATUS_UNAVAILABLE))
@@ -79,7 +74,7 @@
 
 /** Creates the listeners; nothing listens before `start`. */
 export function createGatewayServers (options: GatewayServersOptions): GatewayServers {
-  const { settings } = options
+  const { settings, handleFault } = options
   let isClosing = false
   const front = createServer({ maxHeaderSize: LARGEST_HEADER_BYTES, requestTimeout: 0, noDelay: true }, (incoming, outgoing) => {
     if (isClosing) outgoing.setHeader('connection', 'close')
@@ -93,12 +88,12 @@
   return {
     async start () {
       for (const { place, server } of [...own, { place: settings.listen.front, server: front }]) {
-        const listening = await startListening(server, place)
+        const listening = await startListening(server, { ...place, backlog: BACKLOG, handleFault })
         if (listening.isErr()) return listening
       }
       return ok(undefined)
     },
-    startMetrics: () => startListening(metrics, { address: settings.address, port: options.metricsPort }),
+    startMetrics: () => startListening(metrics, { address: settings.address, port: options.metricsPort, handleFault }),
     closeAfterAnswers () { isClosing = true },
     setIdleTimeout (idleTimeoutMs) { front.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS },
     close () {
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -219,6 +219,7 @@
       listAddresses: () => listAddresses(parts),
       addressLifetimeMs: Math.min(ADDRESS_LIFETIME_MS, settings.longestAddressLifetimeMs),
       metricsPort: options.metricsPort ?? METRICS_PORT,
+      handleFault: (message) => base.log.warn(message),
       handleRequest: (incoming, outgoing) => { requests.handleRequest(incoming, outgoing).catch(() => outgoing.destroy()) },
       renderMetrics: () => metrics.renderText({
         services: state.listFigures(),
--- a/src/process/membership/tcp-peer-mesh.ts
+++ b/src/process/membership/tcp-peer-mesh.ts
@@ -3,14 +3,13 @@
  */
 import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:net'
-import type { Server, Socket } from 'node:net'
-import { err, ok } from 'neverthrow'
+import type { Socket } from 'node:net'
 import type { Result } from 'neverthrow'
 import type { Clock } from '../../clock.ts'
 import type { PeerIdentity } from '../../connection/peer-frames.ts'
 import { computeLinkTiming, DEFAULT_LINK_TIMING } from '../../connection/peer-link.ts'
 import type { LinkCounts, LinkTiming } from '../../connection/peer-link.ts'
-import { createError, describeCause } from '../../errors.ts'
+import { startListening } from '../../connection/start-listening.ts'
 import type { AppError } from '../../errors.ts'
 import type { HostListClient } from '../host-list-client.ts'
 import { NO_OFFSET } from './member-state.ts'
@@ -77,15 +76,6 @@
 /** Connections to the peer port at once, strangers included. */
 const MOST_CONNECTIONS = 512
 
-/** Listens on the peer port of the entry. */
-function startListening (server: Server, address: string, port: number): Promise<Result<void, AppError>> {
-  return new Promise((resolve) => {
-    server.once('error', (cause) => resolve(err(createError('settings-invalid',
-      `cannot listen on ${address}:${port}: ${describeCause(cause)}`, cause))))
-    server.listen(port, address, () => resolve(ok(undefined)))
-  })
-}
-
 /** Reads the host list again and again; a failed read leaves the last one in place. */
 async function runListTask (parts: MeshParts): Promise<void> {
   const { hostList, clock, listPollMs = DEFAULT_LIST_POLL_MS } = parts.options
@@ -180,7 +170,11 @@
   server.maxConnections = MOST_CONNECTIONS
   return {
     async start () {
-      const listening = await startListening(server, options.listenAddress ?? options.self.address, options.self.peerPort)
+      const listening = await startListening(server, {
+        address: options.listenAddress ?? options.self.address,
+        port: options.self.peerPort,
+        handleFault: (message) => options.logger?.warn(`membership: ${message}`)
+      })
       if (listening.isErr()) return listening
       startTask(parts, 'reading the host list', () => runListTask(parts))
       startTask(parts, 'trying seeds', () => runSeedTask(parts))
