--- a/replay/demo-main.ts
+++ b/replay/demo-main.ts
@@ -1,10 +1,15 @@
 /**
  * The demo: the whole system on loopback addresses, one path through it, a short trace, and lines to try by hand.
  */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { parseArgs } from 'node:util'
 import { createDeployment } from './deployment.ts'
 import { runSteps } from './demo-steps.ts'
+import { runPlatformDemo } from './platform-demo.ts'
+import { startProgram } from './programs.ts'
+import type { Program } from './programs.ts'
 import { replayThroughEntries } from './replay-trace.ts'
 import { renderReport } from './report.ts'
 import { startSystem } from './system.ts'
@@ -13,8 +18,8 @@
 
 const HELP = `Usage: npm run demo -- [options]
 
-Starts the platform's stand-ins, targets and six entries as processes on loopback addresses, makes one path through them,
-replays a short trace and stays up.
+Makes one path through two entries on the platform's store. Then starts a log, a host list, targets and six entries as
+processes on loopback addresses, makes one path through them, replays a short trace and stays up.
 
   --once          end after the trace
   --network A.B.C the first three bytes of every address (default 127.77.1)
@@ -70,6 +75,22 @@
   })
 }
 
+/** Plays the path on the platform's store; returns how many steps went wrong. */
+async function runOnPlatform (root: string, binary: string | undefined): Promise<number> {
+  const folder = mkdtempSync(path.join(tmpdir(), 'medlarcove-demo-'))
+  const startEntry = (id: string, bootText: string): Promise<Program> => {
+    const bootFile = path.join(folder, `${id}.conf`)
+    writeFileSync(bootFile, bootText)
+    const args = binary === undefined ? [path.join(root, 'dist/gateway.cjs')] : ['gateway']
+    return startProgram({ name: id, file: binary ?? process.execPath, args, env: { MEDLARCOVE_BOOT: bootFile }, readyText: 'Started.' })
+  }
+  try {
+    return await runPlatformDemo({ network: values.network, startEntry, print })
+  } finally {
+    rmSync(folder, { recursive: true })
+  }
+}
+
 async function runDemo (): Promise<number> {
   const root = path.resolve(values.root)
   const deployment = createDeployment({ sample: 'kyushu', root, network: values.network, entryCount: ENTRY_COUNT, targetCount: TARGET_COUNT })
@@ -77,7 +98,7 @@
   const interrupted = waitForSignal()
   print(`Starting the log, the host list, ${deployment.targets.length} targets and ${ENTRY_COUNT} entries.`)
   const startedMs = performance.now()
-  let faults = 0
+  let faults = await runOnPlatform(root, binary)
   const handleLine = (process: string, line: string) => {
     if (!/Warning:/.test(line)) return
     print(`  WRONG: ${process} printed a warning: ${line}`)
--- a/replay/programs.ts
+++ b/replay/programs.ts
@@ -24,6 +24,8 @@
   readyText?: string
   /** Working folder. */
   cwd?: string
+  /** Variables besides those of this process. */
+  env?: Record<string, string>
   /** Called for each line of output. */
   handleLine?: (line: string) => void
 }
@@ -45,7 +47,7 @@
 /** Starts a process and resolves when it is ready; throws with its last lines when it ends before. */
 export async function startProgram (options: ProgramOptions): Promise<Program> {
   // In a process group of its own, so that ctrl-C at the terminal reaches only this process, which ends the others in order.
-  const child = spawn(options.file, options.args, { cwd: options.cwd, stdio: ['ignore', 'pipe', 'pipe'], detached: true })
+  const child = spawn(options.file, options.args, { cwd: options.cwd, env: { ...process.env, ...options.env }, stdio: ['ignore', 'pipe', 'pipe'], detached: true })
   running.add(child)
   child.once('close', () => running.delete(child))
   const lastLines: string[] = []
--- /dev/null
+++ b/stand-ins/platform-target.ts
@@ -0,0 +1,73 @@
+/**
+ * A stand-in for a target of the platform, and for what targets and the operator write to the store.
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** The host that the routes of the stand-in's configuration name. */
+export const HOST = 'desk.example'
+
+/** A target that tells its load and counts what reaches it. */
+export interface PlatformTarget {
+  id: string
+  /** Attempt ids of requests that reached it, in order. */
+  seen: string[]
+  /** Attempt ids of requests that were cut while it worked. */
+  cut: string[]
+  load: string
+  listen: RequestListener
+  server: Server
+  port: number
+}
+
+/** Answers like a target: with the attempt's id, a signature and the load. */
+export function answerWhole (target: PlatformTarget, incoming: IncomingMessage, outgoing: ServerResponse, text = 'whole'): void {
+  outgoing.writeHead(200, {
+    'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'],
+    'medlarcove-response-signature': target.id,
+    'medlarcove-upstream-load': target.load
+  }).end(text)
+}
+
+/** Starts a target on a free port; `listen` answers its requests. */
+export async function startPlatformTarget (id: string, listen?: (target: PlatformTarget, incoming: IncomingMessage, outgoing: ServerResponse) => void): Promise<PlatformTarget> {
+  const target: PlatformTarget = { id, seen: [], cut: [], load: '0,0,4,100', listen: () => undefined, server: createServer(), port: 0 }
+  target.listen = (incoming, outgoing) => listen ? listen(target, incoming, outgoing) : answerWhole(target, incoming, outgoing)
+  target.server.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
+    if (incoming.url === '/health') {
+      outgoing.writeHead(200, { 'medlarcove-instance-id': id, 'medlarcove-upstream-load': target.load }).end()
+      return
+    }
+    const attempt = String(incoming.headers['medlarcove-attempt-id'])
+    target.seen.push(attempt)
+    outgoing.on('close', () => { if (!outgoing.writableFinished) target.cut.push(attempt) })
+    target.listen(incoming, outgoing)
+  })
+  await new Promise<void>((resolve) => { target.server.listen(0, '127.0.0.1', resolve) })
+  target.port = (target.server.address() as AddressInfo).port
+  return target
+}
+
+/** What a target writes of itself. */
+export function describeTarget (target: Pick<PlatformTarget, 'port'>, changes: { state?: string, service?: string, sequence?: number, born?: number } = {}) {
+  const { state = 'ready', service = 'desk', sequence = 1, born = 1 } = changes
+  return {
+    address: `127.0.0.1:${target.port}`,
+    born,
+    info: { service, version: 'v1', zone: 'kyu-a', slots: 4 },
+    status: { state, sequence, warmupLeft: '0ms' }
+  }
+}
+
+/** A configuration with one route of each kind: /safe/, /unsafe/ and /download/. */
+export function describeConfiguration (version: number, changes: { timeout?: string, service?: string, extraRoutes?: unknown[][] } = {}) {
+  const { timeout = '1500ms', service = 'desk', extraRoutes = [] } = changes
+  const rows = ['safe', 'unsafe', 'download'].map((kind) => [kind, HOST, `/${kind}/`, kind, timeout, '600ms', 1, null, 2, service])
+  return {
+    version,
+    routes: { columns: ['name', 'host', 'pathPrefix', 'kind', 'timeout', 'targetLatency', 'priority', 'split', 'maxAttempts', 'service'], rows: [...rows, ...extraRoutes] },
+    services: { columns: ['name', 'healthPath', 'maxConnections', 'protocol', 'tls'], rows: [[service, '/health', 260, 'h1', false]] },
+    limits: { maxHeaderBytes: 16384, maxBodyBytes: 1000000, headerTimeout: '3000ms', idleTimeout: '15000ms' }
+  }
+}
--- a/test/demo.test.ts
+++ b/test/demo.test.ts
@@ -10,6 +10,8 @@
   const { stdout, stderr } = await run(process.execPath, ['dist/demo.cjs', '--once', '--network', network])
   expect(stderr).toBe('')
   expect(stdout).not.toMatch(/WRONG|BROKEN/)
+  expect(stdout).toContain('a draining target gets nothing more: 0 of 20 requests')
+  expect(stdout).toContain('it ends by itself: exit code 0')
   expect(stdout).toContain('Every step went as it should and every invariant held.')
   expect(stdout.match(/entry-\d with 0/g)).toHaveLength(6)
 })
--- a/test/gateway-peers.test.ts
+++ b/test/gateway-peers.test.ts
@@ -7,7 +7,8 @@
 import type { PlatformStore } from '../stand-ins/platform-store.ts'
 import { toBrand } from '../src/types.ts'
 import type { EntryId } from '../src/types.ts'
-import { buildSettings, createListLogger, describeConfiguration, describeTarget, findFreePort, HOST, sendRaw } from './support/gateway-system.ts'
+import { describeConfiguration, describeTarget, HOST } from '../stand-ins/platform-target.ts'
+import { buildSettings, createListLogger, findFreePort, sendRaw } from './support/gateway-system.ts'
 
 const WAIT_MS = 3_000
 const HOUR_MS = 3_600_000
--- a/test/gateway-process.test.ts
+++ b/test/gateway-process.test.ts
@@ -6,7 +6,8 @@
 import { afterEach, beforeAll, expect, test } from 'vitest'
 import type { BootSettings, HostPort } from '../src/platform/boot-file.ts'
 import { startPlatformStore } from '../stand-ins/platform-store.ts'
-import { buildSettings, describeConfiguration, describeTarget, HOST, sendRaw, startFakeTarget } from './support/gateway-system.ts'
+import { describeConfiguration, describeTarget, HOST, startPlatformTarget } from '../stand-ins/platform-target.ts'
+import { buildSettings, sendRaw } from './support/gateway-system.ts'
 
 const PROGRAM = 'target/gateway.cjs'
 const cleanups: (() => void)[] = []
@@ -33,7 +34,7 @@
 /** Starts the program that the platform runs, with a store and one target. */
 async function startProgram () {
   const store = await startPlatformStore()
-  const target = await startFakeTarget('i-1')
+  const target = await startPlatformTarget('i-1')
   store.put('keyed.op', 'config', describeConfiguration(1))
   store.put('keyed.servers', 'i-1', describeTarget(target))
   const settings = await buildSettings(store, { graceMs: 1_200 })
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -4,14 +4,16 @@
 import { createHostClock } from '../src/clock.ts'
 import { startGateway } from '../src/process/gateway/gateway.ts'
 import { startPlatformStore } from '../stand-ins/platform-store.ts'
-import { answerWhole, buildSettings, createListLogger, describeConfiguration, describeTarget, findFreePort, HOST, sendRaw, startFakeTarget, startGatewaySystem } from './support/gateway-system.ts'
-import type { FakeTarget, GatewaySystem, LogLine } from './support/gateway-system.ts'
+import { answerWhole, describeConfiguration, describeTarget, HOST, startPlatformTarget } from '../stand-ins/platform-target.ts'
+import type { PlatformTarget } from '../stand-ins/platform-target.ts'
+import { buildSettings, createListLogger, findFreePort, sendRaw, startGatewaySystem } from './support/gateway-system.ts'
+import type { GatewaySystem, LogLine } from './support/gateway-system.ts'
 
 const systems: GatewaySystem[] = []
 
 afterEach(async () => { for (const system of systems.splice(0)) await system.close() })
 
-async function setup (targets: FakeTarget[], changes: Parameters<typeof startGatewaySystem>[1] = {}): Promise<GatewaySystem> {
+async function setup (targets: PlatformTarget[], changes: Parameters<typeof startGatewaySystem>[1] = {}): Promise<GatewaySystem> {
   const system = await startGatewaySystem(targets, changes)
   systems.push(system)
   return system
@@ -33,7 +35,7 @@
 
 test('a request reaches a target with its id, the target named and the time that is left', async () => {
   const headers: Record<string, unknown>[] = []
-  const target = await startFakeTarget('i-1', (self, incoming, outgoing) => {
+  const target = await startPlatformTarget('i-1', (self, incoming, outgoing) => {
     headers.push(incoming.headers)
     answerWhole(self, incoming, outgoing)
   })
@@ -46,15 +48,15 @@
 })
 
 test('a path without a route gets 404, and a request without an id gets 400', async () => {
-  const system = await setup([await startFakeTarget('i-1')])
+  const system = await setup([await startPlatformTarget('i-1')])
   expect((await send(system, '/nowhere/a')).status).toBe(404)
   const anonymous = await sendRaw(system.settings.listen.front.port, `GET /safe/a HTTP/1.1\r\nHost: ${HOST}\r\nConnection: close\r\n\r\n`)
   expect(anonymous.text.slice(9, 12)).toBe('400')
 })
 
 test('an unsafe request whose connection breaks runs once and is never told as not run', async () => {
-  const closeConnection = (_: FakeTarget, incoming: { socket: { destroy(): void } }): void => { incoming.socket.destroy() }
-  const targets = [await startFakeTarget('i-1', closeConnection), await startFakeTarget('i-2', closeConnection)]
+  const closeConnection = (_: PlatformTarget, incoming: { socket: { destroy(): void } }): void => { incoming.socket.destroy() }
+  const targets = [await startPlatformTarget('i-1', closeConnection), await startPlatformTarget('i-2', closeConnection)]
   const system = await setup(targets)
   const answer = await send(system, '/unsafe/a', { method: 'POST' })
   expect(answer.status).toBe(502)
@@ -64,11 +66,11 @@
 // Earns two repeats, so that the verdict does not hang on which target is chosen first.
 test('a safe request whose connection breaks is sent to another target', async () => {
   let isBroken = false
-  const broken = await startFakeTarget('i-1', (self, incoming, outgoing) => {
+  const broken = await startPlatformTarget('i-1', (self, incoming, outgoing) => {
     if (isBroken) incoming.socket.destroy()
     else answerWhole(self, incoming, outgoing)
   })
-  const system = await setup([broken, await startFakeTarget('i-2')])
+  const system = await setup([broken, await startPlatformTarget('i-2')])
   for (let round = 0; round < 12; round++) await send(system, '/safe/a')
   isBroken = true
   const reachedBefore = broken.seen.length
@@ -76,10 +78,10 @@
 })
 
 test('an unsafe request that a target refused unrun goes to another target, and is told as not run when all refuse', async () => {
-  const refuse = (_: FakeTarget, __: unknown, outgoing: { writeHead(status: number, headers: Record<string, string>): { end(): void } }): void => {
+  const refuse = (_: PlatformTarget, __: unknown, outgoing: { writeHead(status: number, headers: Record<string, string>): { end(): void } }): void => {
     outgoing.writeHead(503, { 'medlarcove-not-executed': '1' }).end()
   }
-  const system = await setup([await startFakeTarget('i-1', refuse), await startFakeTarget('i-2', refuse)])
+  const system = await setup([await startPlatformTarget('i-1', refuse), await startPlatformTarget('i-2', refuse)])
   const answer = await send(system, '/unsafe/a', { method: 'POST' })
   expect(answer.status).toBe(503)
   expect(answer.text).toContain('retry-after: 0.01')
@@ -99,7 +101,7 @@
     })
   })
   await new Promise<void>((resolve) => { raw.listen(0, '127.0.0.1', resolve) })
-  const target = { ...await startFakeTarget('i-1'), port: (raw.address() as AddressInfo).port }
+  const target = { ...await startPlatformTarget('i-1'), port: (raw.address() as AddressInfo).port }
   const system = await setup([target])
   for (let round = 0; round < 20; round++) {
     const answer = await send(system, '/unsafe/a', { method: 'POST' })
@@ -110,7 +112,7 @@
 })
 
 test('bytes beyond an answer never reach the next request on its connection', async () => {
-  const target = await startFakeTarget('i-1', (self, incoming, outgoing) => {
+  const target = await startPlatformTarget('i-1', (self, incoming, outgoing) => {
     answerWhole(self, incoming, outgoing, String(incoming.headers['medlarcove-attempt-id']))
     outgoing.on('finish', () => { incoming.socket.write('HTTP/1.1 200 OK\r\nMedlarcove-Response-Signature: stray\r\nContent-Length: 5\r\n\r\nstray') })
   })
@@ -123,7 +125,7 @@
 })
 
 test('a caller that leaves ends the work at the target', async () => {
-  const target = await startFakeTarget('i-1', () => undefined)
+  const target = await startPlatformTarget('i-1', () => undefined)
   const system = await setup([target])
   await send(system, '/unsafe/a', { method: 'POST', waitMs: 100 })
   await waitFor(() => target.cut.length === 1)
@@ -131,14 +133,14 @@
 })
 
 test('a request that lasts longer than its route allows is answered at that time', async () => {
-  const system = await setup([await startFakeTarget('i-1', () => undefined)])
+  const system = await setup([await startPlatformTarget('i-1', () => undefined)])
   system.store.put('keyed.op', 'config', describeConfiguration(2, { timeout: '200ms' }))
   await waitFor(() => system.log.some(({ fields }) => fields.version === 2))
   expect((await send(system, '/unsafe/a', { method: 'POST' })).status).toBe(504)
 })
 
 test('a draining target, and one whose entry is removed, get no new request', async () => {
-  const targets = [await startFakeTarget('i-1'), await startFakeTarget('i-2'), await startFakeTarget('i-3')]
+  const targets = [await startPlatformTarget('i-1'), await startPlatformTarget('i-2'), await startPlatformTarget('i-3')]
   const system = await setup(targets)
   system.store.put('keyed.servers', 'i-1', describeTarget(targets[0]!, { state: 'draining', sequence: 2 }))
   system.store.put('keyed.servers', 'i-2')
@@ -148,7 +150,7 @@
 })
 
 test('records that cannot be read name no target, and an older configuration never comes back', async () => {
-  const system = await setup([await startFakeTarget('i-1')])
+  const system = await setup([await startPlatformTarget('i-1')])
   for (const bad of ['{', { address: 5 }, { ...describeTarget({ port: 1 }), status: { state: 'asleep', sequence: 1, warmupLeft: '0ms' } }]) system.store.put('keyed.servers', 'i-9', bad)
   system.store.put('keyed.op', 'config', describeConfiguration(5))
   system.store.put('keyed.op', 'config', '{"version":6')
@@ -160,7 +162,7 @@
 })
 
 test('without the store the entry goes on with what it knows', async () => {
-  const target = await startFakeTarget('i-1')
+  const target = await startPlatformTarget('i-1')
   const system = await setup([target])
   for (const fault of ['busy', 'reset', 'silent'] as const) {
     system.store.setFault(fault)
@@ -173,8 +175,8 @@
 })
 
 test('a store that no longer keeps the records asked for is read anew', async () => {
-  const system = await setup([await startFakeTarget('i-1')])
-  const other = await startFakeTarget('i-2')
+  const system = await setup([await startPlatformTarget('i-1')])
+  const other = await startPlatformTarget('i-2')
   const topic = system.store.getTopic('keyed.servers')
   system.store.put('keyed.servers', 'i-2', describeTarget(other))
   topic.trim(topic.getEnd())
@@ -199,7 +201,7 @@
 })
 
 test('a stopping entry is not ready at once, leaves the addresses and finishes what it has begun', async () => {
-  const target = await startFakeTarget('i-1', (self, incoming, outgoing) => { setTimeout(() => answerWhole(self, incoming, outgoing), 500) })
+  const target = await startPlatformTarget('i-1', (self, incoming, outgoing) => { setTimeout(() => answerWhole(self, incoming, outgoing), 500) })
   const system = await setup([target], { graceMs: 1_500 })
   expect(await (await fetch(system.resolveUrl)).json()).toMatchObject({ addresses: [`127.0.0.1:${system.settings.listen.front.port}`], ttl: '1000ms' })
   const running = send(system, '/unsafe/a', { method: 'POST' })
@@ -214,7 +216,7 @@
 })
 
 test('metrics and one log line tell of each request', async () => {
-  const system = await setup([await startFakeTarget('i-1')])
+  const system = await setup([await startPlatformTarget('i-1')])
   const { id } = await send(system, '/safe/a')
   await waitFor(() => system.log.some(({ fields }) => fields.id === id))
   const line = system.log.find(({ fields }) => fields.id === id)
--- a/test/platform-decoding.test.ts
+++ b/test/platform-decoding.test.ts
@@ -8,7 +8,7 @@
 import { decodeLoad, isNotExecuted } from '../src/platform/wire-names.ts'
 import { createRouteFinder } from '../src/version/configuration.ts'
 import { createWeightedTurns } from '../src/version/weighted-turns.ts'
-import { describeConfiguration, describeTarget, HOST } from './support/gateway-system.ts'
+import { describeConfiguration, describeTarget, HOST } from '../stand-ins/platform-target.ts'
 
 const BOOT = `node=front-1
 zone=a
--- a/test/support/gateway-system.ts
+++ b/test/support/gateway-system.ts
@@ -1,7 +1,4 @@
-import { createServer } from 'node:http'
-import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import { connect, createServer as createTcpServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { createHostClock } from '../../src/clock.ts'
 import type { BootSettings } from '../../src/platform/boot-file.ts'
 import { startGateway } from '../../src/process/gateway/gateway.ts'
@@ -10,21 +7,8 @@
 import { toBrand } from '../../src/types.ts'
 import { startPlatformStore } from '../../stand-ins/platform-store.ts'
 import type { PlatformStore } from '../../stand-ins/platform-store.ts'
-
-export const HOST = 'desk.example'
-
-/** A target that tells its load and counts what reaches it. */
-export interface FakeTarget {
-  id: string
-  /** Attempt ids of requests that reached it, in order. */
-  seen: string[]
-  /** Attempt ids of requests that were cut while it worked. */
-  cut: string[]
-  load: string
-  listen: RequestListener
-  server: Server
-  port: number
-}
+import { describeConfiguration, describeTarget, HOST } from '../../stand-ins/platform-target.ts'
+import type { PlatformTarget } from '../../stand-ins/platform-target.ts'
 
 export interface LogLine { part: string, message: string, fields: LogFields }
 
@@ -37,55 +21,6 @@
   }
 }
 
-/** Answers like a target: with the attempt's id, a signature and the load. */
-export function answerWhole (target: FakeTarget, incoming: IncomingMessage, outgoing: ServerResponse, text = 'whole'): void {
-  outgoing.writeHead(200, {
-    'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'],
-    'medlarcove-response-signature': target.id,
-    'medlarcove-upstream-load': target.load
-  }).end(text)
-}
-
-export async function startFakeTarget (id: string, listen?: (target: FakeTarget, incoming: IncomingMessage, outgoing: ServerResponse) => void): Promise<FakeTarget> {
-  const target: FakeTarget = { id, seen: [], cut: [], load: '0,0,4,100', listen: () => undefined, server: createServer(), port: 0 }
-  target.listen = (incoming, outgoing) => listen ? listen(target, incoming, outgoing) : answerWhole(target, incoming, outgoing)
-  target.server.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
-    if (incoming.url === '/health') {
-      outgoing.writeHead(200, { 'medlarcove-instance-id': id, 'medlarcove-upstream-load': target.load }).end()
-      return
-    }
-    const attempt = String(incoming.headers['medlarcove-attempt-id'])
-    target.seen.push(attempt)
-    outgoing.on('close', () => { if (!outgoing.writableFinished) target.cut.push(attempt) })
-    target.listen(incoming, outgoing)
-  })
-  await new Promise<void>((resolve) => { target.server.listen(0, '127.0.0.1', resolve) })
-  target.port = (target.server.address() as AddressInfo).port
-  return target
-}
-
-export function describeTarget (target: Pick<FakeTarget, 'port'>, changes: { state?: string, service?: string, sequence?: number, born?: number } = {}) {
-  const { state = 'ready', service = 'desk', sequence = 1, born = 1 } = changes
-  return {
-    address: `127.0.0.1:${target.port}`,
-    born,
-    info: { service, version: 'v1', zone: 'kyu-a', slots: 4 },
-    status: { state, sequence, warmupLeft: '0ms' }
-  }
-}
-
-/** A configuration with one route of each kind: /safe/, /unsafe/ and /download/. */
-export function describeConfiguration (version: number, changes: { timeout?: string, service?: string, extraRoutes?: unknown[][] } = {}) {
-  const { timeout = '1500ms', service = 'desk', extraRoutes = [] } = changes
-  const rows = ['safe', 'unsafe', 'download'].map((kind) => [kind, HOST, `/${kind}/`, kind, timeout, '600ms', 1, null, 2, service])
-  return {
-    version,
-    routes: { columns: ['name', 'host', 'pathPrefix', 'kind', 'timeout', 'targetLatency', 'priority', 'split', 'maxAttempts', 'service'], rows: [...rows, ...extraRoutes] },
-    services: { columns: ['name', 'healthPath', 'maxConnections', 'protocol', 'tls'], rows: [[service, '/health', 260, 'h1', false]] },
-    limits: { maxHeaderBytes: 16384, maxBodyBytes: 1000000, headerTimeout: '3000ms', idleTimeout: '15000ms' }
-  }
-}
-
 /** Below the ports that the system gives to outgoing connections, which could take one between its choice and its use. */
 const FIRST_PORT = 10_000
 const PORTS_PER_PROCESS = 100
@@ -108,7 +43,7 @@
 
 export interface GatewaySystem {
   store: PlatformStore
-  targets: FakeTarget[]
+  targets: PlatformTarget[]
   gateway: Gateway
   settings: BootSettings
   log: LogLine[]
@@ -143,7 +78,7 @@
 }
 
 /** Starts a store, the targets and one gateway, and waits until it is ready. */
-export async function startGatewaySystem (targets: FakeTarget[], changes: Partial<BootSettings> = {}): Promise<GatewaySystem> {
+export async function startGatewaySystem (targets: PlatformTarget[], changes: Partial<BootSettings> = {}): Promise<GatewaySystem> {
   const store = await startPlatformStore()
   store.put('keyed.op', 'config', describeConfiguration(1))
   for (const target of targets) store.put('keyed.servers', target.id, describeTarget(target))
