End the command gateway after a stop

Cause: the watch of the settings file went on after the stop, so that the one binary never ended and was killed after 60 s; the bundle of the platform exits by itself. Seen by the smoke run of the demo's new path (exit code null). Change: the watch is cancelled. Test: the command ends after SIGTERM (hung before).

--- a/src/cli/gateway.ts
+++ b/src/cli/gateway.ts
@@ -10,6 +10,7 @@
 import { createLogStream } from '../process/log-stream.ts'
 import { createLogger } from '../process/logger.ts'
 import type { PartLogger } from '../process/logger.ts'
+import type { Cancel } from '../types.ts'
 import { EXIT_CODES, EXIT_CODES_HELP, printFailure } from './command.ts'
 import type { CommandIo } from './command.ts'
 
@@ -43,8 +44,8 @@
   }
 }
 
-/** Reloads the settings on SIGHUP and when the file changes. */
-function watchSettings (path: string, gateway: Gateway, log: PartLogger): void {
+/** Reloads the settings on SIGHUP and when the file changes, until the returned function is called. */
+function watchSettings (path: string, gateway: Gateway, log: PartLogger): Cancel {
   let changedMs: number | undefined
   const reload = (): void => {
     reloadSettings(path, gateway, log).catch((cause: unknown) => log.error('Settings could not be read again.', { error: describeCause(cause) }))
@@ -59,7 +60,8 @@
   }
   process.on('SIGHUP', reload)
   check()
-  setInterval(check, FILE_CHECK_MS)
+  const timer = setInterval(check, FILE_CHECK_MS)
+  return () => clearInterval(timer)
 }
 
 /** Runs the command and returns its exit code. */
@@ -86,11 +88,12 @@
   process.on('SIGHUP', () => undefined)
   const gateway = await startGateway({ settings: settings.value, clock: createHostClock(), logger, countDroppedLines: countDropped })
   if (gateway.isErr()) return printFailure(io, gateway.error, false)
-  watchSettings(path, gateway.value, logger.forPart('gateway'))
+  const stopWatching = watchSettings(path, gateway.value, logger.forPart('gateway'))
   await new Promise<void>((resolve, reject) => {
     stop = (reason) => { gateway.value.stop(reason).then(resolve, reject) }
     if (askedToStop) stop(askedToStop)
   })
+  stopWatching()
   flush()
   return EXIT_CODES.ok
 }
--- a/test/gateway-process.test.ts
+++ b/test/gateway-process.test.ts
@@ -32,7 +32,7 @@
 }
 
 /** Starts the program that the platform runs, with a store and one target. */
-async function startProgram () {
+async function startProgram (program: readonly string[] = PROGRAM) {
   const store = await startPlatformStore()
   const target = await startPlatformTarget('i-1')
   store.put('keyed.op', 'config', describeConfiguration(1))
@@ -41,7 +41,7 @@
   const folder = mkdtempSync(path.join(tmpdir(), 'medlarcove-gateway-'))
   const bootFile = path.join(folder, 'boot.conf')
   writeFileSync(bootFile, formatBootFile(settings))
-  const child: ChildProcess = spawn(process.execPath, PROGRAM, { env: { ...process.env, MEDLARCOVE_BOOT: bootFile }, stdio: ['ignore', 'pipe', 'inherit'] })
+  const child: ChildProcess = spawn(process.execPath, program, { env: { ...process.env, MEDLARCOVE_BOOT: bootFile }, stdio: ['ignore', 'pipe', 'inherit'] })
   let output = ''
   child.stdout?.on('data', (chunk: Buffer) => { output += chunk.toString() })
   const exited = new Promise<number | null>((resolve) => { child.once('exit', (code) => resolve(code)) })
@@ -78,6 +78,12 @@
   expect(getOutput()).toContain('[gateway] Stopped.')
 })
 
+test('the command ends by itself after a stop as well', async () => {
+  const { child, exited } = await startProgram(['dist/medlarcove.cjs', 'gateway'])
+  child.kill('SIGTERM')
+  expect(await exited).toBe(0)
+})
+
 test('the program names every fault of a bad boot file and exits with 3', () => {
   const folder = mkdtempSync(path.join(tmpdir(), 'medlarcove-gateway-'))
   cleanups.push(() => rmSync(folder, { recursive: true }))
