A busy reader leaves the reading to each entry

Found on reading the diff: a reader whose event loop runs a second late would still tell the others that it has read, so that they learn of a drain or a configuration near the bounds of 2 s. Change: while it is busy it tells nothing, and the others read by themselves. Test: shared-reading. Places of earlier releases, without a run number, are read as well.

--- a/src/process/gateway/entry-directory.ts
+++ b/src/process/gateway/entry-directory.ts
@@ -27,8 +27,8 @@
   address: z.ipv4(),
   port: z.number().int(),
   peerPort: z.number().int(),
-  // The number of the run that wrote the place.
-  run: z.number().int().nonnegative()
+  // The number of the run that wrote the place; entries of earlier releases leave it out.
+  run: z.number().int().nonnegative().default(0)
 })
 
 /** An entry as it names itself in the store. */
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -11,7 +11,7 @@
 import { createStoreClient, OPERATOR_TOPIC, TARGETS_TOPIC } from '../../platform/store-client.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
-import type { CustomerId, EntryId, Incarnation, Offset } from '../../types.ts'
+import type { CustomerId, Incarnation, Offset } from '../../types.ts'
 import { createTopicFollower } from '../discovery/topic-follower.ts'
 import type { SharedReading, TopicFollower } from '../discovery/topic-follower.ts'
 import { LAPSE_RETURN_MS } from '../discovery/target-registry.ts'
@@ -30,6 +30,7 @@
 import type { GatewayServers } from './gateway-servers.ts'
 import { createGatewayState } from './gateway-state.ts'
 import type { GatewayState } from './gateway-state.ts'
+import { createSharedReads } from './shared-reads.ts'
 
 /** A running gateway. */
 export interface Gateway {
@@ -94,11 +95,13 @@
   targetsFollower: TopicFollower
   servers: GatewayServers
   isStopping: boolean
+  /** Whether this process has more work than it can do in time. */
+  isBusy: boolean
   /** When the process ends at the latest, by the monotonic clock in ms; undefined while it is to go on. */
   endAtMs: number | undefined
 }
 
-type PartsBase = Partial<Pick<GatewayParts, 'servers'>> & Pick<GatewayParts, 'settings' | 'clock' | 'random' | 'logger' | 'log' | 'incarnation' | 'isStopping' | 'endAtMs'>
+type PartsBase = Partial<Pick<GatewayParts, 'servers'>> & Pick<GatewayParts, 'settings' | 'clock' | 'random' | 'logger' | 'log' | 'incarnation' | 'isStopping' | 'isBusy' | 'endAtMs'>
 
 function createSelf ({ settings, incarnation }: PartsBase): PeerIdentity {
   return {
@@ -140,27 +143,18 @@
   return state
 }
 
-/** Shares the reads of a topic: the live entry with the lowest id reads for all. */
-function createSharing (mesh: PeerMesh, self: EntryId, silentAfterMs: number): SharedReading {
-  let reader = self
-  mesh.watchEntries((live) => { reader = live[0] ?? self })
-  return {
-    isReader: () => reader === self,
-    publish: (stretch) => mesh.broadcast({ type: 'topic-stretch', stretch }),
-    silentAfterMs
-  }
-}
-
 function createFollowers (base: PartsBase, store: StoreClient, state: GatewayState, mesh: PeerMesh) {
   const { clock, random, settings } = base
   const shared = { store, clock, random, logger: base.logger.forPart('store') }
+  const createSharing = (silentAfterMs: number): SharedReading =>
+    createSharedReads({ mesh, self: settings.entry, isBusy: () => base.isBusy, silentAfterMs })
   const configurationFollower = createTopicFollower({
     ...shared,
     topic: OPERATOR_TOPIC,
     waitMs: settings.configurationApplyMs * CONFIGURATION_WAIT_SHARE,
     pauseMs: 0,
     applyRecords: (records) => state.applyConfigurationRecords(records),
-    sharing: createSharing(mesh, settings.entry, settings.configurationApplyMs * CONFIGURATION_SILENT_SHARE)
+    sharing: createSharing(settings.configurationApplyMs * CONFIGURATION_SILENT_SHARE)
   })
   const targetsFollower: TopicFollower = createTopicFollower({
     ...shared,
@@ -169,7 +163,7 @@
     pauseMs: settings.drainMs * TARGETS_PAUSE_SHARE,
     outageEchoMs: LAPSE_RETURN_MS,
     applyRecords: (records, context) => state.applyTargetRecords(records, context),
-    sharing: createSharing(mesh, settings.entry, settings.drainMs * TARGETS_SILENT_SHARE)
+    sharing: createSharing(settings.drainMs * TARGETS_SILENT_SHARE)
   })
   return { configurationFollower, targetsFollower }
 }
@@ -196,7 +190,7 @@
 function createParts (options: GatewayOptions, store: StoreClient, first: FirstPlaces): GatewayParts {
   const { settings, clock, logger, random = Math.random, countDroppedLines = () => 0 } = options
   const incarnation = toBrand<Incarnation>(`${first.run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
-  const base: PartsBase = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, isStopping: false, endAtMs: undefined }
+  const base: PartsBase = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, isStopping: false, isBusy: false, endAtMs: undefined }
   const self = createSelf(base)
   const directory = createEntryDirectory({ self, first, store, clock, logger: logger.forPart('directory') })
   const peerKey = `medlarcove ${settings.store.address}:${settings.store.port}`
@@ -291,6 +285,7 @@
     clock,
     handleChange (isBusy, latenessMs) {
       log.warn(isBusy ? 'Too busy: callers are sent to other entries.' : 'No longer too busy.', { latenessMs: Math.round(latenessMs) })
+      parts.isBusy = isBusy
       parts.mesh.setBusy(isBusy)
     }
   })
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -6,6 +6,9 @@
 import type { KeyedRecord } from '../src/platform/store-frames.ts'
 import { createTopicFollower } from '../src/process/discovery/topic-follower.ts'
 import type { SharedStretch, TopicFollower } from '../src/process/discovery/topic-follower.ts'
+import { createSharedReads } from '../src/process/gateway/shared-reads.ts'
+import { toBrand } from '../src/types.ts'
+import type { EntryId } from '../src/types.ts'
 
 const LOGGER = { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined }
 const READ_MS = 4
@@ -166,3 +169,28 @@
   await clock.advance(PAUSE_MS + 2 * 50)
   expect(late!.known.get('a')).toBe('4')
 })
+
+test('the live entry with the lowest id reads for all, but not while it is busy', () => {
+  let setLive: (live: readonly EntryId[]) => void = () => undefined
+  const state = { isBusy: false }
+  const [first, second] = [toBrand<EntryId>('front-1'), toBrand<EntryId>('front-2')]
+  const reads = createSharedReads({
+    mesh: {
+      watchEntries (action) {
+        setLive = action
+        return () => undefined
+      },
+      broadcast: () => undefined
+    },
+    self: second,
+    isBusy: () => state.isBusy,
+    silentAfterMs: SILENT_AFTER_MS
+  })
+  expect(reads.isReader()).toBe(true)
+  setLive([first, second])
+  expect(reads.isReader()).toBe(false)
+  setLive([second])
+  expect(reads.isReader()).toBe(true)
+  state.isBusy = true
+  expect(reads.isReader()).toBe(false)
+})
