Take promises, header filters, token buckets and program ends from one place each

On a last reading of the whole change; behaviour stays as it is. - Which errors promise that a request was not run stood a second time in run-attempts; it comes from the table of error answers now. The only kinds with that fate that reach it are the five that the list had. - Four loops over headers are one (filterHeaders), two token buckets are one (takeToken), the two programs end by one function, two writers of boot files in the demo and a test are one. - The follower kept a status of which nothing read two of three fields; it says whether the store is away. Its wait has one abort controller that a close ends too, in place of a signal combined anew for each wait. - The reader of the store is chosen once, not once for each topic.

--- a/replay/platform-demo.ts
+++ b/replay/platform-demo.ts
@@ -2,6 +2,10 @@
  * The demo's second path: two entries on the platform's store, with its stand-ins.
  */
 import { request } from 'undici'
+import type { HostPort } from '../src/platform/boot-file.ts'
+import { toBrand } from '../src/types.ts'
+import type { EntryId, ZoneId } from '../src/types.ts'
+import { formatBootText } from '../stand-ins/platform-boot.ts'
 import { startPlatformStore } from '../stand-ins/platform-store.ts'
 import type { PlatformStore } from '../stand-ins/platform-store.ts'
 import { describeConfiguration, describeTarget, HOST, startPlatformTarget } from '../stand-ins/platform-target.ts'
@@ -31,20 +35,16 @@
 
 let attempts = 0
 
-/** Writes a boot file in the platform's format. */
-export function formatBootText (options: { id: string, address: string, storeAddress: string, storePort: number }): string {
-  const { id, address, storeAddress, storePort } = options
-  const fields = {
-    node: id,
-    zone: 'kyu-a',
-    ip: address,
-    'listen.front': `${address}:${PORTS.front}`,
-    'listen.ready': `${address}:${PORTS.ready}`,
-    'listen.directory': `${address}:${PORTS.directory}`,
-    internalPorts: PORTS.internal.join(','),
-    'platform.address': `${storeAddress}:${storePort}`
-  }
-  return Object.entries(fields).map(([key, value]) => `${key}=${value}\n`).join('')
+function createBootText (id: string, address: string, store: HostPort): string {
+  const [first, last] = PORTS.internal
+  return formatBootText({
+    entry: toBrand<EntryId>(id),
+    zone: toBrand<ZoneId>('kyu-a'),
+    address,
+    listen: { front: { address, port: PORTS.front }, ready: { address, port: PORTS.ready }, directory: { address, port: PORTS.directory } },
+    internalPorts: [first, last],
+    store
+  })
 }
 
 async function sendRequest (entry: DemoEntry, path: string, method: 'GET' | 'POST'): Promise<{ status: number, target: string }> {
@@ -71,7 +71,7 @@
   return Promise.all(Array.from({ length: ENTRY_COUNT }, async (_, index) => {
     const id = `front-${index + 1}`
     const address = `${options.network}.${FIRST_ENTRY_HOST + index}`
-    const program = await options.startEntry(id, formatBootText({ id, address, storeAddress, storePort: store.port }))
+    const program = await options.startEntry(id, createBootText(id, address, { address: storeAddress, port: store.port }))
     return { id, address, program }
   }))
 }
--- a/src/cli/gateway-main.ts
+++ b/src/cli/gateway-main.ts
@@ -2,16 +2,6 @@
  * The program of the users' platform: a gateway alone, without the commands, so that it starts fast.
  */
 import { runGateway } from './gateway.ts'
+import { runAsProgram } from './run-program.ts'
 
-const io = {
-  stdout: (text: string) => { process.stdout.write(text) },
-  stderr: (text: string) => { process.stderr.write(text) }
-}
-
-runGateway(process.argv.slice(2), io).then(
-  (exitCode) => process.exit(exitCode),
-  (cause: unknown) => {
-    io.stderr(`medlarcove: internal: ${cause instanceof Error ? cause.stack ?? cause.message : String(cause)}\n`)
-    process.exit(1)
-  }
-)
+runAsProgram(runGateway, (exitCode) => process.exit(exitCode))
--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -59,22 +59,13 @@
   sharing?: SharedReading
 }
 
-/** What is known of the store by one follower. */
-export interface FollowerStatus {
-  /** Whether the topic has been read at all. */
-  hasRead: boolean
-  /** Since when reads have failed, by the monotonic clock in ms; undefined while they succeed. */
-  failingSinceMs: number | undefined
-  /** When an outage of more than `SHORTEST_OUTAGE_MS` ended last. */
-  outageEndedAtMs: number
-}
-
 /** A follower. */
 export interface TopicFollower {
   start(): void
   /** Takes what another entry has read. */
   applyShared(stretch: SharedStretch): void
-  getStatus(): FollowerStatus
+  /** Whether the latest read of this process failed. */
+  isStoreAway(): boolean
   close(): void
 }
 
@@ -100,24 +91,27 @@
 export function createTopicFollower (options: TopicFollowerOptions): TopicFollower {
   const { topic, store, clock, random, logger, sharing, outageEchoMs = 0 } = options
   const stop = new AbortController()
-  const status: FollowerStatus = { hasRead: false, failingSinceMs: undefined, outageEndedAtMs: -Infinity }
+  /** Since when reads have failed; undefined while they succeed. */
+  let failingSinceMs: number | undefined
+  /** When an outage of more than `SHORTEST_OUTAGE_MS` ended last. */
+  let outageEndedAtMs = -Infinity
   let next: number | undefined
   let failedReads = 0
   /** When the reader was heard last. */
   let heardAtMs = -Infinity
   /** How far the reader has read, by its own word. */
   let readerNext = 0
+  /** Ends the wait for the reader. */
   let wake = new AbortController()
 
   const recordSuccess = (): void => {
     const nowMs = clock.monotonicMs()
-    if (status.failingSinceMs !== undefined) {
-      const awayMs = nowMs - status.failingSinceMs
-      if (awayMs >= SHORTEST_OUTAGE_MS) status.outageEndedAtMs = nowMs
+    if (failingSinceMs !== undefined) {
+      const awayMs = nowMs - failingSinceMs
+      if (awayMs >= SHORTEST_OUTAGE_MS) outageEndedAtMs = nowMs
       logger.info('The store answers again.', { topic, awayMs: Math.round(awayMs) })
     }
-    status.failingSinceMs = undefined
-    status.hasRead = true
+    failingSinceMs = undefined
     failedReads = 0
   }
   const recordFailure = (error: AppError): void => {
@@ -129,15 +123,15 @@
     }
     if (error.kind === 'record-malformed') next = undefined
     failedReads += 1
-    if (status.failingSinceMs === undefined) logger.warn('The store cannot be read.', { topic, error: error.message })
-    status.failingSinceMs ??= clock.monotonicMs()
+    if (failingSinceMs === undefined) logger.warn('The store cannot be read.', { topic, error: error.message })
+    failingSinceMs ??= clock.monotonicMs()
   }
   /** A read that the store may never answer must not hide its return. */
   const getReadLimits = () => {
     if (failedReads === 0) return {}
     return { waitMs: 0, timeoutMs: failedReads % PATIENT_READ_EVERY === 0 ? LONG_TIMEOUT_MS : SHORT_TIMEOUT_MS }
   }
-  const isAfterOutage = (): boolean => clock.monotonicMs() - status.outageEndedAtMs < outageEchoMs
+  const isAfterOutage = (): boolean => clock.monotonicMs() - outageEndedAtMs < outageEchoMs
   /** Applies a page, but for what the reader has told meanwhile. */
   const applyPage = (page: KeyedPage, from: number | undefined): void => {
     const context: PageContext = { isWhole: from === undefined, isAfterOutage: isAfterOutage() }
@@ -171,7 +165,7 @@
   }
   const waitForReader = async (durationMs: number): Promise<void> => {
     wake = new AbortController()
-    await clock.wait(durationMs, AbortSignal.any([wake.signal, stop.signal]))
+    await clock.wait(durationMs, wake.signal)
   }
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
@@ -207,7 +201,10 @@
         isAfterOutage: stretch.isAfterOutage || isAfterOutage()
       })
     },
-    getStatus: () => status,
-    close: () => stop.abort()
+    isStoreAway: () => failingSinceMs !== undefined,
+    close () {
+      stop.abort()
+      wake.abort()
+    }
   }
 }
--- a/src/process/gateway/entry-directory.ts
+++ b/src/process/gateway/entry-directory.ts
@@ -87,8 +87,8 @@
 }
 
 /**
- * Reads the places of all entries and chooses the number of this run: above that of the run before, which the store knows although the time of day may have
- * been set back since. While the store is away the time of day alone decides.
+ * Reads the places of all entries and chooses the number of this run: above that of the run before, which the store
+ * knows although the time of day may have been set back since. While the store is away the time of day alone decides.
  */
 export async function readFirstPlaces (options: { entry: EntryId, store: StoreClient, clock: Clock, logger: PartLogger }): Promise<FirstPlaces> {
   const { entry, store, clock, logger } = options
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -13,7 +13,7 @@
 import { toBrand } from '../../types.ts'
 import type { CustomerId, Incarnation, Offset } from '../../types.ts'
 import { createTopicFollower } from '../discovery/topic-follower.ts'
-import type { SharedReading, TopicFollower } from '../discovery/topic-follower.ts'
+import type { TopicFollower } from '../discovery/topic-follower.ts'
 import { LAPSE_RETURN_MS } from '../discovery/target-registry.ts'
 import { startLatenessWatch } from '../lateness-watch.ts'
 import type { Logger, PartLogger } from '../logger.ts'
@@ -146,15 +146,14 @@
 function createFollowers (base: PartsBase, store: StoreClient, state: GatewayState, mesh: PeerMesh) {
   const { clock, random, settings } = base
   const shared = { store, clock, random, logger: base.logger.forPart('store') }
-  const createSharing = (silentAfterMs: number): SharedReading =>
-    createSharedReads({ mesh, self: settings.entry, isBusy: () => base.isBusy, silentAfterMs })
+  const reads = createSharedReads({ mesh, self: settings.entry, isBusy: () => base.isBusy })
   const configurationFollower = createTopicFollower({
     ...shared,
     topic: OPERATOR_TOPIC,
     waitMs: settings.configurationApplyMs * CONFIGURATION_WAIT_SHARE,
     pauseMs: 0,
     applyRecords: (records) => state.applyConfigurationRecords(records),
-    sharing: createSharing(settings.configurationApplyMs * CONFIGURATION_SILENT_SHARE)
+    sharing: { ...reads, silentAfterMs: settings.configurationApplyMs * CONFIGURATION_SILENT_SHARE }
   })
   const targetsFollower: TopicFollower = createTopicFollower({
     ...shared,
@@ -163,7 +162,7 @@
     pauseMs: settings.drainMs * TARGETS_PAUSE_SHARE,
     outageEchoMs: LAPSE_RETURN_MS,
     applyRecords: (records, context) => state.applyTargetRecords(records, context),
-    sharing: createSharing(settings.drainMs * TARGETS_SILENT_SHARE)
+    sharing: { ...reads, silentAfterMs: settings.drainMs * TARGETS_SILENT_SHARE }
   })
   return { configurationFollower, targetsFollower }
 }
@@ -280,7 +279,7 @@
   if (listening.isErr()) return err(listening.error)
   const metrics = await parts.servers.startMetrics()
   if (metrics.isErr()) log.warn('Metrics are not served.', { error: metrics.error.message })
-  const upkeep = setInterval(() => state.removeLapsed(targetsFollower.getStatus().failingSinceMs !== undefined), UPKEEP_MS)
+  const upkeep = setInterval(() => state.removeLapsed(targetsFollower.isStoreAway()), UPKEEP_MS)
   const stopWatching = startLatenessWatch({
     clock,
     handleChange (isBusy, latenessMs) {
--- a/src/process/gateway/request-log.ts
+++ b/src/process/gateway/request-log.ts
@@ -3,33 +3,28 @@
  * how many requests they stand.
  */
 import type { Clock } from '../../clock.ts'
+import { takeToken } from '../../request/balancing/token-bucket.ts'
 import type { AttemptRecord, RequestRecord } from '../../request/gateway/request-record.ts'
 import type { PartLogger } from '../logger.ts'
 
 /** Lines a second for requests that a target answered, and for all others. */
 const ANSWERED_LINES_PER_SECOND = 40
 const OTHER_LINES_PER_SECOND = 200
-const MS_PER_SECOND = 1000
 
 /** Writes the lines. */
 export interface RequestLog { write(record: RequestRecord): void }
 
 /** Allows a number of lines a second, and counts those it did not allow. */
 function createLineBudget (perSecond: number, clock: Clock) {
-  let tokens = perSecond
-  let filledAtMs = clock.monotonicMs()
+  const bucket = { tokens: perSecond, filledAtMs: clock.monotonicMs() }
   let withheld = 0
   return {
     /** Returns for how many requests a line now stands; undefined when there is to be none. */
     take (): number | undefined {
-      const nowMs = clock.monotonicMs()
-      tokens = Math.min(perSecond, tokens + (nowMs - filledAtMs) * perSecond / MS_PER_SECOND)
-      filledAtMs = nowMs
-      if (tokens < 1) {
+      if (!takeToken(bucket, { perSecond, largest: perSecond }, clock.monotonicMs())) {
         withheld += 1
         return undefined
       }
-      tokens -= 1
       const standsFor = withheld + 1
       withheld = 0
       return standsFor
--- a/src/process/gateway/shared-reads.ts
+++ b/src/process/gateway/shared-reads.ts
@@ -11,17 +11,14 @@
   self: EntryId
   /** Whether this entry has more work than it can do in time; what it reads would reach the others late. */
   isBusy(): boolean
-  /** Without a word from the reader for this long an entry reads by itself, in ms. */
-  silentAfterMs: number
 }
 
-/** Creates the sharing of one topic. A busy reader says nothing, so that the others read by themselves. */
-export function createSharedReads ({ mesh, self, isBusy, silentAfterMs }: SharedReadsOptions): SharedReading {
+/** Creates the sharing of all topics. A busy reader says nothing, so that the others read by themselves. */
+export function createSharedReads ({ mesh, self, isBusy }: SharedReadsOptions): Omit<SharedReading, 'silentAfterMs'> {
   let reader = self
   mesh.watchEntries((live) => { reader = live[0] ?? self })
   return {
     isReader: () => reader === self && !isBusy(),
-    publish: (stretch) => mesh.broadcast({ type: 'topic-stretch', stretch }),
-    silentAfterMs
+    publish: (stretch) => mesh.broadcast({ type: 'topic-stretch', stretch })
   }
 }
--- a/src/process/placement/target-looks.ts
+++ b/src/process/placement/target-looks.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../../clock.ts'
 import { sendLook } from '../../connection/send-look.ts'
 import type { LookResult } from '../../connection/send-look.ts'
+import { takeToken } from '../../request/balancing/token-bucket.ts'
 import { estimateTarget } from '../../request/placement/estimate.ts'
 import type { Estimate } from '../../request/placement/estimate.ts'
 import type { LoadReport } from '../../request/placement/load-report.ts'
@@ -34,8 +35,6 @@
 export interface TargetLooks {
   /** Takes at most `size` of the targets, in their order, whose budget allows a look. */
   takeCandidates(ordered: readonly TargetState[], size: number): TargetState[]
-  /** Looks at one target; undefined when it cannot take work. */
-  look(state: TargetState, workMs: number): Promise<Sighting | undefined>
   /** Looks at several at once; resolves with the first good one, else with the best when all are back or time is up. */
   lookAround(candidates: readonly TargetState[], workMs: number): Promise<Sighting | undefined>
   /** Estimates from what is known; `sentBefore` is the count of requests sent when the report was asked for. */
@@ -55,7 +54,6 @@
 const LOOK_TIMEOUT_MS = 250
 /** Looks at one target that may be saved up. */
 const LOOK_BURST = 6
-const MS_PER_SECOND = 1000
 /** A failing target gets nothing for this long at first, and twice as long after each further failure, in ms. */
 const AVOID_MS = 400
 const LONGEST_AVOID_MS = 3_000
@@ -75,15 +73,8 @@
   let tellsLoad: boolean | undefined
   let lookCount = 0
 
-  const takeLook = ({ looks }: TargetState): boolean => {
-    const nowMs = clock.monotonicMs()
-    const earned = (nowMs - looks.filledAtMs) * options.getLooksPerSecond() / MS_PER_SECOND
-    looks.tokens = Math.min(LOOK_BURST, looks.tokens + earned)
-    looks.filledAtMs = nowMs
-    if (looks.tokens < 1) return false
-    looks.tokens -= 1
-    return true
-  }
+  const takeLook = ({ looks }: TargetState): boolean =>
+    takeToken(looks, { perSecond: options.getLooksPerSecond(), largest: LOOK_BURST }, clock.monotonicMs())
   const recordReport = (state: TargetState, report: LoadReport): void => {
     state.report = report
     state.reportAtMs = clock.monotonicMs()
@@ -141,6 +132,7 @@
     isWarming: state.registered.warmUntilMs > clock.monotonicMs(),
     workMs
   })
+  /** Looks at one target; undefined when it cannot take work. */
   const look = async (state: TargetState, workMs: number): Promise<Sighting | undefined> => {
     const path = options.getHealthPath()
     const connection = path === undefined ? undefined : state.pool.takeConnection({ needsProof: false })
@@ -166,7 +158,6 @@
       }
       return taken
     },
-    look,
     lookAround: (candidates, workMs) => new Promise((resolve) => {
       let best: Sighting | undefined
       let out = candidates.length
--- a/src/process/placement/target-states.ts
+++ b/src/process/placement/target-states.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../../clock.ts'
 import { createTargetPool } from '../../connection/target-pool.ts'
 import type { TargetPool } from '../../connection/target-pool.ts'
+import type { TokenBucket } from '../../request/balancing/token-bucket.ts'
 import type { LoadReport } from '../../request/placement/load-report.ts'
 import type { TargetId } from '../../types.ts'
 import type { RegisteredTarget } from '../discovery/target-registry.ts'
@@ -28,8 +29,8 @@
   failedShare: number
   /** Until when it gets nothing, by the monotonic clock in ms. */
   avoidUntilMs: number
-  /** Instants of looks that may still be taken, as a token bucket. */
-  looks: { tokens: number, filledAtMs: number }
+  /** Looks that may still be taken. */
+  looks: TokenBucket
 }
 
 /** The states of all targets that the registry holds. */
--- a/src/request/gateway/gateway-headers.ts
+++ b/src/request/gateway/gateway-headers.ts
@@ -4,24 +4,19 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { DEADLINE_HEADER, TARGET_HEADER } from '../../platform/wire-names.ts'
 import type { TargetId } from '../../types.ts'
-import { listConnectionHeaders } from '../headers.ts'
+import { filterHeaders, joinValues, keepValues } from '../headers.ts'
 
 /** Headers that concern one connection only. */
 const CONNECTION_HEADERS = new Set([
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer',
   'transfer-encoding', 'upgrade', 'expect'
 ])
-const OWN_HEADERS = new Set(['content-length', DEADLINE_HEADER, TARGET_HEADER])
+/** Those, and the ones that the gateway sets itself. */
+const DROPPED_REQUEST_HEADERS = new Set([...CONNECTION_HEADERS, 'content-length', DEADLINE_HEADER, TARGET_HEADER])
 
 /** Returns the caller's headers that go on to a target. */
 export function filterRequestHeaders (headers: IncomingHttpHeaders): Record<string, string> {
-  const named = listConnectionHeaders(headers.connection)
-  const passed: Record<string, string> = {}
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || CONNECTION_HEADERS.has(name) || OWN_HEADERS.has(name) || named.has(name)) continue
-    passed[name] = Array.isArray(value) ? value.join(', ') : value
-  }
-  return passed
+  return filterHeaders(headers, DROPPED_REQUEST_HEADERS, joinValues)
 }
 
 /** Adds the headers that name the target and the time that is left, in ms. */
@@ -31,11 +26,5 @@
 
 /** Returns the headers of a target's answer that go on to the caller. */
 export function filterResponseHeaders (headers: IncomingHttpHeaders): Record<string, string | string[]> {
-  const named = listConnectionHeaders(headers.connection)
-  const passed: Record<string, string | string[]> = {}
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || CONNECTION_HEADERS.has(name) || named.has(name)) continue
-    passed[name] = value
-  }
-  return passed
+  return filterHeaders(headers, CONNECTION_HEADERS, keepValues)
 }
--- a/src/request/gateway/run-attempts.ts
+++ b/src/request/gateway/run-attempts.ts
@@ -5,8 +5,8 @@
  */
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { createError, describeCause } from '../../errors.ts'
-import type { AppError, ErrorKind } from '../../errors.ts'
+import { createError, describeCause, getErrorAnswer } from '../../errors.ts'
+import type { AppError } from '../../errors.ts'
 import type { Placement, PlacementRequest } from '../../process/placement/service-placer.ts'
 import type { Cancel, TargetId } from '../../types.ts'
 import { isIdempotent } from '../../version/configuration.ts'
@@ -61,9 +61,6 @@
   }
 }
 
-/** Errors that promise that the request was not run. */
-const PROMISES: readonly ErrorKind[] = ['queue-timeout', 'queue-full', 'no-target', 'target-shed', 'target-unreachable']
-
 /** Hands events over one at a time. */
 function createEventQueue () {
   const events: AttemptEvent[] = []
@@ -133,7 +130,7 @@
   const toShedError = (error: AppError): AppError => error.kind === 'target-shed' ? { ...error, retryAfterS: SHED_RETURN_S } : error
   const finishFailed = (error: AppError): Result<BegunAnswer, AppError> => {
     if (lastFailure) return finish(ok(lastFailure))
-    const isFalsePromise = mayHaveRun && PROMISES.includes(error.kind)
+    const isFalsePromise = mayHaveRun && getErrorAnswer(error.kind).fate === 'not-run'
     return finish(err(isFalsePromise ? createError('target-broken', error.message, error) : toShedError(error)))
   }
   const finishAtEnd = (): Result<BegunAnswer, AppError> => {
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -32,17 +32,36 @@
   return new Set(connection.split(',').map((name) => name.trim().toLowerCase()))
 }
 
-/** Returns the caller's headers that go on to a target. */
-export function filterCallerHeaders (headers: IncomingHttpHeaders): Record<string, string> {
+/** A header's value as it stands in a message that was received. */
+type HeaderValue = string | string[]
+
+/** Returns the headers that are neither dropped nor named by the `Connection` header, each value converted by `toValue`. */
+export function filterHeaders<V extends HeaderValue> (
+  headers: IncomingHttpHeaders, dropped: ReadonlySet<string>, toValue: (value: HeaderValue) => V
+): Record<string, V> {
   const own = listConnectionHeaders(headers.connection)
-  const passed: Record<string, string> = {}
+  const passed: Record<string, V> = {}
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || DROPPED_HEADERS.has(name) || own.has(name)) continue
-    passed[name] = Array.isArray(value) ? value.join(', ') : value
+    if (value !== undefined && !dropped.has(name) && !own.has(name)) passed[name] = toValue(value)
   }
   return passed
 }
 
+/** Joins the values of a repeated header into one. */
+export function joinValues (value: HeaderValue): string {
+  return Array.isArray(value) ? value.join(', ') : value
+}
+
+/** Leaves the values of a repeated header apart. */
+export function keepValues (value: HeaderValue): HeaderValue {
+  return value
+}
+
+/** Returns the caller's headers that go on to a target. */
+export function filterCallerHeaders (headers: IncomingHttpHeaders): Record<string, string> {
+  return filterHeaders(headers, DROPPED_HEADERS, joinValues)
+}
+
 /** Adds the headers that the entry sets towards a target. */
 export function addTargetHeaders (headers: Record<string, string>, id: RequestId, attempt: number, remainingMs: number): Record<string, string> {
   return {
@@ -55,12 +74,7 @@
 
 /** Returns the headers of an answer that go on to the caller, with fate and contract version. */
 export function filterAnswerHeaders (headers: IncomingHttpHeaders, fate: Fate, version: ContractVersion): Record<string, string | string[]> {
-  const own = listConnectionHeaders(headers.connection)
-  const passed: Record<string, string | string[]> = {}
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || DROPPED_ANSWER_HEADERS.has(name) || own.has(name)) continue
-    passed[name] = value
-  }
+  const passed = filterHeaders(headers, DROPPED_ANSWER_HEADERS, keepValues)
   passed[FATE_HEADER] = fate
   passed[VERSION_HEADER] = String(version)
   return passed
--- a/test/gateway-process.test.ts
+++ b/test/gateway-process.test.ts
@@ -4,10 +4,11 @@
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { afterEach, beforeAll, expect, test } from 'vitest'
-import type { BootSettings, HostPort } from '../src/platform/boot-file.ts'
+import type { BootSettings } from '../src/platform/boot-file.ts'
+import { formatBootText } from '../stand-ins/platform-boot.ts'
 import { startPlatformStore } from '../stand-ins/platform-store.ts'
 import { describeConfiguration, describeTarget, HOST, startPlatformTarget } from '../stand-ins/platform-target.ts'
-import { buildSettings, sendRaw } from './support/gateway-system.ts'
+import { buildSettings, sendRaw, waitFor } from './support/gateway-system.ts'
 
 const PROGRAM = ['--max-old-space-size=256', 'target/start.cjs']
 const cleanups: (() => void)[] = []
@@ -15,22 +16,6 @@
 beforeAll(() => { execFileSync(process.execPath, ['scripts/bundle.mjs', '--platform']) })
 afterEach(() => { for (const cleanup of cleanups.splice(0)) cleanup() })
 
-function formatBootFile (settings: BootSettings): string {
-  const formatPlace = ({ address, port }: HostPort) => `${address}:${port}`
-  const fields = {
-    node: settings.entry,
-    zone: settings.zone,
-    ip: settings.address,
-    'listen.front': formatPlace(settings.listen.front),
-    'listen.ready': formatPlace(settings.listen.ready),
-    'listen.directory': formatPlace(settings.listen.directory),
-    internalPorts: settings.internalPorts.join(','),
-    'platform.address': formatPlace(settings.store),
-    'bounds.grace': `${settings.graceMs}ms`
-  }
-  return Object.entries(fields).map(([key, value]) => `${key}=${value}\n`).join('')
-}
-
 /** Starts the program that the platform runs, with a store and one target. */
 async function startProgram (program: readonly string[] = PROGRAM) {
   const store = await startPlatformStore()
@@ -40,7 +25,7 @@
   const settings = await buildSettings(store, { graceMs: 1_200 })
   const folder = mkdtempSync(path.join(tmpdir(), 'medlarcove-gateway-'))
   const bootFile = path.join(folder, 'boot.conf')
-  writeFileSync(bootFile, formatBootFile(settings))
+  writeFileSync(bootFile, formatBootText(settings))
   const child: ChildProcess = spawn(process.execPath, program, { env: { ...process.env, MEDLARCOVE_BOOT: bootFile }, stdio: ['ignore', 'pipe', 'inherit'] })
   let output = ''
   child.stdout?.on('data', (chunk: Buffer) => { output += chunk.toString() })
@@ -54,14 +39,10 @@
   })
   const readyUrl = `http://127.0.0.1:${settings.listen.ready.port}/ready`
   const isReady = () => fetch(readyUrl).then(({ status }) => status === 200, () => false)
-  while (!await isReady()) await new Promise((resolve) => setTimeout(resolve, 20))
+  await waitFor(isReady)
   return { child, exited, settings, bootFile, getOutput: () => output }
 }
 
-async function waitFor (isDone: () => boolean): Promise<void> {
-  while (!isDone()) await new Promise((resolve) => setTimeout(resolve, 20))
-}
-
 function sendRequest (settings: BootSettings, id: string) {
   return sendRaw(settings.listen.front.port, `GET /safe/a HTTP/1.1\r\nHost: ${HOST}\r\nMedlarcove-Attempt-Id: ${id}\r\nConnection: close\r\n\r\n`)
 }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -6,7 +6,7 @@
 import { startPlatformStore } from '../stand-ins/platform-store.ts'
 import { answerWhole, describeConfiguration, describeTarget, HOST, startPlatformTarget } from '../stand-ins/platform-target.ts'
 import type { PlatformTarget } from '../stand-ins/platform-target.ts'
-import { buildSettings, createListLogger, findFreePort, sendRaw, startGatewaySystem } from './support/gateway-system.ts'
+import { buildSettings, createListLogger, findFreePort, sendRaw, startGatewaySystem, waitFor } from './support/gateway-system.ts'
 import type { GatewaySystem, LogLine } from './support/gateway-system.ts'
 
 const systems: GatewaySystem[] = []
@@ -29,10 +29,6 @@
   return { id, status: Number(answer.text.slice(9, 12)), ...answer }
 }
 
-async function waitFor (isDone: () => boolean | Promise<boolean>): Promise<void> {
-  while (!await isDone()) await new Promise((resolve) => setTimeout(resolve, 10))
-}
-
 test('a request reaches a target with its id, the target named and the time that is left', async () => {
   const headers: Record<string, unknown>[] = []
   const target = await startPlatformTarget('i-1', (self, incoming, outgoing) => {
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -9,8 +9,8 @@
 import { createSharedReads } from '../src/process/gateway/shared-reads.ts'
 import { toBrand } from '../src/types.ts'
 import type { EntryId } from '../src/types.ts'
+import { SILENT_LOGGER } from './support/silent-logger.ts'
 
-const LOGGER = { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined }
 const READ_MS = 4
 const PAUSE_MS = 600
 const SILENT_AFTER_MS = 900
@@ -61,7 +61,7 @@
       store: createStore(() => followers[index]!),
       clock,
       random: () => 0.5,
-      logger: LOGGER,
+      logger: SILENT_LOGGER,
       waitMs: 0,
       pauseMs: PAUSE_MS,
       applyRecords (records) {
@@ -183,8 +183,7 @@
       broadcast: () => undefined
     },
     self: second,
-    isBusy: () => state.isBusy,
-    silentAfterMs: SILENT_AFTER_MS
+    isBusy: () => state.isBusy
   })
   expect(reads.isReader()).toBe(true)
   setLive([first, second])
--- a/test/support/gateway-system.ts
+++ b/test/support/gateway-system.ts
@@ -88,7 +88,7 @@
   const gateway = started._unsafeUnwrap()
   const { front, ready, directory } = settings.listen
   const readyUrl = `http://127.0.0.1:${ready.port}/ready`
-  while ((await fetch(readyUrl)).status !== 200) await new Promise((resolve) => setTimeout(resolve, 10))
+  await waitFor(async () => (await fetch(readyUrl)).status === 200)
   return {
     store,
     targets,
@@ -125,3 +125,7 @@
     socket.on('error', () => finish(true))
   })
 }
+
+export async function waitFor (isDone: () => boolean | Promise<boolean>): Promise<void> {
+  while (!await isDone()) await new Promise((resolve) => setTimeout(resolve, 10))
+}
--- a/test/support/modelled-service.ts
+++ b/test/support/modelled-service.ts
@@ -8,6 +8,7 @@
 import type { TargetState } from '../../src/process/placement/target-states.ts'
 import { toBrand } from '../../src/types.ts'
 import type { ServiceId, TargetId, ZoneId } from '../../src/types.ts'
+import { SILENT_LOGGER } from './silent-logger.ts'
 
 /** A small generator with a seed, so that every run plays the same load. */
 export function createSeededRandom (seed: number): () => number {
@@ -72,7 +73,7 @@
     states,
     clock,
     random,
-    logger: { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined },
+    logger: SILENT_LOGGER,
     getLooksPerSecond: () => model.looksPerSecond ?? 48,
     getHealthPath: () => '/health',
     handleLeaving: () => undefined,
--- a/test/topic-follower.test.ts
+++ b/test/topic-follower.test.ts
@@ -4,8 +4,8 @@
 import { createError } from '../src/errors.ts'
 import type { FollowOptions, StoreClient } from '../src/platform/store-client.ts'
 import { createTopicFollower } from '../src/process/discovery/topic-follower.ts'
+import { SILENT_LOGGER } from './support/silent-logger.ts'
 
-const LOGGER = { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined }
 const DEFAULT_TIMEOUT_MS = 800
 
 /** A store that answers after `answerMs`, and keeps silent on calls that reach it while it is away. */
@@ -35,7 +35,7 @@
     store,
     clock,
     random: () => 0.5,
-    logger: LOGGER,
+    logger: SILENT_LOGGER,
     waitMs: 1_400,
     pauseMs: 0,
     applyRecords (records) {
