--- a/src/platform/boot-file.ts
+++ b/src/platform/boot-file.ts
@@ -32,7 +32,9 @@
     /** Where callers ask which entries to use; `listen.directory`. */
     directory: HostPort
   }
-  /** The first and last port for connections between entries. */
+  /** Whether all entries start for the first time; false at every later start. */
+  isFirstStart: boolean
+  /** The first and last port for messages between entries. */
   internalPorts: readonly [number, number]
   /** The address of the platform's store. */
   store: HostPort
@@ -120,6 +122,7 @@
       ready: reader.readHostPort('listen.ready'),
       directory: reader.readHostPort('listen.directory')
     },
+    isFirstStart: fields.get('bootstrap') === 'true',
     internalPorts: internalPorts ?? [1, 1],
     store: reader.readHostPort('platform.address'),
     drainMs: reader.readDuration('bounds.drain', DEFAULTS.drainMs),
--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -3,7 +3,8 @@
  * outages and gaps.
  *
  * One entry, the reader, reads for all entries and shares its records. The others read by themselves at the start, after
- * a gap, and while they receive nothing from the reader.
+ * a gap, and while they receive nothing from the reader. Entries also tell each other how far they have read and how long
+ * ago, so that one that missed a record notices it.
  */
 import type { Clock } from '../../clock.ts'
 import type { AppError } from '../../errors.ts'
@@ -23,14 +24,27 @@
   records: KeyedRecord[]
 }
 
+/** How far a topic has been read. */
+export interface TopicProgress {
+  /** Offset at which the next read continues. */
+  next: number
+  /** How long ago the store was seen to hold no further record, in ms. */
+  ageMs: number
+}
+
 /** How entries share their reads. */
 export interface SharedReading {
   /** Returns whether this entry is the reader. */
   isReader(): boolean
   /** Sends a range to the other entries. */
   publish(range: SharedRecordRange): void
-  /** An entry reads by itself after receiving nothing from the reader for this long, in ms. */
+  /** An entry reads by itself when it knows nothing of the topic that is younger than this, in ms. */
   silentAfterMs: number
+  /**
+   * Returns how many times longer an entry other than the reader pauses between failed reads, so that the calls of all
+   * entries to a store that is unavailable do not grow with their number.
+   */
+  getRetryFactor(): number
 }
 
 /** Context of the records of a page. */
@@ -58,6 +72,11 @@
   applyRecords(records: readonly KeyedRecord[], context: PageContext): KeyedRecord[]
   /** Sharing with other entries; left out if this process alone follows the topic. */
   sharing?: SharedReading
+  /**
+   * Set when all entries start for the first time, in ms: the topic is then followed from its beginning, and for this long
+   * the reader is given the time to read it for all.
+   */
+  firstReadDelayMs?: number
 }
 
 /** A follower of one topic. */
@@ -65,8 +84,14 @@
   start(): void
   /** Applies a range that another entry has read. */
   applyShared(range: SharedRecordRange): void
+  /** Applies how far another entry has read. */
+  applyProgress(progress: TopicProgress): void
+  /** Returns how far this entry has read; undefined before the first read. */
+  getProgress(): TopicProgress | undefined
   /** Returns whether the latest read of this process failed. */
   isStoreUnavailable(): boolean
+  /** Returns whether the reads of this process have failed for as long as an outage lasts at least. */
+  hasLostStore(): boolean
   close(): void
 }
 
@@ -74,6 +99,8 @@
 const MAX_SHARED_BYTES = 8_192
 /** Failures shorter than this do not count as an outage, because records of live targets do not expire within it, in ms. */
 const MIN_OUTAGE_MS = 500
+/** An entry that is behind another one waits this long for the records that may be on their way to it, in ms. */
+const BEHIND_GRACE_MS = 100
 /** Time between two reads while the store is unavailable, in ms, before jitter. */
 const RETRY_MS = 150
 /** Timeout of most reads while the store is unavailable, in ms; short, so that the first read after its recovery starts soon. */
@@ -96,12 +123,14 @@
   let failingSinceMs: number | undefined
   /** Instant at which the last outage of at least `MIN_OUTAGE_MS` ended. */
   let outageEndedAtMs = -Infinity
-  let next: number | undefined
+  let next: number | undefined = options.firstReadDelayMs === undefined ? undefined : 0
   let failedReads = 0
-  /** Instant at which the reader's last range arrived. */
-  let lastSharedAtMs = -Infinity
-  /** Offset up to which the reader reports to have read. */
-  let readerNext = 0
+  /** Instant at which the store held no record beyond `next`, as far as this process knows. */
+  let currentAtMs = -Infinity
+  /** Offset up to which another entry has read. */
+  let furthestNext = 0
+  /** Instant from which this entry reads by itself because it is behind. */
+  let catchUpAtMs = Infinity
   /** Aborts the wait for the reader. */
   let wake = new AbortController()
 
@@ -119,7 +148,7 @@
     if (error.kind === 'log-gap') {
       logger.info('Records are no longer in the store; reading the newest record of every key.', { topic, from: next })
       next = undefined
-      readerNext = 0
+      furthestNext = 0
       return
     }
     if (error.kind === 'record-malformed') next = undefined
@@ -139,6 +168,7 @@
     const appliedTo = next ?? 0
     const changed = options.applyRecords(context.isFullRead ? page.records : page.records.filter(({ offset }) => offset >= appliedTo), context)
     next = Math.max(page.next, appliedTo)
+    if (next === page.next) currentAtMs = clock.monotonicMs()
     if (from === undefined || !sharing?.isReader()) return
     sharing.publish(toSharedRange({ topic, from, next: page.next, isAfterOutage: context.isAfterOutage, records: changed }))
   }
@@ -159,10 +189,25 @@
     return true
   }
   const pause = (durationMs: number): Promise<void> => clock.wait(durationMs, stop.signal)
+  const isBehind = (): boolean => next === undefined || next < furthestNext
+  const recordFurthest = (offset: number, graceMs: number): void => {
+    const wasBehind = isBehind()
+    furthestNext = Math.max(furthestNext, offset)
+    if (!isBehind()) return
+    const nowMs = clock.monotonicMs()
+    catchUpAtMs = wasBehind ? Math.min(catchUpAtMs, nowMs + graceMs) : nowMs + graceMs
+    wake.abort()
+  }
   /** Returns how long this process may still rely on the reader, in ms; 0 if it must read by itself. */
   const getReaderTrustMs = (): number => {
-    if (!sharing || next === undefined || failedReads > 0 || next < readerNext || sharing.isReader()) return 0
-    return Math.max(0, lastSharedAtMs + sharing.silentAfterMs - clock.monotonicMs())
+    if (!sharing || next === undefined || failedReads > 0 || sharing.isReader()) return 0
+    const nowMs = clock.monotonicMs()
+    const trustMs = currentAtMs + sharing.silentAfterMs - nowMs
+    return Math.max(0, isBehind() ? Math.min(trustMs, catchUpAtMs - nowMs) : trustMs)
+  }
+  const getRetryMs = (): number => {
+    const factor = !sharing || sharing.isReader() || next === undefined ? 1 : sharing.getRetryFactor()
+    return RETRY_MS * factor * (0.5 + random())
   }
   const waitForReader = async (durationMs: number): Promise<void> => {
     wake = new AbortController()
@@ -180,21 +225,24 @@
         if (options.pauseMs > 0) await pause(options.pauseMs)
         continue
       }
-      await pause(RETRY_MS * (0.5 + random()))
+      await pause(getRetryMs())
     }
   }
   return {
     start () {
+      const { firstReadDelayMs } = options
+      if (firstReadDelayMs !== undefined && sharing) currentAtMs = clock.monotonicMs() + firstReadDelayMs - sharing.silentAfterMs
       run().catch((cause: unknown) => logger.error('Following a topic failed.', { topic, err: cause }))
     },
     applyShared (range) {
-      lastSharedAtMs = clock.monotonicMs()
-      readerNext = Math.max(readerNext, range.next)
-      if (next === undefined || range.next <= next) return
-      if (range.from > next) {
-        wake.abort()
+      if (next === undefined || range.from > next) {
+        recordFurthest(range.next, 0)
         return
       }
+      // The reader has just read the store, so this process need not find out by itself that it is available.
+      recordSuccess()
+      currentAtMs = clock.monotonicMs()
+      if (range.next <= next) return
       const from = next
       next = range.next
       options.applyRecords(range.records.filter(({ offset }) => offset >= from), {
@@ -202,6 +250,12 @@
         isAfterOutage: range.isAfterOutage || isAfterOutage()
       })
     },
+    applyProgress (progress) {
+      if (next !== undefined && progress.next === next) currentAtMs = Math.max(currentAtMs, clock.monotonicMs() - progress.ageMs)
+      else recordFurthest(progress.next, BEHIND_GRACE_MS)
+    },
+    getProgress: () => next === undefined || currentAtMs === -Infinity ? undefined : { next, ageMs: Math.max(0, clock.monotonicMs() - currentAtMs) },
+    hasLostStore: () => failingSinceMs !== undefined && clock.monotonicMs() - failingSinceMs >= MIN_OUTAGE_MS,
     isStoreUnavailable: () => failingSinceMs !== undefined,
     close () {
       stop.abort()
--- /dev/null
+++ b/src/process/gateway/gateway-membership.ts
@@ -0,0 +1,85 @@
+/**
+ * The membership of a gateway: the socket, the gossip between gateways, and the messages that ride on it.
+ */
+import { ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Clock } from '../../clock.ts'
+import { openDatagramSocket } from '../../connection/datagram-socket.ts'
+import type { DatagramCounts, DatagramSocket } from '../../connection/datagram-socket.ts'
+import { formatGossipMessage, parseGossipMessage } from '../../connection/gossip-frames.ts'
+import type { AppError } from '../../errors.ts'
+import { createGossipMembership } from '../gossip/gossip-membership.ts'
+import type { GossipMembership } from '../gossip/gossip-membership.ts'
+import type { MemberRecord } from '../gossip/member-record.ts'
+import type { PartLogger } from '../logger.ts'
+import { formatProgress, parseGatewayMessage, parseProgress } from './gateway-messages.ts'
+import type { GatewayMessage, ReadProgress } from './gateway-messages.ts'
+
+/** The membership of a gateway. */
+export interface GatewayMembership extends Pick<GossipMembership, 'addContacts' | 'setStatus' | 'listMembers' | 'countMembers'> {
+  /** Opens the socket and joins. Errors: `settings-invalid` when the address cannot be used. */
+  start(): Promise<Result<void, AppError>>
+  /** Sends a message to all gateways. Some may miss it. */
+  broadcast(message: GatewayMessage): void
+  /** Returns the totals of the socket; undefined before the start. */
+  report(): DatagramCounts | undefined
+  close(): Promise<void>
+}
+
+/** Options of `createGatewayMembership`. */
+export interface GatewayMembershipOptions {
+  self: MemberRecord
+  /** Secret shared by all entries. */
+  peerKey: string
+  clock: Clock
+  random: () => number
+  logger: PartLogger
+  /** Returns how far this gateway has read the topics. */
+  getProgress(): ReadProgress
+  handleProgress(progress: ReadProgress): void
+  handleMessage(message: GatewayMessage): void
+  /** Called when a member has appeared, changed or is gone. */
+  handleChange(): void
+}
+
+/** Creates the membership; it neither listens nor sends before `start`. */
+export function createGatewayMembership (options: GatewayMembershipOptions): GatewayMembership {
+  const { self, peerKey, clock, logger } = options
+  let socket: DatagramSocket | undefined
+
+  const warnMalformed = (error: AppError): void => logger.warn('Skipped a message of another entry.', { error: error.message })
+  const gossip = createGossipMembership({
+    ...options,
+    send: (to, message) => socket?.send(to, formatGossipMessage(message)),
+    createAttachment: () => formatProgress(options.getProgress()),
+    handleAttachment: (_, attachment) => { parseProgress(attachment).match(options.handleProgress, warnMalformed) },
+    handleBroadcast: (_, payload) => { parseGatewayMessage(payload).match(options.handleMessage, warnMalformed) }
+  })
+  const { addContacts, setStatus, listMembers, countMembers } = gossip
+  return {
+    addContacts,
+    setStatus,
+    listMembers,
+    countMembers,
+    async start () {
+      const opened = await openDatagramSocket({
+        address: self.address,
+        port: self.peerPort,
+        peerKey,
+        clock,
+        handleMessage: (message) => { parseGossipMessage(message).match(gossip.handleMessage, warnMalformed) },
+        handleFault: (message) => logger.warn(message)
+      })
+      if (opened.isErr()) return opened.map(() => undefined)
+      socket = opened.value
+      gossip.start()
+      return ok(undefined)
+    },
+    broadcast: (message) => gossip.broadcast(message),
+    report: () => socket?.report(),
+    async close () {
+      gossip.close()
+      await socket?.close()
+    }
+  }
+}
--- /dev/null
+++ b/src/process/gateway/gateway-messages.ts
@@ -0,0 +1,67 @@
+/**
+ * The messages that gateways send to each other by the membership, and their form on the wire.
+ */
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { z } from 'zod'
+import { createError } from '../../errors.ts'
+import type { AppError } from '../../errors.ts'
+import { toBrand } from '../../types.ts'
+import type { TargetId } from '../../types.ts'
+import type { SharedRecordRange, TopicProgress } from '../discovery/topic-follower.ts'
+
+/** A message to all gateways. */
+export type GatewayMessage =
+  /** The sender has found that a target is leaving. */
+  | { type: 'target-leaving', target: TargetId }
+  /** Records that the sender has read from a topic of the store. */
+  | { type: 'topic-range', range: SharedRecordRange }
+
+/** How far the sender has read each topic; rides on each probe. */
+export type ReadProgress = { topic: string, progress: TopicProgress }[]
+
+const MAX_TEXT_LENGTH = 128
+const MAX_RECORDS = 10_000
+const MAX_TOPICS = 8
+
+const text = z.string().min(1).max(MAX_TEXT_LENGTH)
+const counter = z.number().int().nonnegative()
+const messageSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('target-leaving'), target: text }),
+  z.object({
+    type: z.literal('topic-range'),
+    range: z.object({
+      topic: text,
+      from: counter,
+      next: counter,
+      isAfterOutage: z.boolean(),
+      records: z.array(z.object({ offset: counter, key: z.string(), value: z.instanceof(Uint8Array).optional() })).max(MAX_RECORDS)
+    })
+  })
+])
+const progressSchema = z.array(z.tuple([text, counter, z.number().nonnegative()])).max(MAX_TOPICS)
+
+function toMalformed (error: z.ZodError): AppError {
+  const issue = error.issues[0]
+  return createError('frame-malformed', `${issue?.path.join('.') || 'message'}: ${issue?.message ?? 'invalid'}`)
+}
+
+/** Parses a message of another gateway. Errors: `frame-malformed`. */
+export function parseGatewayMessage (value: unknown): Result<GatewayMessage, AppError> {
+  const parsed = messageSchema.safeParse(value)
+  if (!parsed.success) return err(toMalformed(parsed.error))
+  const { data } = parsed
+  return ok(data.type === 'target-leaving' ? { type: data.type, target: toBrand<TargetId>(data.target) } : data as GatewayMessage)
+}
+
+/** Converts the progress of all topics to its wire form. */
+export function formatProgress (topics: ReadProgress): unknown {
+  return topics.map(({ topic, progress }) => [topic, progress.next, Math.round(progress.ageMs)])
+}
+
+/** Parses the progress of another gateway. Errors: `frame-malformed`. */
+export function parseProgress (value: unknown): Result<ReadProgress, AppError> {
+  const parsed = progressSchema.safeParse(value)
+  if (!parsed.success) return err(toMalformed(parsed.error))
+  return ok(parsed.data.map(([topic, next, ageMs]) => ({ topic, progress: { next, ageMs } })))
+}
--- a/src/process/gateway/gateway-servers.ts
+++ b/src/process/gateway/gateway-servers.ts
@@ -94,8 +94,8 @@
     options.handleRequest(incoming, outgoing)
   })
   front.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + IDLE_MARGIN_MS
-  const ownListener: RequestListener = (incoming, outgoing) => handleOwnRequest(options, incoming, outgoing)
-  const ownServers = [settings.listen.ready, settings.listen.directory].map((endpoint) => ({ endpoint, server: createServer(ownListener) }))
+  const handleOwn: RequestListener = (incoming, outgoing) => handleOwnRequest(options, incoming, outgoing)
+  const ownServers = [settings.listen.ready, settings.listen.directory].map((endpoint) => ({ endpoint, server: createServer(handleOwn) }))
   const metrics = createServer(createMetricsListener(options))
   return {
     async start () {
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -85,6 +85,8 @@
   maxConnections: number
   /** Called when a configuration comes into effect. */
   handleConfiguration(configuration: Configuration): void
+  /** Called after each read of the targets. */
+  handleTargetsRead(): void
   /** Called when this process detects that a target is leaving, so that the peers can be notified. */
   handleLeaving(service: ServiceId, target: TargetId): void
 }
@@ -184,6 +186,7 @@
       if (isFullRead) applyAllTargets(records, isAfterOutage)
       const changed = isFullRead ? [...records] : records.filter((record) => applyTargetRecord(record, isAfterOutage))
       hasReadTargets = true
+      options.handleTargetsRead()
       states.removeUnregistered((registered) => registry.get(registered.report.id) === registered)
       return changed
     },
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -6,24 +6,24 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Clock } from '../../clock.ts'
-import type { PeerIdentity } from '../../connection/peer-frames.ts'
 import type { AppError } from '../../errors.ts'
 import type { BootSettings } from '../../platform/boot-file.ts'
 import { createStoreClient, OPERATOR_TOPIC, TARGETS_TOPIC } from '../../platform/store-client.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
-import type { CustomerId, Incarnation, Offset } from '../../types.ts'
+import type { Incarnation } from '../../types.ts'
 import { createTopicFollower } from '../discovery/topic-follower.ts'
 import type { TopicFollower } from '../discovery/topic-follower.ts'
 import { EXPIRY_GRACE_MS } from '../discovery/target-registry.ts'
 import { startLatenessWatch } from '../lateness-watch.ts'
 import type { Logger, PartLogger } from '../logger.ts'
-import { canServe, dropBusy } from '../membership/address-order.ts'
-import type { PeerMesh } from '../membership/peer-mesh.ts'
-import { createPeerMesh } from '../membership/tcp-peer-mesh.ts'
-import type { TcpPeerMesh } from '../membership/tcp-peer-mesh.ts'
-import { createEntryDirectory, readInitialRecords } from './entry-directory.ts'
-import type { EntryDirectory, InitialRecords } from './entry-directory.ts'
+import { dropBusy } from '../membership/address-order.ts'
+import type { MemberRecord } from '../gossip/member-record.ts'
+import { createEntryContacts } from './entry-contacts.ts'
+import type { EntryContacts } from './entry-contacts.ts'
+import { createGatewayMembership } from './gateway-membership.ts'
+import type { GatewayMembership } from './gateway-membership.ts'
+import type { GatewayMessage, ReadProgress } from './gateway-messages.ts'
 import { createDeferredMetrics } from './deferred-metrics.ts'
 import type { DeferredMetrics } from './deferred-metrics.ts'
 import { createGatewayRequests } from './gateway-requests.ts'
@@ -32,7 +32,7 @@
 import type { GatewayServers } from './gateway-servers.ts'
 import { createGatewayState } from './gateway-state.ts'
 import type { GatewayState } from './gateway-state.ts'
-import { createSharedReads } from './shared-reads.ts'
+import { createSharedReads, selectReader } from './shared-reads.ts'
 
 /** A running gateway. */
 export interface Gateway {
@@ -83,9 +83,10 @@
 /** Share of the allowed retry ratio that is used: a request and its retries may be counted in different windows. */
 const USED_RETRY_SHARE = 0.9
 const MAX_CONNECTIONS_PER_TARGET = 24
-const PEER_TIMING = { heartbeatMs: 200, silentAfterMs: 600 }
-/** Messages between peers name the owner of a service; on the platform all services have the same owner. */
-const SERVICE_OWNER = toBrand<CustomerId>('platform')
+/** At the first start of all entries no caller waits: they find each other within this time, and then one reads for all, in ms. */
+const FIRST_JOIN_MS = 3_000
+/** The other entries read by themselves if nothing has been read for them until this time after the first start, in ms. */
+const FIRST_READ_DELAY_MS = 5_000
 
 interface GatewayParts {
   settings: BootSettings
@@ -95,14 +96,14 @@
   log: PartLogger
   incarnation: Incarnation
   store: StoreClient
-  directory: EntryDirectory
-  mesh: TcpPeerMesh
+  contacts: EntryContacts
+  membership: GatewayMembership
   state: GatewayState
   requests: GatewayRequests
   metrics: DeferredMetrics
-  configurationFollower: TopicFollower
-  targetsFollower: TopicFollower
+  followers: Followers
   servers: GatewayServers
+  startedAtMs: number
   isStopping: boolean
   /** Whether this process is overloaded, by the lateness of its event loop. */
   isBusy: boolean
@@ -110,135 +111,193 @@
   endAtMs: number | undefined
 }
 
-type PartsBase = Partial<Pick<GatewayParts, 'servers'>> & Pick<GatewayParts, 'settings' | 'clock' | 'random' | 'logger' | 'log' | 'incarnation' | 'isStopping' | 'isBusy' | 'endAtMs'>
+/** The followers of the store's topics. */
+interface Followers { configuration: TopicFollower, targets: TopicFollower }
 
-function createSelf ({ settings, incarnation }: PartsBase): PeerIdentity {
+function createSelf (settings: BootSettings, run: number): MemberRecord {
   return {
     id: settings.entry,
-    incarnation,
     zone: settings.zone,
     address: settings.address,
     port: settings.listen.front.port,
-    peerPort: settings.internalPorts[0]
+    peerPort: settings.internalPorts[0],
+    run,
+    version: 0,
+    status: { isReady: false, isLeaving: false, isBusy: false, canReadStore: true }
   }
 }
 
 /** Computes the retry burst of one entry for a service: at least 1. */
-function computeMaxRetryTokens ({ retryBudget }: BootSettings, liveEntryCount: number): number {
-  return Math.max(1, Math.floor(retryBudget.slack * USED_SHARE / Math.max(MIN_SHARING_ENTRIES, liveEntryCount)))
+function computeMaxRetryTokens ({ retryBudget }: BootSettings, entryCount: number): number {
+  return Math.max(1, Math.floor(retryBudget.slack * USED_SHARE / Math.max(MIN_SHARING_ENTRIES, entryCount)))
 }
 
-function createState (base: PartsBase, mesh: PeerMesh): GatewayState {
-  const { clock, random, log, settings } = base
-  let liveEntryCount = 1
-  const state = createGatewayState({
+function createState (parts: GatewayParts): GatewayState {
+  const { clock, random, log, settings } = parts
+  return createGatewayState({
     zone: settings.zone,
     clock,
     random,
     logger: log,
     retryBudget: { share: settings.retryBudget.share * USED_RETRY_SHARE, maxTokens: computeMaxRetryTokens(settings, 1) },
-    getLoadProbesPerSecond: () => base.settings.maxLoadProbesPerSecond * USED_SHARE / liveEntryCount,
+    getLoadProbesPerSecond: () => parts.settings.maxLoadProbesPerSecond * USED_SHARE / parts.membership.countMembers(),
     maxConnections: MAX_CONNECTIONS_PER_TARGET,
-    handleConfiguration ({ version, limits }) {
-      mesh.setContractOffset(toBrand<Offset>(version))
-      base.servers?.setIdleTimeout(limits.idleTimeoutMs)
+    handleConfiguration ({ limits }) {
+      parts.servers.setIdleTimeout(limits.idleTimeoutMs)
+      publishStatus(parts)
     },
-    handleLeaving: (service, target) => mesh.broadcast({ type: 'target-leaving', customer: SERVICE_OWNER, service, target })
+    handleTargetsRead: () => publishStatus(parts),
+    handleLeaving: (_, target) => parts.membership.broadcast({ type: 'target-leaving', target })
   })
-  mesh.watchEntries((live) => {
-    liveEntryCount = Math.max(1, live.length)
-    state.updateMaxRetryTokens(computeMaxRetryTokens(settings, live.length))
-  })
-  return state
 }
 
-function createFollowers (base: PartsBase, store: StoreClient, state: GatewayState, mesh: PeerMesh) {
-  const { clock, random, settings } = base
-  const shared = { store, clock, random, logger: base.logger.forPart('store') }
-  const reads = createSharedReads({ mesh, self: settings.entry, isBusy: () => base.isBusy })
-  const configurationFollower = createTopicFollower({
-    ...shared,
-    topic: OPERATOR_TOPIC,
-    waitMs: settings.configurationApplyMs * CONFIGURATION_WAIT_SHARE,
-    pauseMs: 0,
-    applyRecords: (records) => state.applyConfigurationRecords(records),
-    sharing: { ...reads, silentAfterMs: settings.configurationApplyMs * CONFIGURATION_SILENT_SHARE }
+function createFollowers (parts: GatewayParts): Followers {
+  const { clock, random, settings, store, membership, state } = parts
+  const reads = createSharedReads({
+    self: settings.entry,
+    listEntries: () => membership.listMembers(),
+    hasJoined: () => hasJoined(parts),
+    publish: (range) => membership.broadcast({ type: 'topic-range', range })
   })
-  const targetsFollower: TopicFollower = createTopicFollower({
-    ...shared,
-    topic: TARGETS_TOPIC,
-    waitMs: 0,
-    pauseMs: settings.drainMs * TARGETS_PAUSE_SHARE,
-    postOutageWindowMs: EXPIRY_GRACE_MS,
-    applyRecords: (records, context) => state.applyTargetRecords(records, context),
-    sharing: { ...reads, silentAfterMs: settings.drainMs * TARGETS_SILENT_SHARE }
+  const shared = { store, clock, random, logger: parts.logger.forPart('store'), firstReadDelayMs: settings.isFirstStart ? FIRST_READ_DELAY_MS : undefined }
+  return {
+    configuration: createTopicFollower({
+      ...shared,
+      topic: OPERATOR_TOPIC,
+      waitMs: settings.configurationApplyMs * CONFIGURATION_WAIT_SHARE,
+      pauseMs: 0,
+      applyRecords: (records) => state.applyConfigurationRecords(records),
+      sharing: { ...reads, silentAfterMs: settings.configurationApplyMs * CONFIGURATION_SILENT_SHARE }
+    }),
+    targets: createTopicFollower({
+      ...shared,
+      topic: TARGETS_TOPIC,
+      waitMs: 0,
+      pauseMs: settings.drainMs * TARGETS_PAUSE_SHARE,
+      postOutageWindowMs: EXPIRY_GRACE_MS,
+      applyRecords: (records, context) => state.applyTargetRecords(records, context),
+      sharing: { ...reads, silentAfterMs: settings.drainMs * TARGETS_SILENT_SHARE }
+    })
+  }
+}
+
+/** Whether the other entries are known by now. */
+function hasJoined ({ clock, settings, startedAtMs }: GatewayParts): boolean {
+  return !settings.isFirstStart || clock.monotonicMs() - startedAtMs >= FIRST_JOIN_MS
+}
+
+function listFollowers ({ followers }: GatewayParts): [string, TopicFollower][] {
+  return [[OPERATOR_TOPIC, followers.configuration], [TARGETS_TOPIC, followers.targets]]
+}
+
+function findFollower (parts: GatewayParts, topic: string): TopicFollower | undefined {
+  return listFollowers(parts).find(([name]) => name === topic)?.[1]
+}
+
+function getProgress (parts: GatewayParts): ReadProgress {
+  return listFollowers(parts).flatMap(([topic, follower]) => {
+    const progress = follower.getProgress()
+    return progress ? [{ topic, progress }] : []
   })
-  return { configurationFollower, targetsFollower }
 }
 
-/** Applies the messages of the other entries. */
-function watchPeers (mesh: PeerMesh, state: GatewayState, followers: ReturnType<typeof createFollowers>): void {
-  const byTopic = new Map([[OPERATOR_TOPIC, followers.configurationFollower], [TARGETS_TOPIC, followers.targetsFollower]])
-  mesh.watchMessages((_, message) => {
-    if (message.type === 'target-leaving') state.markLeaving(message.target)
-    if (message.type === 'topic-stretch') byTopic.get(message.stretch.topic)?.applyShared(message.stretch)
+/** Applies a message of another entry. */
+function applyMessage (parts: GatewayParts, message: GatewayMessage): void {
+  switch (message.type) {
+    case 'target-leaving': return parts.state.markLeaving(message.target)
+    case 'topic-range': return findFollower(parts, message.range.topic)?.applyShared(message.range)
+  }
+}
+
+function createMembership (parts: GatewayParts, run: number): GatewayMembership {
+  const { settings, clock, random, logger } = parts
+  return createGatewayMembership({
+    self: createSelf(settings, run),
+    peerKey: `medlarcove ${settings.store.address}:${settings.store.port}`,
+    clock,
+    random,
+    logger: logger.forPart('peers'),
+    getProgress: () => getProgress(parts),
+    handleProgress (topics) {
+      for (const { topic, progress } of topics) findFollower(parts, topic)?.applyProgress(progress)
+    },
+    handleMessage: (message) => applyMessage(parts, message),
+    handleChange: () => parts.state?.updateMaxRetryTokens(computeMaxRetryTokens(settings, parts.membership.countMembers()))
   })
 }
 
-function isReady ({ isStopping, state }: Pick<GatewayParts, 'isStopping' | 'state'>): boolean {
+function isReady ({ isStopping, state }: GatewayParts): boolean {
   return !isStopping && state.getInEffect() !== undefined && state.hasReadTargets()
 }
 
+/** Announces the status of this entry if it has changed. */
+function publishStatus (parts: GatewayParts): void {
+  const { membership, followers, isBusy, isStopping } = parts
+  const canReadStore = !followers.configuration.hasLostStore() && !followers.targets.hasLostStore()
+  membership.setStatus({ isReady: isReady(parts), isLeaving: isStopping, isBusy, canReadStore })
+}
+
 /** Lists the addresses of the entries that accept requests, as `address:port`. */
-function listAddresses (parts: Pick<GatewayParts, 'isStopping' | 'state' | 'mesh'>): string[] {
-  const usable = parts.mesh.listPeers().filter((peer) => peer.isSelf ? isReady(parts) : canServe(peer))
-  return dropBusy(usable).map((peer) => `${peer.address}:${peer.port}`)
+function listAddresses (parts: GatewayParts): string[] {
+  const usable = parts.membership.listMembers().filter(({ isSelf, state, status }) => isSelf ? isReady(parts) : state === 'live' && status.isReady)
+  return dropBusy(usable.map((member) => ({ ...member, isBusy: member.status.isBusy }))).map(({ address, port }) => `${address}:${port}`)
+}
+
+function createServers (parts: GatewayParts, options: GatewayOptions): GatewayServers {
+  const { settings, log, requests, state, metrics } = parts
+  return createGatewayServers({
+    settings,
+    isReady: () => isReady(parts),
+    listAddresses: () => listAddresses(parts),
+    addressLifetimeMs: Math.min(ADDRESS_LIFETIME_MS, settings.maxAddressLifetimeMs),
+    metricsPort: options.metricsPort ?? METRICS_PORT,
+    handleFault: (message) => log.warn(message),
+    handleRequest: (incoming, outgoing) => { requests.handleRequest(incoming, outgoing).catch(() => outgoing.destroy()) },
+    renderMetrics: () => metrics.renderText({
+      services: state.listMetrics(),
+      store: parts.store.report(),
+      version: state.getInEffect()?.configuration.version ?? 0,
+      isReady: isReady(parts),
+      liveEntries: parts.membership.listMembers().filter((member) => member.state === 'live').length,
+      droppedLogLines: options.countDroppedLines?.() ?? 0,
+      inProgress: requests.countInProgress()
+    })
+  })
+}
+
+function createContacts (parts: GatewayParts, run: number): EntryContacts {
+  const { settings, store, clock, random, logger, membership } = parts
+  return createEntryContacts({
+    self: createSelf(settings, run),
+    store,
+    clock,
+    random,
+    logger: logger.forPart('directory'),
+    isFirstStart: settings.isFirstStart,
+    hasPeers: () => membership.countMembers() > 1,
+    isReader: () => hasJoined(parts) && selectReader(membership.listMembers()) === settings.entry,
+    handleContacts: (contacts) => membership.addContacts(contacts)
+  })
 }
 
-function createParts (options: GatewayOptions, store: StoreClient, initialRecords: InitialRecords): GatewayParts {
-  const { settings, clock, logger, random = Math.random, countDroppedLines = () => 0 } = options
-  const incarnation = toBrand<Incarnation>(`${initialRecords.run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
-  const base: PartsBase = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, isStopping: false, isBusy: false, endAtMs: undefined }
-  const self = createSelf(base)
-  const directory = createEntryDirectory({ self, initial: initialRecords, store, clock, logger: logger.forPart('directory') })
-  const peerKey = `medlarcove ${settings.store.address}:${settings.store.port}`
-  const mesh = createPeerMesh({ self, peerKey, hostList: directory, clock, logger: logger.forPart('peers'), timing: PEER_TIMING })
-  const state = createState(base, mesh)
-  const followers = createFollowers(base, store, state, mesh)
-  watchPeers(mesh, state, followers)
-  const metrics = createDeferredMetrics({
+/** Creates the parts; each uses the others only after all have been created. */
+function createParts (options: GatewayOptions): GatewayParts {
+  const { settings, clock, logger, random = Math.random } = options
+  const run = clock.wallMs()
+  const incarnation = toBrand<Incarnation>(`${run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
+  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, endAtMs: undefined }
+  const parts = { ...base, store: createStoreClient({ store: settings.store, clock }) } as GatewayParts
+  parts.membership = createMembership(parts, run)
+  parts.state = createState(parts)
+  parts.followers = createFollowers(parts)
+  parts.contacts = createContacts(parts, run)
+  parts.metrics = createDeferredMetrics({
     load: async () => (await import('./gateway-metrics.ts')).createGatewayMetrics(),
     clock,
     logger: logger.forPart('metrics')
   })
-  const requests = createGatewayRequests({ state, clock, logger: logger.forPart('request'), metrics, getEndAtMs: () => base.endAtMs })
-  const parts: GatewayParts = Object.assign(base, {
-    store,
-    directory,
-    mesh,
-    state,
-    requests,
-    metrics,
-    ...followers,
-    servers: createGatewayServers({
-      settings,
-      isReady: () => isReady(parts),
-      listAddresses: () => listAddresses(parts),
-      addressLifetimeMs: Math.min(ADDRESS_LIFETIME_MS, settings.maxAddressLifetimeMs),
-      metricsPort: options.metricsPort ?? METRICS_PORT,
-      handleFault: (message) => base.log.warn(message),
-      handleRequest: (incoming, outgoing) => { requests.handleRequest(incoming, outgoing).catch(() => outgoing.destroy()) },
-      renderMetrics: () => metrics.renderText({
-        services: state.listMetrics(),
-        store: store.report(),
-        version: state.getInEffect()?.configuration.version ?? 0,
-        isReady: isReady(parts),
-        liveEntries: mesh.listLiveEntries().length,
-        droppedLogLines: countDroppedLines(),
-        inProgress: requests.countInProgress()
-      })
-    })
-  })
+  parts.requests = createGatewayRequests({ state: parts.state, clock, logger: logger.forPart('request'), metrics: parts.metrics, getEndAtMs: () => parts.endAtMs })
+  parts.servers = createServers(parts, options)
   return parts
 }
 
@@ -257,10 +316,10 @@
 }
 
 async function stopParts (parts: GatewayParts, reason: string): Promise<void> {
-  const { clock, log, mesh, servers, requests } = parts
+  const { clock, log, servers, requests } = parts
   const startedAtMs = clock.monotonicMs()
   log.info('Stopping.', { reason, inProgress: requests.countInProgress() })
-  mesh.markLeaving()
+  publishStatus(parts)
   servers.closeAfterResponses()
   await waitForCallers(parts)
   log.info('Stopped.', { reason, inProgress: requests.countInProgress(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) })
@@ -270,37 +329,39 @@
 async function closeParts (parts: GatewayParts): Promise<void> {
   parts.servers.close()
   parts.metrics.close()
-  parts.configurationFollower.close()
-  parts.targetsFollower.close()
-  parts.directory.close()
+  parts.followers.configuration.close()
+  parts.followers.targets.close()
+  parts.contacts.close()
   parts.state.close()
-  await parts.mesh.close()
+  await parts.membership.close()
   await parts.store.close()
 }
 
 /** Starts a gateway. Errors: `settings-invalid` when it cannot listen on an address of the settings. */
 export async function startGateway (options: GatewayOptions): Promise<Result<Gateway, AppError>> {
-  const { settings, clock, logger } = options
-  const store = createStoreClient({ store: settings.store, clock })
-  const initialRecords = await readInitialRecords({ entry: settings.entry, store, clock, logger: logger.forPart('directory') })
-  const parts = createParts(options, store, initialRecords)
-  const { log, state, targetsFollower } = parts
-  parts.configurationFollower.start()
-  targetsFollower.start()
-  parts.directory.start()
-  const joined = await parts.mesh.start()
+  const { settings, clock } = options
+  const parts = createParts(options)
+  const { log, state, followers } = parts
+  const joined = await parts.membership.start()
   if (joined.isErr()) return err(joined.error)
+  // The store is read while the listeners start.
+  followers.configuration.start()
+  followers.targets.start()
+  parts.contacts.start()
   const listening = await parts.servers.start()
   if (listening.isErr()) return err(listening.error)
   const metrics = await parts.servers.startMetrics()
   if (metrics.isErr()) log.warn('Metrics are not served.', { error: metrics.error.message })
-  const maintenance = setInterval(() => state.removeExpired(targetsFollower.isStoreUnavailable()), MAINTENANCE_INTERVAL_MS)
+  const maintenance = setInterval(() => {
+    state.removeExpired(followers.targets.isStoreUnavailable())
+    publishStatus(parts)
+  }, MAINTENANCE_INTERVAL_MS)
   const stopWatching = startLatenessWatch({
     clock,
     handleChange (isBusy, latenessMs) {
       log.warn(isBusy ? 'Overloaded: callers are sent to other entries.' : 'No longer overloaded.', { latenessMs: Math.round(latenessMs) })
       parts.isBusy = isBusy
-      parts.mesh.setBusy(isBusy)
+      publishStatus(parts)
     }
   })
   log.info('Started.', { entry: settings.entry, zone: settings.zone, incarnation: parts.incarnation })
--- a/src/process/membership/address-order.ts
+++ b/src/process/membership/address-order.ts
@@ -44,7 +44,7 @@
 const MAX_BUSY_SHARE = 1 / 3
 
 /** Returns the entries without the busy ones, or all entries if too many are busy. */
-export function dropBusy (entries: readonly PeerView[]): PeerView[] {
+export function dropBusy<T extends Pick<PeerView, 'isBusy'>> (entries: readonly T[]): T[] {
   const notBusy = entries.filter(({ isBusy }) => !isBusy)
   return entries.length - notBusy.length <= entries.length * MAX_BUSY_SHARE ? notBusy : [...entries]
 }
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -6,7 +6,8 @@
 import type { KeyedRecord } from '../src/platform/store-frames.ts'
 import { createTopicFollower } from '../src/process/discovery/topic-follower.ts'
 import type { SharedRecordRange, TopicFollower } from '../src/process/discovery/topic-follower.ts'
-import { createSharedReads } from '../src/process/gateway/shared-reads.ts'
+import { createSharedReads, selectReader } from '../src/process/gateway/shared-reads.ts'
+import type { ReaderCandidate } from '../src/process/gateway/shared-reads.ts'
 import { toBrand } from '../src/types.ts'
 import type { EntryId } from '../src/types.ts'
 import { SILENT_LOGGER } from './support/silent-logger.ts'
@@ -17,6 +18,7 @@
 /** A leaving target must get no requests after this time. */
 const DRAIN_MS = 2_000
 const LARGE_BYTES = 100_000
+const RETRYING_ENTRIES = 3
 
 interface Follower { follower: TopicFollower, known: Map<string, string>, reads: number, readMs: number, isStoreLost: boolean, isCut: boolean }
 
@@ -69,7 +71,7 @@
         for (const { key, value } of changed) known.set(key, Buffer.from(value!).toString())
         return changed
       },
-      sharing: { isReader: () => state.reader === index, publish: (stretch) => publishFrom(index, stretch), silentAfterMs: SILENT_AFTER_MS }
+      sharing: { isReader: () => state.reader === index, publish: (stretch) => publishFrom(index, stretch), silentAfterMs: SILENT_AFTER_MS, getRetryFactor: () => Math.max(1, count / RETRYING_ENTRIES) }
     })
     followers.push({ follower, known, reads: 0, readMs: READ_MS, isStoreLost: false, isCut: false })
   }
@@ -170,26 +172,82 @@
   expect(late!.known.get('a')).toBe('4')
 })
 
-test('the live entry with the lowest id is the reader, but not while it is overloaded', () => {
-  let setLive: (live: readonly EntryId[]) => void = () => undefined
-  const state = { isBusy: false }
-  const [first, second] = [toBrand<EntryId>('front-1'), toBrand<EntryId>('front-2')]
-  const reads = createSharedReads({
-    mesh: {
-      watchEntries (action) {
-        setLive = action
-        return () => undefined
-      },
-      broadcast: () => undefined
-    },
-    self: second,
-    isBusy: () => state.isBusy
-  })
-  expect(reads.isReader()).toBe(true)
-  setLive([first, second])
+test('an entry that lost the range of a change reads it by itself once it hears how far another has read', async () => {
+  const { clock, followers, write } = setup(2)
+  await clock.advance(2_000)
+  const [reader, late] = followers as [Follower, Follower]
+  late.isCut = true
+  write('a', 'lost')
+  await clock.advance(PAUSE_MS)
+  const before = late.reads
+  late.follower.applyProgress(reader.follower.getProgress()!)
+  // The records may still be on their way.
+  await clock.advance(50)
+  expect(late.reads).toBe(before)
+  await clock.advance(100)
+  expect(late.known.get('a')).toBe('lost')
+})
+
+test('the progress of others keeps an entry from reading while the ranges of the reader are lost', async () => {
+  const { clock, followers } = setup(2)
+  await clock.advance(2_000)
+  const [reader, other] = followers as [Follower, Follower]
+  other.isCut = true
+  const before = other.reads
+  for (let step = 0; step < 30; step++) {
+    await clock.advance(300)
+    other.follower.applyProgress(reader.follower.getProgress()!)
+  }
+  expect(other.reads).toBe(before)
+})
+
+// Load: 120 entries lose the store for 12 s.
+test('the calls to a store that is unavailable do not grow with the number of entries', async () => {
+  const counts: number[] = []
+  for (const size of [30, 120]) {
+    const { clock, followers } = setup(size)
+    await clock.advance(2_000)
+    const before = followers.reduce((sum, { reads }) => sum + reads, 0)
+    for (const follower of followers) follower.isStoreLost = true
+    await clock.advance(12_000)
+    counts.push(followers.reduce((sum, { reads }) => sum + reads, 0) - before - size)
+  }
+  expect(counts[1]).toBeLessThan(1.5 * counts[0]!)
+})
+
+test('after an outage the entries get new records through the reader, and do not read', async () => {
+  const { clock, followers, write } = setup(30)
+  await clock.advance(2_000)
+  for (const follower of followers) follower.isStoreLost = true
+  await clock.advance(6_000)
+  for (const follower of followers) follower.isStoreLost = false
+  write('a', 'news')
+  await clock.advance(DRAIN_MS)
+  expect(followers.map(({ known }) => known.get('a'))).toEqual(followers.map(() => 'news'))
+  const before = countOthersReads(followers)
+  await clock.advance(4 * DRAIN_MS)
+  expect(countOthersReads(followers) - before).toBe(0)
+  expect(followers.some(({ follower }) => follower.isStoreUnavailable())).toBe(false)
+})
+
+function createCandidate (id: string, changes: Partial<ReaderCandidate['status']> & { state?: ReaderCandidate['state'] } = {}): ReaderCandidate {
+  const { state = 'live', ...status } = changes
+  return { id: toBrand<EntryId>(id), state, status: { isReady: true, isLeaving: false, isBusy: false, canReadStore: true, ...status } }
+}
+
+test('the reader is the lowest id of the live entries that can read the store and are not overloaded', () => {
+  expect(selectReader([createCandidate('b'), createCandidate('a')])).toBe('a')
+  expect(selectReader([createCandidate('a', { canReadStore: false }), createCandidate('b')])).toBe('b')
+  expect(selectReader([createCandidate('a', { isBusy: true }), createCandidate('b')])).toBe('b')
+  for (const state of ['suspect', 'leaving', 'gone'] as const) expect(selectReader([createCandidate('a', { state }), createCandidate('b')])).toBe('b')
+  expect(selectReader([createCandidate('a', { canReadStore: false }), createCandidate('b', { canReadStore: false })])).toBe('a')
+  expect(selectReader([])).toBe(undefined)
+})
+
+test('no entry reads for all before the others are known', () => {
+  const state = { hasJoined: false }
+  const reads = createSharedReads({ self: toBrand<EntryId>('a'), listEntries: () => [createCandidate('a')], hasJoined: () => state.hasJoined, publish: () => undefined })
   expect(reads.isReader()).toBe(false)
-  setLive([second])
+  state.hasJoined = true
   expect(reads.isReader()).toBe(true)
-  state.isBusy = true
-  expect(reads.isReader()).toBe(false)
 })
--- a/test/support/gateway-system.ts
+++ b/test/support/gateway-system.ts
@@ -69,6 +69,7 @@
       ready: { address, port: await findFreePort() },
       directory: { address, port: await findFreePort() }
     },
+    isFirstStart: false,
     internalPorts: [await findFreePort(), 65_535],
     store: { address, port: store.port },
     drainMs: 2_000,
