--- a/src/connection/peer-frames.ts
+++ b/src/connection/peer-frames.ts
@@ -34,7 +34,7 @@
 const headers = z.record(z.string(), z.string())
 
 const linkFrameSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('beat'), seq: counter, ack: counter, offset: z.number().int().optional(), leaving: z.literal(true).optional(), busy: z.literal(true).optional() }),
+  z.object({ type: z.literal('beat'), seq: counter, ack: counter, offset: z.number().int().optional(), leaving: z.literal(true).optional() }),
   z.object({ type: z.literal('members'), facts: z.array(z.object({ ...identity, isHeard: z.boolean(), isLeaving: z.boolean() })).max(MAX_FACTS) }),
   z.object({
     type: z.literal('contract-records'),
@@ -43,16 +43,6 @@
   }),
   z.object({ type: z.literal('contract-pull'), from: counter }),
   z.object({ type: z.literal('target-leaving'), customer: id, service: id, target: id }),
-  z.object({
-    type: z.literal('topic-stretch'),
-    stretch: z.object({
-      topic: id,
-      from: counter,
-      next: counter,
-      isAfterOutage: z.boolean(),
-      records: z.array(z.object({ offset: counter, key: z.string(), value: bytes.optional() })).max(MAX_RECORDS)
-    })
-  }),
   z.object({
     type: z.literal('forward-request'),
     call: counter,
@@ -87,7 +77,7 @@
 /** Second frame of the initiator, with its proof. */
 export interface ProofFrame { type: 'proof', proof: Uint8Array }
 /** Heartbeat: its number `seq`, the highest number received from the other end `ack`, and what has changed at the sender. */
-export interface BeatFrame { type: 'beat', seq: number, ack: number, offset?: Offset, leaving?: true, busy?: true }
+export interface BeatFrame { type: 'beat', seq: number, ack: number, offset?: Offset, leaving?: true }
 /** The sender's local view of the other members. The first one on a link is complete, later ones contain the changes. */
 export interface MembersFrame { type: 'members', facts: MemberFact[] }
 /** Frames after the handshake. */
--- a/src/connection/peer-link.ts
+++ b/src/connection/peer-link.ts
@@ -84,7 +84,7 @@
   getTiming(): LinkTiming
   events: LinkEvents
   /** Returns the state of this entry that heartbeats report. */
-  describeSelf(): { offset: Offset, isLeaving: boolean, isBusy: boolean }
+  describeSelf(): { offset: Offset, isLeaving: boolean }
 }
 
 interface FrameStream {
@@ -191,11 +191,10 @@
   let sentOffset: Offset | undefined
   let cancel = () => {}
   const sendHeartbeat = () => {
-    const { offset, isLeaving, isBusy } = options.describeSelf()
+    const { offset, isLeaving } = options.describeSelf()
     const beat: BeatFrame = { type: 'beat', ...liveness.createHeartbeat() }
     if (offset !== sentOffset) beat.offset = offset
     if (isLeaving) beat.leaving = true
-    if (isBusy) beat.busy = true
     if (link.sendFrame(beat)) sentOffset = offset
     const timing = getTiming()
     const isSilent = liveness.getSilenceMs() > timing.silentAfterMs
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -4,7 +4,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { LoadReport } from '../request/selection/load-report.ts'
 import { toBrand } from '../types.ts'
-import type { RequestId, TargetId } from '../types.ts'
+import type { RequestId, TargetId, ZoneId } from '../types.ts'
 import { formatDuration } from './durations.ts'
 
 /** The id of one attempt of a caller; targets echo it. */
@@ -70,6 +70,12 @@
   return { running, waiting, slots, slowdown: workPercent > 0 ? workPercent / PERCENT : 1 }
 }
 
+/** Returns the zone that a caller states when it asks which entries to use; undefined when it states none. */
+export function getCallerZone (query: string): ZoneId | undefined {
+  const zone = new URLSearchParams(query).get('zone')
+  return zone ? toBrand<ZoneId>(zone) : undefined
+}
+
 /** Formats the response to a caller that asks which entries to use. */
 export function formatAddresses (addresses: readonly string[], lifetimeMs: number): { addresses: readonly string[], ttl: string } {
   return { addresses, ttl: formatDuration(lifetimeMs) }
--- a/src/process/contract-exchange.ts
+++ b/src/process/contract-exchange.ts
@@ -39,7 +39,6 @@
         publishOffset()
         break
       case 'target-leaving':
-      case 'topic-stretch':
       case 'forward-request':
       case 'forward-answer':
     }
--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -95,8 +95,11 @@
   close(): void
 }
 
-/** Ranges with more bytes of values than this are read by each entry itself, so that the reader does not send them to every peer. */
+/** Bytes of values in one shared range. */
 const MAX_SHARED_BYTES = 8_192
+/** A larger record, or more bytes at once, is read by each entry itself, so that the link of the reader stays free. */
+const MAX_SHARED_RECORD_BYTES = 24_576
+const MAX_SHARED_TOTAL_BYTES = 65_536
 /** Failures shorter than this do not count as an outage, because records of live targets do not expire within it, in ms. */
 const MIN_OUTAGE_MS = 500
 /** An entry that is behind another one waits this long for the records that may be on their way to it, in ms. */
@@ -109,10 +112,38 @@
 const READS_PER_LONG_TIMEOUT = 4
 const LONG_TIMEOUT_MS = 2_000
 
-/** Removes the records from a range that is too large to share; entries behind its end then read by themselves. */
-function toSharedRange (range: SharedRecordRange): SharedRecordRange {
-  const sizeBytes = range.records.reduce((sum, { value }) => sum + (value?.byteLength ?? 0), 0)
-  return sizeBytes <= MAX_SHARED_BYTES ? range : { ...range, from: range.next, records: [] }
+/** Splits the records of a range into parts of at most `MAX_SHARED_BYTES`; a larger record is a part of its own. */
+function splitRecords (records: readonly KeyedRecord[]): KeyedRecord[][] {
+  const parts: KeyedRecord[][] = []
+  let partBytes = Infinity
+  for (const record of records) {
+    const sizeBytes = record.value?.byteLength ?? 0
+    if (partBytes + sizeBytes > MAX_SHARED_BYTES) {
+      parts.push([])
+      partBytes = 0
+    }
+    parts.at(-1)!.push(record)
+    partBytes += sizeBytes
+  }
+  return parts
+}
+
+/**
+ * Converts a range to consecutive ranges that are small enough to send. Of one that is too large only its end is left, so
+ * that entries which have not read that far read by themselves.
+ */
+function toSharedRanges (range: SharedRecordRange): SharedRecordRange[] {
+  const sizes = range.records.map(({ value }) => value?.byteLength ?? 0)
+  const totalBytes = sizes.reduce((sum, size) => sum + size, 0)
+  if (totalBytes > MAX_SHARED_TOTAL_BYTES || Math.max(0, ...sizes) > MAX_SHARED_RECORD_BYTES) return [{ ...range, from: range.next, records: [] }]
+  const parts = splitRecords(range.records)
+  if (parts.length <= 1) return [range]
+  return parts.map((records, index) => ({
+    ...range,
+    from: index === 0 ? range.from : records[0]!.offset,
+    next: parts[index + 1]?.[0]?.offset ?? range.next,
+    records
+  }))
 }
 
 /** Creates a follower. It does nothing before `start`. */
@@ -125,6 +156,8 @@
   let outageEndedAtMs = -Infinity
   let next: number | undefined = options.firstReadDelayMs === undefined ? undefined : 0
   let failedReads = 0
+  /** Whether this process reads although it is not the reader. */
+  let isReadingAlone = false
   /** Instant at which the store held no record beyond `next`, as far as this process knows. */
   let currentAtMs = -Infinity
   /** Offset up to which another entry has read. */
@@ -170,7 +203,8 @@
     next = Math.max(page.next, appliedTo)
     if (next === page.next) currentAtMs = clock.monotonicMs()
     if (from === undefined || !sharing?.isReader()) return
-    sharing.publish(toSharedRange({ topic, from, next: page.next, isAfterOutage: context.isAfterOutage, records: changed }))
+    const range = { topic, from, next: page.next, isAfterOutage: context.isAfterOutage, records: changed }
+    for (const part of toSharedRanges(range)) sharing.publish(part)
   }
   const readOnce = async (): Promise<boolean> => {
     const from = next
@@ -213,13 +247,22 @@
     wake = new AbortController()
     await clock.wait(durationMs, wake.signal)
   }
+  /** Logs once why this process, which is not the reader, begins to read by itself. */
+  const explainOwnRead = (): void => {
+    if (isReadingAlone || !sharing || next === undefined || sharing.isReader()) return
+    isReadingAlone = true
+    const because = failedReads > 0 ? 'its last read failed' : isBehind() ? 'it is behind the reader' : 'it received nothing from the reader'
+    logger.info('Reading a topic by itself.', { topic, because, next, furthestNext, knownForMs: Math.round(clock.monotonicMs() - currentAtMs) })
+  }
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
       const trustMs = getReaderTrustMs()
       if (trustMs > 0) {
+        isReadingAlone = false
         await waitForReader(trustMs)
         continue
       }
+      explainOwnRead()
       const isRead = await readOnce()
       if (isRead) {
         if (options.pauseMs > 0) await pause(options.pauseMs)
--- a/src/process/gateway/entry-contacts.ts
+++ b/src/process/gateway/entry-contacts.ts
@@ -42,7 +42,7 @@
 /** Earliest and latest time from the start to the first read, in ms; chosen at random in between. */
 const FIRST_READ_MS = { earliest: 20, latest: 400 }
 /** The same when all entries start for the first time. */
-const FIRST_START_READ_MS = { earliest: 500, latest: 2_500 }
+const FIRST_START_READ_MS = { earliest: 400, latest: 2_000 }
 /** Time between two checks whether this entry is still alone, in ms: doubles from the first to the last. */
 const ALONE_CHECK_MS = { first: 500, last: 30_000 }
 const RETRY_MS = 500
--- a/src/process/gateway/gateway-servers.ts
+++ b/src/process/gateway/gateway-servers.ts
@@ -9,7 +9,8 @@
 import { describeCause } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
 import type { BootSettings } from '../../platform/boot-file.ts'
-import { formatAddresses } from '../../platform/wire-names.ts'
+import { formatAddresses, getCallerZone } from '../../platform/wire-names.ts'
+import type { ZoneId } from '../../types.ts'
 
 /** Options of `createGatewayServers`. */
 export interface GatewayServersOptions {
@@ -17,7 +18,7 @@
   handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): void
   isReady(): boolean
   /** Lists the addresses that callers may use, as `address:port`. */
-  listAddresses(): readonly string[]
+  listAddresses(callerZone: ZoneId | undefined): readonly string[]
   /** How long callers may cache the list, in ms. */
   addressLifetimeMs: number
   renderMetrics(): Promise<{ contentType: string, text: string }>
@@ -58,18 +59,18 @@
   outgoing.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
 }
 
-function sendAddresses (options: GatewayServersOptions, outgoing: ServerResponse): void {
-  const addresses = options.listAddresses()
+function sendAddresses (options: GatewayServersOptions, query: string | undefined, outgoing: ServerResponse): void {
+  const addresses = options.listAddresses(getCallerZone(query ?? ''))
   if (addresses.length === 0) sendJson(outgoing, STATUS_UNAVAILABLE, { error: 'no entry takes requests at present' })
   else sendJson(outgoing, STATUS_OK, formatAddresses(addresses, options.addressLifetimeMs))
 }
 
 /** Handles readiness checks and address lookups. The HTTP framework is left out here, because loading it delays a start. */
 function handleOwnRequest (options: GatewayServersOptions, incoming: IncomingMessage, outgoing: ServerResponse): void {
-  const [path] = (incoming.url ?? '/').split('?', 1)
+  const [path, query] = (incoming.url ?? '/').split('?', 2)
   if (incoming.method !== 'GET' && incoming.method !== 'HEAD') sendJson(outgoing, STATUS_METHOD_NOT_ALLOWED, { error: 'use GET' })
   else if (path === '/ready') outgoing.writeHead(options.isReady() ? STATUS_OK : STATUS_UNAVAILABLE).end()
-  else if (path === '/resolve') sendAddresses(options, outgoing)
+  else if (path === '/resolve') sendAddresses(options, query, outgoing)
   else sendJson(outgoing, STATUS_NOT_FOUND, { error: 'the paths here are /ready and /resolve' })
 }
 
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -11,13 +11,13 @@
 import { createStoreClient, OPERATOR_TOPIC, TARGETS_TOPIC } from '../../platform/store-client.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
-import type { Incarnation } from '../../types.ts'
+import type { Incarnation, ZoneId } from '../../types.ts'
 import { createTopicFollower } from '../discovery/topic-follower.ts'
 import type { TopicFollower } from '../discovery/topic-follower.ts'
 import { EXPIRY_GRACE_MS } from '../discovery/target-registry.ts'
 import { startLatenessWatch } from '../lateness-watch.ts'
 import type { Logger, PartLogger } from '../logger.ts'
-import { dropBusy } from '../membership/address-order.ts'
+import { selectAddresses } from './select-addresses.ts'
 import type { MemberRecord } from '../gossip/member-record.ts'
 import { createEntryContacts } from './entry-contacts.ts'
 import type { EntryContacts } from './entry-contacts.ts'
@@ -84,9 +84,9 @@
 const USED_RETRY_SHARE = 0.9
 const MAX_CONNECTIONS_PER_TARGET = 24
 /** At the first start of all entries no caller waits: they find each other within this time, and then one reads for all, in ms. */
-const FIRST_JOIN_MS = 3_000
+const FIRST_JOIN_MS = 1_500
 /** The other entries read by themselves if nothing has been read for them until this time after the first start, in ms. */
-const FIRST_READ_DELAY_MS = 5_000
+const FIRST_READ_DELAY_MS = 3_500
 
 interface GatewayParts {
   settings: BootSettings
@@ -237,10 +237,10 @@
   membership.setStatus({ isReady: isReady(parts), isLeaving: isStopping, isBusy, canReadStore })
 }
 
-/** Lists the addresses of the entries that accept requests, as `address:port`. */
-function listAddresses (parts: GatewayParts): string[] {
-  const usable = parts.membership.listMembers().filter(({ isSelf, state, status }) => isSelf ? isReady(parts) : state === 'live' && status.isReady)
-  return dropBusy(usable.map((member) => ({ ...member, isBusy: member.status.isBusy }))).map(({ address, port }) => `${address}:${port}`)
+/** Lists the addresses of the entries that a caller may use, as `address:port`. */
+function listAddresses (parts: GatewayParts, callerZone: ZoneId | undefined): string[] {
+  const entries = parts.membership.listMembers().filter(({ isSelf, state, status }) => isSelf ? isReady(parts) : state === 'live' && status.isReady)
+  return selectAddresses({ entries, callerZone, random: parts.random }).map(({ address, port }) => `${address}:${port}`)
 }
 
 function createServers (parts: GatewayParts, options: GatewayOptions): GatewayServers {
@@ -248,7 +248,7 @@
   return createGatewayServers({
     settings,
     isReady: () => isReady(parts),
-    listAddresses: () => listAddresses(parts),
+    listAddresses: (callerZone) => listAddresses(parts, callerZone),
     addressLifetimeMs: Math.min(ADDRESS_LIFETIME_MS, settings.maxAddressLifetimeMs),
     metricsPort: options.metricsPort ?? METRICS_PORT,
     handleFault: (message) => log.warn(message),
--- /dev/null
+++ b/src/process/gateway/select-addresses.ts
@@ -0,0 +1,38 @@
+/**
+ * Selects the entries that a caller is told to use. Callers choose among them at random, so that each one named gets an
+ * equal share of the caller's requests.
+ */
+import type { ZoneId } from '../../types.ts'
+import type { MemberView } from '../gossip/gossip-membership.ts'
+import { shuffle } from '../gossip/probe-order.ts'
+
+/** Input of `selectAddresses`. */
+export interface AddressSelectionOptions {
+  /** The entries that serve callers. */
+  entries: readonly MemberView[]
+  /** Zone of the caller; undefined when it is not known. */
+  callerZone: ZoneId | undefined
+  random: () => number
+}
+
+/** If more than this share of the entries is overloaded, the whole fleet is loaded and no entry is left out. */
+const MAX_BUSY_SHARE = 1 / 3
+/** An address response names at most this number of entries. */
+const MAX_ADDRESSES = 64
+
+/** Returns the entries without the overloaded ones, or all entries if too many are. */
+function dropBusy (entries: readonly MemberView[]): MemberView[] {
+  const notBusy = entries.filter(({ status }) => !status.isBusy)
+  return entries.length - notBusy.length <= entries.length * MAX_BUSY_SHARE ? notBusy : [...entries]
+}
+
+/**
+ * Selects all entries, so that the load of callers spreads evenly over them; of a fleet that is too large, those of the
+ * caller's zone come first, then random others. Entries that are overloaded are left out unless most are.
+ */
+export function selectAddresses ({ entries, callerZone, random }: AddressSelectionOptions): MemberView[] {
+  const usable = shuffle(dropBusy(entries), random)
+  const sameZone = usable.filter(({ zone }) => zone === callerZone)
+  const others = usable.filter(({ zone }) => zone !== callerZone)
+  return [...sameZone, ...others].slice(0, MAX_ADDRESSES)
+}
--- a/src/process/membership/address-order.ts
+++ b/src/process/membership/address-order.ts
@@ -40,15 +40,6 @@
   return entry.state === 'live' && (entry.isSelf || entry.contractOffset >= 0)
 }
 
-/** If more than this share of the entries is busy, the whole fleet is loaded and no entry is left out. */
-const MAX_BUSY_SHARE = 1 / 3
-
-/** Returns the entries without the busy ones, or all entries if too many are busy. */
-export function dropBusy<T extends Pick<PeerView, 'isBusy'>> (entries: readonly T[]): T[] {
-  const notBusy = entries.filter(({ isBusy }) => !isBusy)
-  return entries.length - notBusy.length <= entries.length * MAX_BUSY_SHARE ? notBusy : [...entries]
-}
-
 /** Lists the entries to offer: the serving ones; if there are none the live ones; if there are none the suspected ones. */
 function listUsable (entries: readonly PeerView[]): PeerView[] {
   const serving = entries.filter(canServe)
--- a/src/process/membership/member-state.ts
+++ b/src/process/membership/member-state.ts
@@ -42,7 +42,6 @@
   hasContact: boolean
   lastContactAtMs: number
   isLeaving: boolean
-  isBusy: boolean
   contractOffset: Offset
   /** Incarnations of this entry that other peers report to be in contact with, by reporting peer. */
   peerReports: Map<EntryId, Incarnation>
@@ -82,7 +81,6 @@
     hasContact: false,
     lastContactAtMs: nowMs,
     isLeaving: false,
-    isBusy: false,
     contractOffset: NO_OFFSET,
     peerReports: new Map()
   }
--- a/src/process/membership/member-table.ts
+++ b/src/process/membership/member-table.ts
@@ -32,8 +32,6 @@
   dropPeerFacts(reporter: EntryId): void
   /** Raises the known contract offset of an incarnation; a lower offset is ignored. */
   applyOffset(id: EntryId, incarnation: Incarnation, offset: Offset): void
-  /** Sets whether an incarnation reports that it is overloaded. */
-  applyBusy(id: EntryId, incarnation: Incarnation, isBusy: boolean): void
   /** Lists the facts to send to peers: this entry, and every entry that it has had direct contact with. */
   listFacts(): MemberFact[]
   listPeers(): PeerView[]
@@ -79,7 +77,6 @@
     member.incarnation = peer.incarnation
     member.isLeaving = state.leavingMarks.hasMark(peer.id, peer.incarnation)
     member.contractOffset = NO_OFFSET
-    member.isBusy = false
   }
   setLocation(member, peer)
   member.hasContact = true
@@ -116,9 +113,9 @@
 }
 
 function toView (state: TableState, member: Member): PeerView {
-  const { id, incarnation, zone, address, port, peerPort, contractOffset, isBusy } = member
+  const { id, incarnation, zone, address, port, peerPort, contractOffset } = member
   const isSelf = member === state.own
-  return { id, incarnation, zone, address, port, peerPort, contractOffset, isBusy, state: computeMemberState(state, member), isSelf }
+  return { id, incarnation, zone, address, port, peerPort, contractOffset, state: computeMemberState(state, member), isSelf }
 }
 
 function listLiveIds (state: TableState): EntryId[] {
@@ -157,10 +154,6 @@
       if (!member || member.incarnation !== incarnation || offset <= member.contractOffset) return
       member.contractOffset = offset
     },
-    applyBusy (id, incarnation, isBusy) {
-      const member = state.members.get(id)
-      if (member?.incarnation === incarnation) member.isBusy = isBusy
-    },
     listFacts: () => [...state.members.values()].flatMap(toFact),
     listPeers: () => [...state.members.values()].map((member) => toView(state, member)),
     listLive: () => listLiveIds(state),
--- a/src/process/membership/mesh-links.ts
+++ b/src/process/membership/mesh-links.ts
@@ -46,7 +46,6 @@
     case 'contract-records':
     case 'contract-pull':
     case 'target-leaving':
-    case 'topic-stretch':
       return parts.messages.runAll(from, frame)
   }
 }
@@ -54,7 +53,6 @@
 function applyBeat (parts: MeshParts, link: PeerLink, beat: BeatFrame): void {
   const { id, incarnation } = link.peer
   if (beat.offset !== undefined) parts.table.applyOffset(id, incarnation, beat.offset)
-  parts.table.applyBusy(id, incarnation, beat.busy === true)
   if (!beat.leaving) return
   parts.table.applyLeaving(id, incarnation)
   flushChanges(parts)
@@ -117,7 +115,7 @@
         options.logger?.warn(`membership: malformed frame from ${link.peer.id}: ${error.message}`)
       }
     }
-    const describeSelf = () => ({ offset: parts.contractOffset, isLeaving: parts.isLeaving, isBusy: parts.isBusy })
+    const describeSelf = () => ({ offset: parts.contractOffset, isLeaving: parts.isLeaving })
     startTask(parts, 'a link', async () => {
       const error = await servePeerLink(socket, { ...options, getTiming, role, events, describeSelf })
       resolve(false)
--- a/src/process/membership/mesh-parts.ts
+++ b/src/process/membership/mesh-parts.ts
@@ -37,7 +37,6 @@
   handler: ((request: ForwardedRequest) => Promise<ForwardedResponse>) | undefined
   contractOffset: Offset
   isLeaving: boolean
-  isBusy: boolean
   /** Whether a delayed `flushChanges` is scheduled. */
   isFlushPending: boolean
   /** Ids of the live entries as last announced to listeners, joined by spaces. */
--- a/src/process/membership/peer-mesh.ts
+++ b/src/process/membership/peer-mesh.ts
@@ -5,7 +5,6 @@
 import type { AppError } from '../../errors.ts'
 import type { Cancel, EntryId, ExecutionStatus, Incarnation, Offset, ServiceId, CustomerId, TargetId, ZoneId } from '../../types.ts'
 import type { ContractRecord } from '../contracts/contract-state.ts'
-import type { SharedRecordRange } from '../discovery/topic-follower.ts'
 
 /** A non-idempotent request, forwarded to the entry that ranks first for its idempotency key. */
 export interface ForwardedRequest {
@@ -37,8 +36,6 @@
   | { type: 'contract-pull', from: Offset }
   /** Reports that a target is leaving. */
   | { type: 'target-leaving', customer: CustomerId, service: ServiceId, target: TargetId }
-  /** Records that the sender has read from a topic of the platform's store. */
-  | { type: 'topic-stretch', stretch: SharedRecordRange }
   | { type: 'forward-request', call: number, request: ForwardedRequest }
   | { type: 'forward-answer', call: number, answer: ForwardedResponse }
 
@@ -57,8 +54,6 @@
   peerPort: number
   /** The highest contract offset that the entry reported as folded; negative before the first report. */
   contractOffset: Offset
-  /** Whether the entry reports that it is overloaded. */
-  isBusy: boolean
   isSelf: boolean
 }
 
@@ -81,8 +76,6 @@
   handleForwards(action: (request: ForwardedRequest) => Promise<ForwardedResponse>): void
   /** Sets the contract offset that every heartbeat reports. A lower offset than the present one is ignored. */
   setContractOffset(offset: Offset): void
-  /** Sets whether heartbeats report this entry as overloaded. */
-  setBusy(isBusy: boolean): void
   /** Announces to all peers that this entry is leaving, which is final. */
   markLeaving(): void
   close(): Promise<void>
--- a/src/process/membership/tcp-peer-mesh.ts
+++ b/src/process/membership/tcp-peer-mesh.ts
@@ -148,7 +148,6 @@
     handler: undefined,
     contractOffset: NO_OFFSET,
     isLeaving: false,
-    isBusy: false,
     isFlushPending: false,
     announcedLive: self.id as string,
     announcedFacts: new Map()
@@ -194,10 +193,6 @@
     setContractOffset (offset) {
       if (offset > parts.contractOffset) parts.contractOffset = offset
     },
-    setBusy (isBusy) {
-      parts.isBusy = isBusy
-      table.applyBusy(options.self.id, options.self.incarnation, isBusy)
-    },
     markLeaving () {
       parts.isLeaving = true
       table.applyLeaving(options.self.id, options.self.incarnation)
--- a/test/address-order.test.ts
+++ b/test/address-order.test.ts
@@ -12,7 +12,7 @@
 
 function createEntries (states: Record<number, PeerState> = {}): PeerView[] {
   return Array.from({ length: ENTRIES }, (_, index) => ({
-    ...createIdentity(index), state: states[index] ?? 'live', contractOffset: toBrand<Offset>(1), isBusy: false, isSelf: index === 0
+    ...createIdentity(index), state: states[index] ?? 'live', contractOffset: toBrand<Offset>(1), isSelf: index === 0
   }))
 }
 
--- a/test/busy-entries.test.ts
+++ b/test/busy-entries.test.ts
@@ -2,8 +2,11 @@
 import { createTestClock } from '../src/clock.ts'
 import type { Clock } from '../src/clock.ts'
 import { startLatenessWatch } from '../src/process/lateness-watch.ts'
-import { dropBusy } from '../src/process/membership/address-order.ts'
-import type { PeerView } from '../src/process/membership/peer-mesh.ts'
+import { selectAddresses } from '../src/process/gateway/select-addresses.ts'
+import type { MemberView } from '../src/process/gossip/gossip-membership.ts'
+import { toBrand } from '../src/types.ts'
+import type { EntryId, ZoneId } from '../src/types.ts'
+import { createRandom } from '../replay/random.ts'
 
 /** Creates a clock whose timers run late by what `getLateMs` returns, in ms. */
 function createLateClock (getLateMs: () => number) {
@@ -42,13 +45,38 @@
   expect(changes).toEqual([])
 })
 
-function createEntries (busy: readonly boolean[]): PeerView[] {
-  return busy.map((isBusy, index) => ({ id: `e${index}`, isBusy }) as unknown as PeerView)
+function createEntries (zones: readonly string[], busy: readonly number[] = []): MemberView[] {
+  return zones.map((zone, index) => ({
+    id: toBrand<EntryId>(`e${index}`),
+    zone: toBrand<ZoneId>(zone),
+    address: '10.0.0.1',
+    port: index,
+    state: 'live',
+    isSelf: false,
+    status: { isReady: true, isLeaving: false, isBusy: busy.includes(index), canReadStore: true }
+  }))
+}
+
+function listSelected (entries: readonly MemberView[], callerZone?: string): string[] {
+  return selectAddresses({ entries, callerZone: callerZone === undefined ? undefined : toBrand<ZoneId>(callerZone), random: createRandom(1) }).map(({ id }) => id)
 }
 
 test('busy entries are left out of address responses while most entries are not busy', () => {
-  expect(dropBusy(createEntries([false, true, false, false])).map(({ id }) => id)).toEqual(['e0', 'e2', 'e3'])
-  expect(dropBusy(createEntries([true, true, false, false]))).toHaveLength(4)
-  expect(dropBusy(createEntries([true]))).toHaveLength(1)
-  expect(dropBusy([])).toEqual([])
+  const zones = ['a', 'a', 'b', 'b']
+  expect(listSelected(createEntries(zones, [1])).sort()).toEqual(['e0', 'e2', 'e3'])
+  expect(listSelected(createEntries(zones, [0, 1]))).toHaveLength(4)
+  expect(listSelected(createEntries(['a'], [0]))).toEqual(['e0'])
+  expect(listSelected([])).toEqual([])
+})
+
+test('a fleet of up to 64 entries is named whole, so that callers of all zones spread over it evenly', () => {
+  expect(listSelected(createEntries(new Array<string>(64).fill('a')), 'b')).toHaveLength(64)
+})
+
+test('of a larger fleet the entries of the caller\'s zone are named first, and 64 in all', () => {
+  const zones = Array.from({ length: 123 }, (_, index) => `zone-${index % 6}`)
+  const selected = listSelected(createEntries(zones), 'zone-2')
+  expect(selected).toHaveLength(64)
+  expect(new Set(selected).size).toBe(64)
+  expect(selected.slice(0, 20).every((id) => Number(id.slice(1)) % 6 === 2)).toBe(true)
 })
--- a/test/member-table.test.ts
+++ b/test/member-table.test.ts
@@ -199,7 +199,7 @@
       if (known) known.offset = offset
     },
     listPeers: () => [...peers].map(([id, { incarnation, isLeaving, offset }]) => ({
-      ...createIdentity(1), id, incarnation, contractOffset: offset, isBusy: false, isSelf: false, state: isLeaving ? 'leaving' : 'live'
+      ...createIdentity(1), id, incarnation, contractOffset: offset, isSelf: false, state: isLeaving ? 'leaving' : 'live'
     }))
   }
 }
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -130,6 +130,31 @@
   expect(followers.map(({ known }) => known.get('large')?.length)).toEqual([LARGE_BYTES, LARGE_BYTES, LARGE_BYTES])
 })
 
+test('many records at once are shared in parts that each entry applies in order, without reading', async () => {
+  const { clock, followers, write } = setup(3)
+  await clock.advance(2_000)
+  const before = countOthersReads(followers)
+  for (let index = 0; index < 150; index++) write(`k${index}`, `${index} ${'x'.repeat(300)}`)
+  await clock.advance(PAUSE_MS + READ_MS)
+  expect(followers.map(({ known }) => [known.size, known.get('k149')?.slice(0, 3)])).toEqual(followers.map(() => [150, '149']))
+  expect(countOthersReads(followers) - before).toBe(0)
+})
+
+test('an entry that missed one of the parts reads the rest by itself', async () => {
+  const { clock, followers, write } = setup(2)
+  await clock.advance(2_000)
+  const late = followers[1]!
+  const { applyShared } = late.follower
+  let partCount = 0
+  late.follower.applyShared = (range) => {
+    if (range.records.length > 0) partCount += 1
+    if (partCount !== 2) applyShared(range)
+  }
+  for (let index = 0; index < 150; index++) write(`k${index}`, `${index} ${'x'.repeat(300)}`)
+  await clock.advance(PAUSE_MS + 3 * READ_MS)
+  expect(late.known.size).toBe(150)
+})
+
 test('a compacted topic is read in full, and shared reading continues', async () => {
   const { clock, state, followers, write, log } = setup(3)
   await clock.advance(2_000)
