--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -11,18 +11,8 @@
 import type { KeyedRecord } from '../../platform/store-frames.ts'
 import type { KeyedPage, StoreClient } from '../../platform/store-client.ts'
 import type { PartLogger } from '../logger.ts'
-
-/** A range of records that one entry has read, for the entries that have read the topic up to `from`. */
-export interface SharedRecordRange {
-  topic: string
-  from: number
-  /** Offset at which the next read continues. */
-  next: number
-  /** Whether the store was unavailable shortly before. */
-  isAfterOutage: boolean
-  /** The records that change something. A range that is too large to share has no records, and its `from` equals `next`. */
-  records: KeyedRecord[]
-}
+import { toSharedRanges } from './shared-range.ts'
+import type { SharedRecordRange } from './shared-range.ts'
 
 /** How far a topic has been read. */
 export interface TopicProgress {
@@ -95,11 +85,6 @@
   close(): void
 }
 
-/** Bytes of values in one shared range. */
-const MAX_SHARED_BYTES = 8_192
-/** A larger record, or more bytes at once, is read by each entry itself, so that the link of the reader stays free. */
-const MAX_SHARED_RECORD_BYTES = 24_576
-const MAX_SHARED_TOTAL_BYTES = 65_536
 /** Failures shorter than this do not count as an outage, because records of live targets do not expire within it, in ms. */
 const MIN_OUTAGE_MS = 500
 /** An entry that is behind another one waits this long for the records that may be on their way to it, in ms. */
@@ -112,40 +97,6 @@
 const READS_PER_LONG_TIMEOUT = 4
 const LONG_TIMEOUT_MS = 2_000
 
-/** Splits the records of a range into parts of at most `MAX_SHARED_BYTES`; a larger record is a part of its own. */
-function splitRecords (records: readonly KeyedRecord[]): KeyedRecord[][] {
-  const parts: KeyedRecord[][] = []
-  let partBytes = Infinity
-  for (const record of records) {
-    const sizeBytes = record.value?.byteLength ?? 0
-    if (partBytes + sizeBytes > MAX_SHARED_BYTES) {
-      parts.push([])
-      partBytes = 0
-    }
-    parts.at(-1)!.push(record)
-    partBytes += sizeBytes
-  }
-  return parts
-}
-
-/**
- * Converts a range to consecutive ranges that are small enough to send. Of one that is too large only its end is left, so
- * that entries which have not read that far read by themselves.
- */
-function toSharedRanges (range: SharedRecordRange): SharedRecordRange[] {
-  const sizes = range.records.map(({ value }) => value?.byteLength ?? 0)
-  const totalBytes = sizes.reduce((sum, size) => sum + size, 0)
-  if (totalBytes > MAX_SHARED_TOTAL_BYTES || Math.max(0, ...sizes) > MAX_SHARED_RECORD_BYTES) return [{ ...range, from: range.next, records: [] }]
-  const parts = splitRecords(range.records)
-  if (parts.length <= 1) return [range]
-  return parts.map((records, index) => ({
-    ...range,
-    from: index === 0 ? range.from : records[0]!.offset,
-    next: parts[index + 1]?.[0]?.offset ?? range.next,
-    records
-  }))
-}
-
 /** Creates a follower. It does nothing before `start`. */
 export function createTopicFollower (options: TopicFollowerOptions): TopicFollower {
   const { topic, store, clock, random, logger, sharing, postOutageWindowMs = 0 } = options
--- a/src/process/gateway/gateway-messages.ts
+++ b/src/process/gateway/gateway-messages.ts
@@ -8,7 +8,8 @@
 import type { AppError } from '../../errors.ts'
 import { toBrand } from '../../types.ts'
 import type { TargetId } from '../../types.ts'
-import type { SharedRecordRange, TopicProgress } from '../discovery/topic-follower.ts'
+import type { SharedRecordRange } from '../discovery/shared-range.ts'
+import type { TopicProgress } from '../discovery/topic-follower.ts'
 
 /** A message to all gateways. */
 export type GatewayMessage =
--- /dev/null
+++ b/src/process/gateway/gateway-parts.ts
@@ -0,0 +1,227 @@
+/**
+ * The parts of a gateway and how they are connected: the store, the other entries, the target selection and the listeners.
+ */
+import { randomBytes } from 'node:crypto'
+import type { Clock } from '../../clock.ts'
+import type { BootSettings } from '../../platform/boot-file.ts'
+import { createStoreClient } from '../../platform/store-client.ts'
+import type { StoreClient } from '../../platform/store-client.ts'
+import { toBrand } from '../../types.ts'
+import type { Incarnation, ZoneId } from '../../types.ts'
+import type { SharedReading } from '../discovery/topic-follower.ts'
+import type { MemberRecord } from '../gossip/member-record.ts'
+import type { Logger, PartLogger } from '../logger.ts'
+import { createDeferredMetrics } from './deferred-metrics.ts'
+import type { DeferredMetrics } from './deferred-metrics.ts'
+import { createEntryContacts } from './entry-contacts.ts'
+import type { EntryContacts } from './entry-contacts.ts'
+import { createGatewayFollowers } from './gateway-followers.ts'
+import type { GatewayFollowers } from './gateway-followers.ts'
+import { createGatewayMembership } from './gateway-membership.ts'
+import type { GatewayMembership } from './gateway-membership.ts'
+import type { GatewayMessage } from './gateway-messages.ts'
+import { createGatewayRequests } from './gateway-requests.ts'
+import type { GatewayRequests } from './gateway-requests.ts'
+import { createGatewayServers, METRICS_PORT } from './gateway-servers.ts'
+import type { GatewayServers } from './gateway-servers.ts'
+import { createGatewayState } from './gateway-state.ts'
+import type { GatewayState } from './gateway-state.ts'
+import { selectAddresses } from './select-addresses.ts'
+import { createSharedReads, selectReader } from './shared-reads.ts'
+
+/** Options of a gateway. */
+export interface GatewayOptions {
+  settings: BootSettings
+  clock: Clock
+  logger: Logger
+  random?: () => number
+  /** Returns how many log lines have been dropped, for the metrics. */
+  countDroppedLines?(): number
+  /** Port of the metrics; `METRICS_PORT` when left out. */
+  metricsPort?: number
+}
+
+/** How long callers may cache the entry addresses, in ms. */
+export const ADDRESS_LIFETIME_MS = 1_000
+/** The retry burst allowed over all entries is divided by the number of live entries, but at least by this. */
+const MIN_SHARING_ENTRIES = 10
+/** Share of the allowed load probes and retry burst that is used. */
+const USED_SHARE = 0.8
+/** Share of the allowed retry ratio that is used: a request and its retries may be counted in different windows. */
+const USED_RETRY_SHARE = 0.9
+const MAX_CONNECTIONS_PER_TARGET = 24
+/** At the first start of all entries no caller waits: they find each other within this time, and then one reads for all, in ms. */
+const FIRST_JOIN_MS = 1_500
+
+/** What a gateway consists of. */
+export interface GatewayParts {
+  settings: BootSettings
+  clock: Clock
+  random: () => number
+  logger: Logger
+  log: PartLogger
+  incarnation: Incarnation
+  store: StoreClient
+  contacts: EntryContacts
+  membership: GatewayMembership
+  state: GatewayState
+  requests: GatewayRequests
+  metrics: DeferredMetrics
+  followers: GatewayFollowers
+  servers: GatewayServers
+  startedAtMs: number
+  isStopping: boolean
+  /** Whether this process is overloaded, by the lateness of its event loop. */
+  isBusy: boolean
+  /** Latest end of the process, by the monotonic clock in ms; undefined until a shutdown starts. */
+  endAtMs: number | undefined
+}
+
+function createSelf (settings: BootSettings, run: number): MemberRecord {
+  return {
+    id: settings.entry,
+    zone: settings.zone,
+    address: settings.address,
+    port: settings.listen.front.port,
+    peerPort: settings.internalPorts[0],
+    run,
+    version: 0,
+    status: { isReady: false, isLeaving: false, isBusy: false, canReadStore: true }
+  }
+}
+
+/** Computes the retry burst of one entry for a service: at least 1. */
+function computeMaxRetryTokens ({ retryBudget }: BootSettings, entryCount: number): number {
+  return Math.max(1, Math.floor(retryBudget.slack * USED_SHARE / Math.max(MIN_SHARING_ENTRIES, entryCount)))
+}
+
+function createState (parts: GatewayParts): GatewayState {
+  const { clock, random, log, settings } = parts
+  return createGatewayState({
+    zone: settings.zone,
+    clock,
+    random,
+    logger: log,
+    retryBudget: { share: settings.retryBudget.share * USED_RETRY_SHARE, maxTokens: computeMaxRetryTokens(settings, 1) },
+    getLoadProbesPerSecond: () => parts.settings.maxLoadProbesPerSecond * USED_SHARE / parts.membership.countMembers(),
+    maxConnections: MAX_CONNECTIONS_PER_TARGET,
+    handleConfiguration ({ limits }) {
+      parts.servers.setIdleTimeout(limits.idleTimeoutMs)
+      publishStatus(parts)
+    },
+    handleTargetsRead: () => publishStatus(parts),
+    handleLeaving: (_, target) => parts.membership.broadcast({ type: 'target-leaving', target })
+  })
+}
+
+/** Whether the other entries are known by now. */
+function hasJoined ({ clock, settings, startedAtMs }: GatewayParts): boolean {
+  return !settings.isFirstStart || clock.monotonicMs() - startedAtMs >= FIRST_JOIN_MS
+}
+
+function createSharing (parts: GatewayParts): Omit<SharedReading, 'silentAfterMs'> {
+  const { settings, membership } = parts
+  return createSharedReads({
+    self: settings.entry,
+    listEntries: () => membership.listMembers(),
+    hasJoined: () => hasJoined(parts),
+    publish: (range) => membership.broadcast({ type: 'topic-range', range })
+  })
+}
+
+/** Applies a message of another entry. */
+function applyMessage (parts: GatewayParts, message: GatewayMessage): void {
+  switch (message.type) {
+    case 'target-leaving': return parts.state.markLeaving(message.target)
+    case 'topic-range': return parts.followers.find(message.range.topic)?.applyShared(message.range)
+  }
+}
+
+function createMembership (parts: GatewayParts, run: number): GatewayMembership {
+  const { settings, clock, random, logger } = parts
+  return createGatewayMembership({
+    self: createSelf(settings, run),
+    peerKey: `medlarcove ${settings.store.address}:${settings.store.port}`,
+    clock,
+    random,
+    logger: logger.forPart('peers'),
+    getProgress: () => parts.followers.getProgress(),
+    handleProgress: (progress) => parts.followers.applyProgress(progress),
+    handleMessage: (message) => applyMessage(parts, message),
+    handleChange: () => parts.state?.updateMaxRetryTokens(computeMaxRetryTokens(settings, parts.membership.countMembers()))
+  })
+}
+
+function isReady ({ isStopping, state }: GatewayParts): boolean {
+  return !isStopping && state.getInEffect() !== undefined && state.hasReadTargets()
+}
+
+/** Announces the status of this entry if it has changed. */
+export function publishStatus (parts: GatewayParts): void {
+  const { membership, followers, isBusy, isStopping } = parts
+  membership.setStatus({ isReady: isReady(parts), isLeaving: isStopping, isBusy, canReadStore: !followers.hasLostStore() })
+}
+
+/** Lists the addresses of the entries that a caller may use, as `address:port`. */
+function listAddresses (parts: GatewayParts, callerZone: ZoneId | undefined): string[] {
+  const entries = parts.membership.listMembers().filter(({ isSelf, state, status }) => isSelf ? isReady(parts) : state === 'live' && status.isReady)
+  return selectAddresses({ entries, callerZone, random: parts.random }).map(({ address, port }) => `${address}:${port}`)
+}
+
+function createServers (parts: GatewayParts, options: GatewayOptions): GatewayServers {
+  const { settings, log, requests, state, metrics } = parts
+  return createGatewayServers({
+    settings,
+    isReady: () => isReady(parts),
+    listAddresses: (callerZone) => listAddresses(parts, callerZone),
+    addressLifetimeMs: Math.min(ADDRESS_LIFETIME_MS, settings.maxAddressLifetimeMs),
+    metricsPort: options.metricsPort ?? METRICS_PORT,
+    handleFault: (message) => log.warn(message),
+    handleRequest: (incoming, outgoing) => { requests.handleRequest(incoming, outgoing).catch(() => outgoing.destroy()) },
+    renderMetrics: () => metrics.renderText({
+      services: state.listMetrics(),
+      store: parts.store.report(),
+      version: state.getInEffect()?.configuration.version ?? 0,
+      isReady: isReady(parts),
+      liveEntries: parts.membership.listMembers().filter((member) => member.state === 'live').length,
+      droppedLogLines: options.countDroppedLines?.() ?? 0,
+      inProgress: requests.countInProgress()
+    })
+  })
+}
+
+function createContacts (parts: GatewayParts, run: number): EntryContacts {
+  const { settings, store, clock, random, logger, membership } = parts
+  return createEntryContacts({
+    self: createSelf(settings, run),
+    store,
+    clock,
+    random,
+    logger: logger.forPart('directory'),
+    isFirstStart: settings.isFirstStart,
+    hasPeers: () => membership.countMembers() > 1,
+    isReader: () => hasJoined(parts) && selectReader(membership.listMembers()) === settings.entry,
+    handleContacts: (contacts) => membership.addContacts(contacts)
+  })
+}
+
+/** Creates the parts; each uses the others only after all have been created. */
+export function createParts (options: GatewayOptions): GatewayParts {
+  const { settings, clock, logger, random = Math.random } = options
+  const run = clock.wallMs()
+  const incarnation = toBrand<Incarnation>(`${run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
+  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, endAtMs: undefined }
+  const parts = { ...base, store: createStoreClient({ store: settings.store, clock }) } as GatewayParts
+  parts.membership = createMembership(parts, run)
+  parts.state = createState(parts)
+  parts.followers = createGatewayFollowers({ ...parts, logger: logger.forPart('store'), sharing: createSharing(parts) })
+  parts.contacts = createContacts(parts, run)
+  parts.metrics = createDeferredMetrics({
+    load: async () => (await import('./gateway-metrics.ts')).createGatewayMetrics(),
+    clock,
+    logger: logger.forPart('metrics')
+  })
+  parts.requests = createGatewayRequests({ state: parts.state, clock, logger: logger.forPart('request'), metrics: parts.metrics, getEndAtMs: () => parts.endAtMs })
+  parts.servers = createServers(parts, options)
+  return parts
+}
--- a/src/process/gossip/gossip-membership.ts
+++ b/src/process/gossip/gossip-membership.ts
@@ -20,6 +20,7 @@
 import { shuffle } from './probe-order.ts'
 import { createUpdateQueue } from './update-queue.ts'
 import type { UpdateQueue } from './update-queue.ts'
+import { createViewSync } from './view-sync.ts'
 
 /** State of a member: it works, it may have failed, it is shutting down, or it has failed or ended. */
 export type MemberState = 'live' | 'suspect' | 'leaving' | 'gone'
@@ -88,10 +89,6 @@
 const MAX_GREETED_CONTACTS = 256
 /** Updates in one view; the rest of a larger fleet follows with later comparisons. */
 const MAX_VIEW_UPDATES = 120
-/** Time between two requests for a view that are made because another view differs, in ms. */
-const MIN_REPAIR_INTERVAL_MS = 1_000
-/** The first comparisons of views follow each other faster: their interval doubles from this share of the usual one. */
-const FIRST_SYNC_SHARE = 1 / 16
 const JITTER_SHARE = 0.1
 
 function computeState ({ record, liveness }: MemberUpdate): MemberState {
@@ -118,29 +115,6 @@
   }
 }
 
-/** Decides when to request the view of another member. */
-function createViewSync (timing: GossipTiming, clock: Clock) {
-  let intervalMs = timing.syncIntervalMs * FIRST_SYNC_SHARE
-  let nextAtMs = clock.monotonicMs()
-  let lastAtMs = -Infinity
-  return {
-    /**
-     * Returns whether a view is to be requested now. `isDifferent`: a view that differs from the own one has been seen, and no
-     * update is on its way that explains it.
-     */
-    isDue (isDifferent: boolean): boolean {
-      const nowMs = clock.monotonicMs()
-      const isRepair = isDifferent && nowMs - lastAtMs >= MIN_REPAIR_INTERVAL_MS
-      if (nowMs < nextAtMs && !isRepair) return false
-      lastAtMs = nowMs
-      if (nowMs < nextAtMs) return true
-      nextAtMs = nowMs + intervalMs
-      intervalMs = Math.min(timing.syncIntervalMs, intervalMs * 2)
-      return true
-    }
-  }
-}
-
 /** Creates a member; it neither sends nor waits before `start`. */
 export function createGossipMembership (options: GossipMembershipOptions): GossipMembership {
   const { self, clock, random, send } = options
