--- a/src/process/gossip/failure-detector.ts
+++ b/src/process/gossip/failure-detector.ts
@@ -106,13 +106,10 @@
       if (isCounted) suspect(target)
     }
   }
-  /** `pausedMs` is the time for which this process was paused; it does not count against the others. */
-  const settleSuspicions = (nowMs: number, pausedMs: number): void => {
+  const settleSuspicions = (nowMs: number): void => {
     const suspicionMs = SUSPICION_INTERVALS_PER_DOUBLING * Math.log2(members.countMembers() + 1) * probeIntervalMs
     for (const known of members.listOthers()) {
-      if (known.update.liveness !== 'suspect') continue
-      known.changedAtMs += pausedMs
-      if (nowMs - known.changedAtMs < suspicionMs) continue
+      if (known.update.liveness !== 'suspect' || nowMs - known.changedAtMs < suspicionMs) continue
       const { id } = known.update.record
       members.setLiveness(id, 'dead')
       logger.info('A member is gone.', { member: id, because: 'it did not contradict the suspicion in time', suspectedMs: Math.round(suspicionMs) })
@@ -134,7 +131,8 @@
       const wasPaused = lateMs > MAX_LATE_INTERVALS * probeIntervalMs
       lastSettledAtMs = nowMs
       settleProbes(!wasPaused && !isIsolated(nowMs))
-      settleSuspicions(nowMs, wasPaused ? lateMs : 0)
+      if (wasPaused) members.postponeSuspicions(lateMs)
+      settleSuspicions(nowMs)
     },
     recordMessage () {
       lastMessageAtMs = clock.monotonicMs()
--- a/src/process/gossip/member-list.ts
+++ b/src/process/gossip/member-list.ts
@@ -29,6 +29,8 @@
   get(id: EntryId): KnownMember | undefined
   /** Changes the liveness of another member by what this member observed. Returns whether it changed. */
   setLiveness(id: EntryId, liveness: Liveness): boolean
+  /** Moves the beginning of all suspicions forward, since this process was paused and could hear no contradiction. */
+  postponeSuspicions(byMs: number): void
   /** Lists the updates of all members, this one and the dead ones included. */
   listUpdates(): MemberUpdate[]
   /** Lists the other members that are not dead. */
@@ -123,6 +125,9 @@
       replace({ ...known.update, liveness })
       return true
     },
+    postponeSuspicions (byMs) {
+      for (const known of members.values()) if (known.update.liveness === 'suspect') known.changedAtMs += byMs
+    },
     listUpdates: () => [...members.values()].map(({ update }) => update),
     listOthers: () => [...members.values()].filter(({ update }) => update.record.id !== selfId && update.liveness !== 'dead'),
     listDead: () => [...members.values()].filter(({ update }) => update.liveness === 'dead'),
