Catch up at once after a cut: pause between failed reads ends when others have read further

The machine was cut off from 1 to 13 s. Its reads failed, and an entry that is not the reader pauses between failed reads for members / 3 times 150 ms, 3 to 9 s with 123, whatever it hears. Ruled out: membership (the entry was live again in its zone), the ranges (they came, with a gap that only an own read closes). Change: the long pause is for entries that hear others, and ends when one of them has read further.

--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -89,6 +89,8 @@
 const MIN_OUTAGE_MS = 500
 /** An entry that is behind another one waits this long for the records that may be on their way to it, in ms. */
 const BEHIND_GRACE_MS = 100
+/** An entry that has heard no other for this long does not rely on them to learn that the store has recovered, in ms. */
+const OTHERS_HEARD_MS = 2_000
 /** Time between two reads while the store is unavailable, in ms, before jitter. */
 const RETRY_MS = 150
 /** Timeout of most reads while the store is unavailable, in ms; short, so that the first read after its recovery starts soon. */
@@ -113,6 +115,8 @@
   let currentAtMs = -Infinity
   /** Offset up to which another entry has read. */
   let furthestNext = 0
+  /** Instant at which another entry was last heard. */
+  let lastHeardAtMs = -Infinity
   /** Instant from which this entry reads by itself because it is behind. */
   let catchUpAtMs = Infinity
   /** Aborts the wait for the reader. */
@@ -190,9 +194,14 @@
     const trustMs = currentAtMs + sharing.silentAfterMs - nowMs
     return Math.max(0, isBehind() ? Math.min(trustMs, catchUpAtMs - nowMs) : trustMs)
   }
-  const getRetryMs = (): number => {
-    const factor = !sharing || sharing.isReader() || next === undefined ? 1 : sharing.getRetryFactor()
-    return RETRY_MS * factor * (0.5 + random())
+  /** Whether other entries have been heard lately, so that this one will hear from them when the store recovers. */
+  const isHearingOthers = (): boolean => clock.monotonicMs() - lastHeardAtMs < OTHERS_HEARD_MS
+  /** Pauses after a failed read; ends early when this entry hears that it is behind. */
+  const pauseForRetry = async (): Promise<void> => {
+    const reliesOnOthers = sharing !== undefined && !sharing.isReader() && next !== undefined && isHearingOthers()
+    const jitter = 0.5 + random()
+    await pause(RETRY_MS * jitter)
+    if (reliesOnOthers && !isBehind()) await waitForReader(RETRY_MS * jitter * (sharing.getRetryFactor() - 1))
   }
   const waitForReader = async (durationMs: number): Promise<void> => {
     wake = new AbortController()
@@ -219,7 +228,7 @@
         if (options.pauseMs > 0) await pause(options.pauseMs)
         continue
       }
-      await pause(getRetryMs())
+      await pauseForRetry()
     }
   }
   return {
@@ -229,6 +238,7 @@
       run().catch((cause: unknown) => logger.error('Following a topic failed.', { topic, err: cause }))
     },
     applyShared (range) {
+      lastHeardAtMs = clock.monotonicMs()
       if (next === undefined || range.from > next) {
         recordFurthest(range.next, 0)
         return
@@ -245,6 +255,7 @@
       })
     },
     applyProgress (progress) {
+      lastHeardAtMs = clock.monotonicMs()
       if (next !== undefined && progress.next === next) currentAtMs = Math.max(currentAtMs, clock.monotonicMs() - progress.ageMs)
       else recordFurthest(progress.next, BEHIND_GRACE_MS)
     },
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -20,6 +20,7 @@
 const DRAIN_MS = 2_000
 const LARGE_BYTES = 100_000
 const RETRYING_ENTRIES = 3
+const PROBE_MS = 300
 
 interface Follower { follower: TopicFollower, known: Map<string, string>, reads: number, readMs: number, isStoreLost: boolean, isCut: boolean }
 
@@ -235,7 +236,11 @@
     await clock.advance(2_000)
     const before = followers.reduce((sum, { reads }) => sum + reads, 0)
     for (const follower of followers) follower.isStoreLost = true
-    await clock.advance(12_000)
+    for (let step = 1; step <= 12_000 / PROBE_MS; step++) {
+      await clock.advance(PROBE_MS)
+      // Each entry is probed by another one, whose progress rides on the probe.
+      for (const [index, { follower }] of followers.entries()) follower.applyProgress(followers[(index + step) % size]!.follower.getProgress()!)
+    }
     counts.push(followers.reduce((sum, { reads }) => sum + reads, 0) - before - size)
   }
   expect(counts[1]).toBeLessThan(1.5 * counts[0]!)
@@ -256,6 +261,39 @@
   expect(followers.some(({ follower }) => follower.isStoreUnavailable())).toBe(false)
 })
 
+// Load: 120 entries, of which one is cut off from the store and the others for 12 s, as when its machine is partitioned.
+test('an entry that was cut off from the store and the others has new records within the drain time after its return', async () => {
+  for (let offsetMs = 0; offsetMs < 2_000; offsetMs += 330) {
+    const { clock, followers, write } = setup(120)
+    await clock.advance(2_000)
+    const cut = followers[7]!
+    cut.isCut = true
+    cut.isStoreLost = true
+    write('a', 'missed')
+    await clock.advance(12_000 + offsetMs)
+    cut.isCut = false
+    cut.isStoreLost = false
+    write('b', 'written at its return')
+    await clock.advance(DRAIN_MS)
+    expect([...cut.known.keys()]).toEqual(['a', 'b'])
+  }
+})
+
+test('an entry that hears how far others have read tries again at once, though its last reads failed', async () => {
+  const { clock, followers, write } = setup(120)
+  await clock.advance(2_000)
+  for (const follower of followers) follower.isStoreLost = true
+  await clock.advance(6_000)
+  const late = followers[9]!
+  late.isCut = true
+  for (const follower of followers) follower.isStoreLost = false
+  write('a', 'news')
+  await clock.advance(1_000)
+  late.follower.applyProgress(followers[0]!.follower.getProgress()!)
+  await clock.advance(400)
+  expect(late.known.get('a')).toBe('news')
+})
+
 function createCandidate (id: string, changes: Partial<ReaderCandidate['status']> & { state?: ReaderCandidate['state'] } = {}): ReaderCandidate {
   const { state = 'live', ...status } = changes
   return { id: toBrand<EntryId>(id), state, status: { isReady: true, isLeaving: false, isBusy: false, canReadStore: true, ...status } }
