--- a/src/process/gateway/gateway-membership.ts
+++ b/src/process/gateway/gateway-membership.ts
@@ -21,8 +21,8 @@
   start(): Promise<Result<void, AppError>>
   /** Sends a message to all gateways. Some may miss it. */
   broadcast(message: GatewayMessage): void
-  /** Returns the totals of the socket; undefined before the start. */
-  report(): DatagramCounts | undefined
+  /** Returns the totals of the socket. */
+  report(): DatagramCounts
   close(): Promise<void>
 }
 
@@ -42,6 +42,8 @@
   handleChange(): void
 }
 
+const NO_DATAGRAMS: DatagramCounts = { sent: 0, sentBytes: 0, received: 0, receivedBytes: 0, refused: 0, failed: 0 }
+
 /** Creates the membership; it neither listens nor sends before `start`. */
 export function createGatewayMembership (options: GatewayMembershipOptions): GatewayMembership {
   const { self, peerKey, clock, logger } = options
@@ -76,7 +78,7 @@
       return ok(undefined)
     },
     broadcast: (message) => gossip.broadcast(message),
-    report: () => socket?.report(),
+    report: () => socket?.report() ?? NO_DATAGRAMS,
     async close () {
       gossip.close()
       await socket?.close()
--- a/src/process/gateway/gateway-metrics.ts
+++ b/src/process/gateway/gateway-metrics.ts
@@ -2,6 +2,7 @@
  * Metrics of a gateway in the Prometheus format: requests, attempts, load probes, targets and the store.
  */
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+import type { DatagramCounts } from '../../connection/datagram-socket.ts'
 import type { RequestRecord } from '../../request/gateway/request-record.ts'
 import type { ServiceMetrics } from './gateway-state.ts'
 
@@ -17,6 +18,8 @@
   version: number
   isReady: boolean
   liveEntries: number
+  /** Datagrams between entries since the start. */
+  datagrams: Pick<DatagramCounts, 'sent' | 'received' | 'refused' | 'failed'>
   droppedLogLines: number
   inProgress: number
 }
@@ -43,6 +46,7 @@
     version: new Gauge({ name: 'medlarcove_configuration_version', help: 'Version of the configuration in force.', registers }),
     ready: new Gauge({ name: 'medlarcove_ready', help: '1 while the entry is ready.', registers }),
     entries: new Gauge({ name: 'medlarcove_live_entries', help: 'Entries that are known to live.', registers }),
+    datagrams: new Gauge({ name: 'medlarcove_datagrams_total', help: 'Datagrams between entries; refused: wrong key or malformed, failed: not sent.', labelNames: ['kind'], registers }),
     dropped: new Gauge({ name: 'medlarcove_log_lines_dropped_total', help: 'Log lines dropped because the reader was slow.', registers }),
     inProgress: new Gauge({ name: 'medlarcove_requests_in_progress', help: 'Requests in progress.', registers })
   }
@@ -62,6 +66,7 @@
   metrics.version.set(values.version)
   metrics.ready.set(Number(values.isReady))
   metrics.entries.set(values.liveEntries)
+  for (const kind of ['sent', 'received', 'refused', 'failed'] as const) metrics.datagrams.set({ kind }, values.datagrams[kind])
   metrics.dropped.set(values.droppedLogLines)
   metrics.inProgress.set(values.inProgress)
 }
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -184,6 +184,7 @@
       version: state.getInEffect()?.configuration.version ?? 0,
       isReady: isReady(parts),
       liveEntries: parts.membership.listMembers().filter((member) => member.state === 'live').length,
+      datagrams: parts.membership.report(),
       droppedLogLines: options.countDroppedLines?.() ?? 0,
       inProgress: requests.countInProgress()
     })
