Log and count the rate limits that targets name

The logs could not tell whether an entry knows the limit of a target that gets too many requests. Load probes and responses are decoded into a typed limit; its beginning and end are logged, and the limited targets are counted in the metrics.

--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { LoadReport } from '../request/selection/load-report.ts'
+import type { NamedLimit } from '../request/selection/named-limit.ts'
 import { toBrand } from '../types.ts'
 import type { RequestId, TargetId, ZoneId } from '../types.ts'
 import { formatDuration } from './durations.ts'
@@ -19,10 +20,13 @@
 const NOT_EXECUTED_HEADER = 'medlarcove-not-executed'
 /** The load report of the target that sent the response. */
 const LOAD_HEADER = 'medlarcove-upstream-load'
+/** On a response: the requests per second that the target accepts from all entries together, as a decimal number. */
+const LIMIT_HEADER = 'server-limit'
 /** Set on responses of the target that handled the request; absent when a target rejects a misdirected request. */
 const SIGNATURE_HEADER = 'medlarcove-response-signature'
 
 const STATUS_MISDIRECTED = 421
+const DECIMAL_PATTERN = /^\d+(\.\d+)?$/
 const PERCENT = 100
 
 function getText (headers: IncomingHttpHeaders, name: string): string | undefined {
@@ -70,6 +74,13 @@
   return { running, waiting, slots, slowdown: workPercent > 0 ? workPercent / PERCENT : 1 }
 }
 
+/** Decodes the rate limit that a target names on a response. */
+export function decodeNamedLimit (headers: IncomingHttpHeaders): NamedLimit {
+  const text = getText(headers, LIMIT_HEADER)?.trim()
+  if (text === undefined) return { kind: 'unlimited' }
+  return DECIMAL_PATTERN.test(text) ? { kind: 'limited', perSecond: Number(text) } : { kind: 'malformed', text }
+}
+
 /** Returns the zone that a caller states when it asks which entries to use; undefined when it states none. */
 export function getCallerZone (query: string): ZoneId | undefined {
   const zone = new URLSearchParams(query).get('zone')
--- a/src/process/gateway/gateway-metrics.ts
+++ b/src/process/gateway/gateway-metrics.ts
@@ -17,6 +17,8 @@
   /** Version of the configuration in effect; 0 for none. */
   version: number
   isReady: boolean
+  /** Targets that name a rate limit. */
+  limitedTargets: number
   liveEntries: number
   /** Datagrams between entries since the start. */
   datagrams: Pick<DatagramCounts, 'sent' | 'received' | 'refused' | 'failed'>
@@ -45,6 +47,7 @@
     storeBytes: new Gauge({ name: 'medlarcove_store_received_bytes_total', help: 'Bytes read from the store.', registers }),
     version: new Gauge({ name: 'medlarcove_configuration_version', help: 'Version of the configuration in force.', registers }),
     ready: new Gauge({ name: 'medlarcove_ready', help: '1 while the entry is ready.', registers }),
+    limitedTargets: new Gauge({ name: 'medlarcove_limited_targets', help: 'Targets that name a rate limit, as far as this entry knows.', registers }),
     entries: new Gauge({ name: 'medlarcove_live_entries', help: 'Entries that are known to live.', registers }),
     datagrams: new Gauge({ name: 'medlarcove_datagrams_total', help: 'Datagrams between entries; refused: wrong key or malformed, failed: not sent.', labelNames: ['kind'], registers }),
     dropped: new Gauge({ name: 'medlarcove_log_lines_dropped_total', help: 'Log lines dropped because the reader was slow.', registers }),
@@ -65,6 +68,7 @@
   metrics.storeBytes.set(values.store.receivedBytes)
   metrics.version.set(values.version)
   metrics.ready.set(Number(values.isReady))
+  metrics.limitedTargets.set(values.limitedTargets)
   metrics.entries.set(values.liveEntries)
   for (const kind of ['sent', 'received', 'refused', 'failed'] as const) metrics.datagrams.set({ kind }, values.datagrams[kind])
   metrics.dropped.set(values.droppedLogLines)
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -183,6 +183,7 @@
       store: parts.store.report(),
       version: state.getInEffect()?.configuration.version ?? 0,
       isReady: isReady(parts),
+      limitedTargets: state.countLimited(),
       liveEntries: parts.membership.listMembers().filter((member) => member.state === 'live').length,
       datagrams: parts.membership.report(),
       droppedLogLines: options.countDroppedLines?.() ?? 0,
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -19,6 +19,7 @@
 import type { TargetChange, TargetReport } from '../discovery/target-registry.ts'
 import type { PartLogger } from '../logger.ts'
 import { createServiceSelector } from '../selection/service-selector.ts'
+import { createNamedLimits } from '../target-limits/named-limits.ts'
 import { createTargetStates } from '../selection/target-states.ts'
 import type { TargetState } from '../selection/target-states.ts'
 
@@ -65,6 +66,8 @@
   removeExpired(isStoreUnavailable: boolean): void
   /** Whether the targets topic has been read. */
   hasReadTargets(): boolean
+  /** Counts the targets that name a limit. */
+  countLimited(): number
   /** Returns the metric values of all services that have been used. */
   listMetrics(): ServiceMetrics[]
   /** Closes the connections to all targets. */
@@ -109,6 +112,8 @@
   const { zone, clock, random, logger } = options
   const registry = createTargetRegistry()
   const states = createTargetStates({ clock, maxConnections: options.maxConnections })
+  const limits = createNamedLimits({ logger, clock })
+  const recordLimit: GatewayService['recordLimit'] = (target, limit, sentAtMs) => { limits.record(target, limit, sentAtMs) }
   const services = new Map<ServiceId, GatewayService>()
   let inEffect: ConfigurationInEffect | undefined
   let hasReadTargets = false
@@ -126,6 +131,7 @@
       name,
       retryBudget: createRatioBudget({ share: options.retryBudget.share, maxTokens: maxRetryTokens }),
       handleLeaving: handleOwnLeaving,
+      recordLimit,
       selector: createServiceSelector({
         service: name,
         zone,
@@ -136,7 +142,8 @@
         logger,
         getLoadProbesPerSecond: options.getLoadProbesPerSecond,
         getHealthPath: () => inEffect?.configuration.services.get(name)?.healthPath,
-        handleLeaving: handleOwnLeaving
+        handleLeaving: handleOwnLeaving,
+        recordLimit
       })
     }
   }
@@ -188,6 +195,7 @@
       hasReadTargets = true
       options.handleTargetsRead()
       states.removeUnregistered((registered) => registry.get(registered.report.id) === registered)
+      limits.removeUnregistered((target) => registry.get(target) !== undefined)
       return changed
     },
     markLeaving (target) {
@@ -203,6 +211,7 @@
       for (const target of registry.removeExpired(nowMs)) logger.info('Removed a target.', { target, because: 'its registration expired and was not renewed' })
     },
     hasReadTargets: () => hasReadTargets,
+    countLimited: () => limits.countLimited(),
     listMetrics: () => [...services.values()].map(({ name, selector, retryBudget }) => ({
       service: name,
       waiting: selector.countWaiting(),
--- a/src/process/selection/load-prober.ts
+++ b/src/process/selection/load-prober.ts
@@ -8,7 +8,9 @@
 import { tryAcquireToken } from '../../request/balancing/token-bucket.ts'
 import { estimateTarget } from '../../request/selection/estimate-target.ts'
 import type { Estimate } from '../../request/selection/estimate-target.ts'
+import type { NamedLimit } from '../../request/selection/named-limit.ts'
 import type { LoadReport } from '../../request/selection/load-report.ts'
+import type { TargetId } from '../../types.ts'
 import type { PartLogger } from '../logger.ts'
 import type { TargetState } from './target-states.ts'
 
@@ -31,6 +33,8 @@
   getHealthPath(): string | undefined
   /** Called when a load probe shows that another target has taken over the address. */
   handleLeaving(state: TargetState, evidence: string): void
+  /** Called with what a load probe sent at `sentAtMs` says about the rate limit of the target. */
+  recordLimit(target: TargetId, limit: NamedLimit, sentAtMs: number): void
   /** Sends one load probe; tests replace it to need no network. */
   sendLoadProbe?: typeof sendLoadProbe
 }
@@ -149,10 +153,12 @@
     probeCount += 1
     state.probesInFlight += 1
     const sentBefore = state.sentCount
+    const sentAtMs = clock.monotonicMs()
     const { id, address, port } = state.registered.report
     const result = await sendProbe(connection, { target: id, host: `${address}:${port}`, path, timeoutMs: LOAD_PROBE_TIMEOUT_MS, clock })
     state.probesInFlight -= 1
     applyProbeResult(state, result, sentBefore)
+    if ('limit' in result) options.recordLimit(id, result.limit, sentAtMs)
     if (result.kind !== 'load' && result.kind !== 'healthy') return undefined
     const candidate = { state, estimate: estimate(state, workMs, sentBefore) }
     state.isReportUnsuitable = !candidate.estimate.isSuitable
--- /dev/null
+++ b/src/process/target-limits/named-limits.ts
@@ -0,0 +1,101 @@
+/**
+ * The rate limits that targets name on their responses, as far as this process knows them.
+ *
+ * Responses may arrive out of order, and other entries may report what they have received. A lower limit takes effect at
+ * once. A higher one, or none, takes effect only when it is certainly newer than the known one: when its request was sent
+ * after the known one had arrived.
+ */
+import type { Clock } from '../../clock.ts'
+import type { NamedLimit } from '../../request/selection/named-limit.ts'
+import type { TargetId } from '../../types.ts'
+import type { PartLogger } from '../logger.ts'
+
+/** What one response said about the limit of its target. Instants by the monotonic clock in ms. */
+export interface LimitObservation {
+  /** The limit in requests per second over all entries; undefined when the target names none. */
+  perSecond: number | undefined
+  /** When the request was sent. */
+  sentAtMs: number
+  /** When the response arrived. */
+  receivedAtMs: number
+}
+
+/** How an observation changed the view: a limit begins, changes or ends, or nothing changes. */
+export type LimitChange = 'begun' | 'changed' | 'ended' | 'none'
+
+/** The limits of all targets. */
+export interface NamedLimits {
+  /** Records what a response said whose request was sent at `sentAtMs`. A malformed limit changes nothing. */
+  record(target: TargetId, limit: NamedLimit, sentAtMs: number): LimitChange
+  /** Applies an observation. */
+  apply(target: TargetId, observation: LimitObservation): LimitChange
+  /** Returns the limit of a target in requests per second; undefined without one. */
+  getPerSecond(target: TargetId): number | undefined
+  /** Returns the observation in effect; undefined if the target has never named a limit. */
+  get(target: TargetId): LimitObservation | undefined
+  /** Counts the targets that have a limit. */
+  countLimited(): number
+  /** Forgets the targets that are no longer registered. */
+  removeUnregistered(isRegistered: (target: TargetId) => boolean): void
+}
+
+function toRate ({ perSecond }: LimitObservation): number {
+  return perSecond ?? Infinity
+}
+
+function isNewer (observation: LimitObservation, known: LimitObservation): boolean {
+  return observation.sentAtMs >= known.receivedAtMs
+}
+
+function describeChange (before: number | undefined, after: number | undefined): LimitChange {
+  if (before === after) return 'none'
+  if (before === undefined) return 'begun'
+  return after === undefined ? 'ended' : 'changed'
+}
+
+/** Creates an empty view. */
+export function createNamedLimits ({ logger, clock }: { logger: Pick<PartLogger, 'info' | 'warn'>, clock: Clock }): NamedLimits {
+  const observations = new Map<TargetId, LimitObservation>()
+  /** The latest malformed limit of each target, so that each is logged once. */
+  const malformed = new Map<TargetId, string>()
+  const writeChange = (target: TargetId, before: LimitObservation | undefined, { perSecond, sentAtMs }: LimitObservation, change: LimitChange): void => {
+    const fields = { target, perSecond, before: before?.perSecond, askedMsAgo: Math.round(clock.monotonicMs() - sentAtMs) }
+    if (change === 'begun') logger.info('A target names a limit.', fields)
+    if (change === 'ended') logger.info('A target no longer names a limit.', fields)
+  }
+  const apply = (target: TargetId, observation: LimitObservation): LimitChange => {
+    const known = observations.get(target)
+    if (!known && observation.perSecond === undefined) return 'none'
+    const isApplied = !known || isNewer(observation, known) || toRate(observation) <= toRate(known)
+    if (!isApplied) return 'none'
+    // An older observation of the same or a lower limit must not make the known one look older.
+    const isOlder = known !== undefined && observation.receivedAtMs < known.receivedAtMs
+    observations.set(target, isOlder ? { ...known, perSecond: observation.perSecond } : observation)
+    const change = describeChange(known?.perSecond, observation.perSecond)
+    writeChange(target, known, observation, change)
+    return change
+  }
+  const warnMalformed = (target: TargetId, text: string): LimitChange => {
+    if (malformed.get(target) !== text) logger.warn('A target names a limit that cannot be decoded; the one known before stays.', { target, text, known: observations.get(target)?.perSecond })
+    malformed.set(target, text)
+    return 'none'
+  }
+  return {
+    record (target, limit, sentAtMs) {
+      const receivedAtMs = clock.monotonicMs()
+      switch (limit.kind) {
+        case 'unlimited': return apply(target, { perSecond: undefined, sentAtMs, receivedAtMs })
+        case 'limited': return apply(target, { perSecond: limit.perSecond, sentAtMs, receivedAtMs })
+        case 'malformed': return warnMalformed(target, limit.text)
+      }
+    },
+    apply,
+    getPerSecond: (target) => observations.get(target)?.perSecond,
+    get: (target) => observations.get(target),
+    countLimited: () => [...observations.values()].filter(({ perSecond }) => perSecond !== undefined).length,
+    removeUnregistered (isRegistered) {
+      for (const target of observations.keys()) if (!isRegistered(target)) observations.delete(target)
+      for (const target of malformed.keys()) if (!isRegistered(target)) malformed.delete(target)
+    }
+  }
+}
--- /dev/null
+++ b/src/request/selection/named-limit.ts
@@ -0,0 +1,11 @@
+/**
+ * The rate limit that a target names on a response.
+ */
+
+/** What a response says about the rate limit of its target. */
+export type NamedLimit =
+  | { kind: 'unlimited' }
+  /** The target accepts this number of requests per second from all entries together. */
+  | { kind: 'limited', perSecond: number }
+  /** The limit cannot be decoded; the one that was known before stays in effect. */
+  | { kind: 'malformed', text: string }
--- a/test/deferred-metrics.test.ts
+++ b/test/deferred-metrics.test.ts
@@ -7,7 +7,15 @@
 import { SILENT_LOGGER } from './support/silent-logger.ts'
 
 const NO_VALUES: GatewayMetricValues = {
-  services: [], store: { reads: 0, appends: 0, failures: 0, receivedBytes: 0 }, version: 0, isReady: false, liveEntries: 1, datagrams: { sent: 0, received: 0, refused: 0, failed: 0 }, droppedLogLines: 0, inProgress: 0
+  services: [],
+  store: { reads: 0, appends: 0, failures: 0, receivedBytes: 0 },
+  version: 0,
+  isReady: false,
+  limitedTargets: 0,
+  liveEntries: 1,
+  datagrams: { sent: 0, received: 0, refused: 0, failed: 0 },
+  droppedLogLines: 0,
+  inProgress: 0
 }
 
 function createRecord (tookMs: number): RequestRecord {
--- a/test/support/modelled-service.ts
+++ b/test/support/modelled-service.ts
@@ -79,10 +79,11 @@
     getLoadProbesPerSecond: () => model.loadProbesPerSecond ?? 48,
     getHealthPath: () => '/health',
     handleLeaving: () => undefined,
+    recordLimit: () => undefined,
     async sendLoadProbe (_, { target, timeoutMs }): Promise<LoadProbeResult> {
       const modelled = targets.get(target)!
       await clock.wait(modelled.isSilent ? timeoutMs : LOAD_PROBE_MS)
-      return modelled.isSilent ? { kind: 'silent' } : { kind: 'load', report: describeLoad(modelled) }
+      return modelled.isSilent ? { kind: 'silent' } : { kind: 'load', report: describeLoad(modelled), limit: { kind: 'unlimited' } }
     }
   })
   const runOnTarget = async (state: TargetState, workMs: number): Promise<void> => {
