--- a/src/connection/gossip-frames.ts
+++ b/src/connection/gossip-frames.ts
@@ -25,6 +25,8 @@
   | { type: 'sync', from: MemberRecord, updates: MemberUpdate[] }
   /** Carries a value of the application to all members. A relay sends it on to the members of its zone. */
   | { type: 'broadcast', from: MemberRecord, isRelay: boolean, payload: unknown }
+  /** Carries a value of the application to the recipient alone. */
+  | { type: 'direct', from: MemberRecord, payload: unknown }
 
 const MAX_TEXT_LENGTH = 128
 const MAX_PORT = 65_535
@@ -45,7 +47,8 @@
   z.object({ t: z.literal('r'), s: counter, f: record, d: z.tuple([text, port]) }),
   z.object({ t: z.literal('q'), f: record, h: counter }),
   z.object({ t: z.literal('s'), f: record, u: updates }),
-  z.object({ t: z.literal('b'), f: record, r: z.boolean(), v: z.unknown() })
+  z.object({ t: z.literal('b'), f: record, r: z.boolean(), v: z.unknown() }),
+  z.object({ t: z.literal('d'), f: record, v: z.unknown() })
 ])
 
 type WireRecord = z.infer<typeof record>
@@ -89,6 +92,7 @@
     case 'sync-request': return { t: 'q', f, h: message.digest }
     case 'sync': return { t: 's', f, u: message.updates.map(formatUpdate) }
     case 'broadcast': return { t: 'b', f, r: message.isRelay, v: message.payload }
+    case 'direct': return { t: 'd', f, v: message.payload }
   }
 }
 
@@ -101,6 +105,7 @@
     case 'q': return { type: 'sync-request', from, digest: frame.h }
     case 's': return { type: 'sync', from, updates: frame.u.map(parseUpdate) }
     case 'b': return { type: 'broadcast', from, isRelay: frame.r, payload: frame.v }
+    case 'd': return { type: 'direct', from, payload: frame.v }
   }
 }
 
--- a/src/process/gateway/gateway-membership.ts
+++ b/src/process/gateway/gateway-membership.ts
@@ -11,6 +11,7 @@
 import { createGossipMembership } from '../gossip/gossip-membership.ts'
 import type { GossipMembership } from '../gossip/gossip-membership.ts'
 import type { MemberRecord } from '../gossip/member-record.ts'
+import type { EntryId } from '../../types.ts'
 import type { PartLogger } from '../logger.ts'
 import { formatProgress, parseGatewayMessage, parseProgress } from './gateway-messages.ts'
 import type { GatewayMessage, ReadProgress } from './gateway-messages.ts'
@@ -21,6 +22,8 @@
   start(): Promise<Result<void, AppError>>
   /** Sends a message to all gateways. Some may miss it. */
   broadcast(message: GatewayMessage): void
+  /** Sends a message to one gateway. It may be lost. */
+  sendTo(id: EntryId, message: GatewayMessage): void
   /** Returns the totals of the socket. */
   report(): DatagramCounts
   close(): Promise<void>
@@ -37,7 +40,7 @@
   /** Returns how far this gateway has read the topics. */
   getProgress(): ReadProgress
   handleProgress(progress: ReadProgress): void
-  handleMessage(message: GatewayMessage): void
+  handleMessage(from: EntryId, message: GatewayMessage): void
   /** Called when a member has appeared, changed or is gone. */
   handleChange(): void
 }
@@ -55,7 +58,7 @@
     send: (to, message) => socket?.send(to, formatGossipMessage(message)),
     createAttachment: () => formatProgress(options.getProgress()),
     handleAttachment: (_, attachment) => { parseProgress(attachment).match(options.handleProgress, warnMalformed) },
-    handleBroadcast: (_, payload) => { parseGatewayMessage(payload).match(options.handleMessage, warnMalformed) }
+    handlePayload: (from, payload) => { parseGatewayMessage(payload).match((message) => options.handleMessage(from, message), warnMalformed) }
   })
   const { addContacts, setStatus, listMembers, countMembers } = gossip
   return {
@@ -78,6 +81,7 @@
       return ok(undefined)
     },
     broadcast: (message) => gossip.broadcast(message),
+    sendTo: (id, message) => gossip.sendTo(id, message),
     report: () => socket?.report() ?? NO_DATAGRAMS,
     async close () {
       gossip.close()
--- a/src/process/gateway/gateway-messages.ts
+++ b/src/process/gateway/gateway-messages.ts
@@ -10,13 +10,16 @@
 import type { TargetId } from '../../types.ts'
 import type { SharedRecordRange } from '../discovery/shared-range.ts'
 import type { TopicProgress } from '../discovery/topic-follower.ts'
+import type { LimitMessage } from '../target-limits/limit-messages.ts'
 
-/** A message to all gateways. */
+/** A message to other gateways. */
 export type GatewayMessage =
   /** The sender has found that a target is leaving. */
   | { type: 'target-leaving', target: TargetId }
   /** Records that the sender has read from a topic of the store. */
   | { type: 'topic-range', range: SharedRecordRange }
+  /** Messages that share the rate limits of targets. */
+  | LimitMessage
 
 /** How far the sender has read each topic; rides on each probe. */
 export type ReadProgress = { topic: string, progress: TopicProgress }[]
@@ -27,8 +30,15 @@
 
 const text = z.string().min(1).max(MAX_TEXT_LENGTH)
 const counter = z.number().int().nonnegative()
+const duration = z.number().nonnegative()
+const target = text.transform((id) => toBrand<TargetId>(id))
+const limit = z.object({ perSecond: duration.optional(), sentAgoMs: duration, receivedAgoMs: duration })
+const answer = z.object({ isGranted: z.boolean(), waitMs: duration })
 const messageSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('target-leaving'), target: text }),
+  z.object({ type: z.literal('target-leaving'), target }),
+  z.object({ type: z.literal('target-limit'), target, limit }),
+  z.object({ type: z.literal('permit-request'), sequence: counter, target, limit }),
+  z.object({ type: z.literal('permit-response'), sequence: counter, target, answer, limit }),
   z.object({
     type: z.literal('topic-range'),
     range: z.object({
@@ -40,7 +50,7 @@
     })
   })
 ])
-const progressSchema = z.array(z.tuple([text, counter, z.number().nonnegative()])).max(MAX_TOPICS)
+const progressSchema = z.array(z.tuple([text, counter, duration])).max(MAX_TOPICS)
 
 function toMalformed (error: z.ZodError): AppError {
   const issue = error.issues[0]
@@ -51,8 +61,7 @@
 export function parseGatewayMessage (value: unknown): Result<GatewayMessage, AppError> {
   const parsed = messageSchema.safeParse(value)
   if (!parsed.success) return err(toMalformed(parsed.error))
-  const { data } = parsed
-  return ok(data.type === 'target-leaving' ? { type: data.type, target: toBrand<TargetId>(data.target) } : data as GatewayMessage)
+  return ok(parsed.data as GatewayMessage)
 }
 
 /** Converts the progress of all topics to its wire form. */
--- a/src/process/gateway/gateway-metrics.ts
+++ b/src/process/gateway/gateway-metrics.ts
@@ -4,6 +4,7 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 import type { DatagramCounts } from '../../connection/datagram-socket.ts'
 import type { RequestRecord } from '../../request/gateway/request-record.ts'
+import type { LimiterCounts } from '../target-limits/target-limiter.ts'
 import type { ServiceMetrics } from './gateway-state.ts'
 
 const MS_PER_SECOND = 1000
@@ -17,8 +18,7 @@
   /** Version of the configuration in effect; 0 for none. */
   version: number
   isReady: boolean
-  /** Targets that name a rate limit. */
-  limitedTargets: number
+  limiter: LimiterCounts
   liveEntries: number
   /** Datagrams between entries since the start. */
   datagrams: Pick<DatagramCounts, 'sent' | 'received' | 'refused' | 'failed'>
@@ -48,6 +48,7 @@
     version: new Gauge({ name: 'medlarcove_configuration_version', help: 'Version of the configuration in force.', registers }),
     ready: new Gauge({ name: 'medlarcove_ready', help: '1 while the entry is ready.', registers }),
     limitedTargets: new Gauge({ name: 'medlarcove_limited_targets', help: 'Targets that name a rate limit, as far as this entry knows.', registers }),
+    permits: new Gauge({ name: 'medlarcove_target_permits_total', help: 'Permits for requests to targets that name a rate limit; issued: by this entry to any entry, the others: requests of this entry for one.', labelNames: ['outcome'], registers }),
     entries: new Gauge({ name: 'medlarcove_live_entries', help: 'Entries that are known to live.', registers }),
     datagrams: new Gauge({ name: 'medlarcove_datagrams_total', help: 'Datagrams between entries; refused: wrong key or malformed, failed: not sent.', labelNames: ['kind'], registers }),
     dropped: new Gauge({ name: 'medlarcove_log_lines_dropped_total', help: 'Log lines dropped because the reader was slow.', registers }),
@@ -68,7 +69,8 @@
   metrics.storeBytes.set(values.store.receivedBytes)
   metrics.version.set(values.version)
   metrics.ready.set(Number(values.isReady))
-  metrics.limitedTargets.set(values.limitedTargets)
+  metrics.limitedTargets.set(values.limiter.limitedTargets)
+  for (const outcome of ['granted', 'denied', 'unanswered', 'issued'] as const) metrics.permits.set({ outcome }, values.limiter[outcome])
   metrics.entries.set(values.liveEntries)
   for (const kind of ['sent', 'received', 'refused', 'failed'] as const) metrics.datagrams.set({ kind }, values.datagrams[kind])
   metrics.dropped.set(values.droppedLogLines)
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -7,10 +7,12 @@
 import { createStoreClient } from '../../platform/store-client.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
-import type { Incarnation, ZoneId } from '../../types.ts'
+import type { EntryId, Incarnation, ZoneId } from '../../types.ts'
 import type { SharedReading } from '../discovery/topic-follower.ts'
 import type { MemberRecord } from '../gossip/member-record.ts'
 import type { Logger, PartLogger } from '../logger.ts'
+import { createTargetLimiter } from '../target-limits/target-limiter.ts'
+import type { TargetLimiter } from '../target-limits/target-limiter.ts'
 import { createDeferredMetrics } from './deferred-metrics.ts'
 import type { DeferredMetrics } from './deferred-metrics.ts'
 import { createEntryContacts } from './entry-contacts.ts'
@@ -64,6 +66,7 @@
   store: StoreClient
   contacts: EntryContacts
   membership: GatewayMembership
+  limiter: TargetLimiter
   state: GatewayState
   requests: GatewayRequests
   metrics: DeferredMetrics
@@ -73,6 +76,8 @@
   isStopping: boolean
   /** Whether this process is overloaded, by the lateness of its event loop. */
   isBusy: boolean
+  /** Whether a member has appeared, changed or is gone since `applyMembershipChanges` was last called. */
+  hasMembershipChanged: boolean
   /** Latest end of the process, by the monotonic clock in ms; undefined until a shutdown starts. */
   endAtMs: number | undefined
 }
@@ -105,6 +110,7 @@
     retryBudget: { share: settings.retryBudget.share * USED_RETRY_SHARE, maxTokens: computeMaxRetryTokens(settings, 1) },
     getLoadProbesPerSecond: () => parts.settings.maxLoadProbesPerSecond * USED_SHARE / parts.membership.countMembers(),
     maxConnections: MAX_CONNECTIONS_PER_TARGET,
+    limiter: parts.limiter,
     handleConfiguration ({ limits }) {
       parts.servers.setIdleTimeout(limits.idleTimeoutMs)
       publishStatus(parts)
@@ -130,13 +136,28 @@
 }
 
 /** Applies a message of another entry. */
-function applyMessage (parts: GatewayParts, message: GatewayMessage): void {
+function applyMessage (parts: GatewayParts, from: EntryId, message: GatewayMessage): void {
   switch (message.type) {
     case 'target-leaving': return parts.state.markLeaving(message.target)
     case 'topic-range': return parts.followers.find(message.range.topic)?.applyShared(message.range)
+    case 'target-limit':
+    case 'permit-request':
+    case 'permit-response': return parts.limiter.handleMessage(from, message)
   }
 }
 
+function createLimiter (parts: GatewayParts): TargetLimiter {
+  const { settings, clock, random, log } = parts
+  return createTargetLimiter({
+    self: settings.entry,
+    clock,
+    random,
+    logger: log,
+    send: (to, message) => parts.membership.sendTo(to, message),
+    broadcast: (message) => parts.membership.broadcast(message)
+  })
+}
+
 function createMembership (parts: GatewayParts, run: number): GatewayMembership {
   const { settings, clock, random, logger } = parts
   return createGatewayMembership({
@@ -147,11 +168,20 @@
     logger: logger.forPart('peers'),
     getProgress: () => parts.followers.getProgress(),
     handleProgress: (progress) => parts.followers.applyProgress(progress),
-    handleMessage: (message) => applyMessage(parts, message),
-    handleChange: () => parts.state?.updateMaxRetryTokens(computeMaxRetryTokens(settings, parts.membership.countMembers()))
+    handleMessage: (from, message) => applyMessage(parts, from, message),
+    handleChange: () => { parts.hasMembershipChanged = true }
   })
 }
 
+/** Applies changes of the membership to what depends on the other entries. Call it periodically. */
+export function applyMembershipChanges (parts: GatewayParts): void {
+  if (!parts.hasMembershipChanged) return
+  parts.hasMembershipChanged = false
+  const { settings, membership, state, limiter } = parts
+  state.updateMaxRetryTokens(computeMaxRetryTokens(settings, membership.countMembers()))
+  limiter.updateEntries(membership.listMembers())
+}
+
 function isReady ({ isStopping, state }: GatewayParts): boolean {
   return !isStopping && state.getInEffect() !== undefined && state.hasReadTargets()
 }
@@ -183,7 +213,7 @@
       store: parts.store.report(),
       version: state.getInEffect()?.configuration.version ?? 0,
       isReady: isReady(parts),
-      limitedTargets: state.countLimited(),
+      limiter: parts.limiter.report(),
       liveEntries: parts.membership.listMembers().filter((member) => member.state === 'live').length,
       datagrams: parts.membership.report(),
       droppedLogLines: options.countDroppedLines?.() ?? 0,
@@ -212,8 +242,9 @@
   const { settings, clock, logger, random = Math.random } = options
   const run = clock.wallMs()
   const incarnation = toBrand<Incarnation>(`${run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
-  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, endAtMs: undefined }
+  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, hasMembershipChanged: true, endAtMs: undefined }
   const parts = { ...base, store: createStoreClient({ store: settings.store, clock }) } as GatewayParts
+  parts.limiter = createLimiter(parts)
   parts.membership = createMembership(parts, run)
   parts.state = createState(parts)
   parts.followers = createGatewayFollowers({ ...parts, logger: logger.forPart('store'), sharing: createSharing(parts) })
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -19,7 +19,7 @@
 import type { TargetChange, TargetReport } from '../discovery/target-registry.ts'
 import type { PartLogger } from '../logger.ts'
 import { createServiceSelector } from '../selection/service-selector.ts'
-import { createNamedLimits } from '../target-limits/named-limits.ts'
+import type { TargetLimiter } from '../target-limits/target-limiter.ts'
 import { createTargetStates } from '../selection/target-states.ts'
 import type { TargetState } from '../selection/target-states.ts'
 
@@ -66,8 +66,6 @@
   removeExpired(isStoreUnavailable: boolean): void
   /** Whether the targets topic has been read. */
   hasReadTargets(): boolean
-  /** Counts the targets that name a limit. */
-  countLimited(): number
   /** Returns the metric values of all services that have been used. */
   listMetrics(): ServiceMetrics[]
   /** Closes the connections to all targets. */
@@ -86,6 +84,8 @@
   getLoadProbesPerSecond(): number
   /** Maximum number of connections of this process to one target. */
   maxConnections: number
+  /** Keeps the requests within the rate limits that targets name. */
+  limiter: TargetLimiter
   /** Called when a configuration comes into effect. */
   handleConfiguration(configuration: Configuration): void
   /** Called after each read of the targets. */
@@ -109,11 +109,9 @@
 
 /** Creates the state, without a configuration and targets. */
 export function createGatewayState (options: GatewayStateOptions): GatewayState {
-  const { zone, clock, random, logger } = options
+  const { zone, clock, random, logger, limiter } = options
   const registry = createTargetRegistry()
   const states = createTargetStates({ clock, maxConnections: options.maxConnections })
-  const limits = createNamedLimits({ logger, clock })
-  const recordLimit: GatewayService['recordLimit'] = (target, limit, sentAtMs) => { limits.record(target, limit, sentAtMs) }
   const services = new Map<ServiceId, GatewayService>()
   let inEffect: ConfigurationInEffect | undefined
   let hasReadTargets = false
@@ -131,7 +129,7 @@
       name,
       retryBudget: createRatioBudget({ share: options.retryBudget.share, maxTokens: maxRetryTokens }),
       handleLeaving: handleOwnLeaving,
-      recordLimit,
+      recordLimit: limiter.record,
       selector: createServiceSelector({
         service: name,
         zone,
@@ -143,7 +141,8 @@
         getLoadProbesPerSecond: options.getLoadProbesPerSecond,
         getHealthPath: () => inEffect?.configuration.services.get(name)?.healthPath,
         handleLeaving: handleOwnLeaving,
-        recordLimit
+        recordLimit: limiter.record,
+        limiter
       })
     }
   }
@@ -195,7 +194,7 @@
       hasReadTargets = true
       options.handleTargetsRead()
       states.removeUnregistered((registered) => registry.get(registered.report.id) === registered)
-      limits.removeUnregistered((target) => registry.get(target) !== undefined)
+      limiter.removeUnregistered((target) => registry.get(target) !== undefined)
       return changed
     },
     markLeaving (target) {
@@ -211,7 +210,6 @@
       for (const target of registry.removeExpired(nowMs)) logger.info('Removed a target.', { target, because: 'its registration expired and was not renewed' })
     },
     hasReadTargets: () => hasReadTargets,
-    countLimited: () => limits.countLimited(),
     listMetrics: () => [...services.values()].map(({ name, selector, retryBudget }) => ({
       service: name,
       waiting: selector.countWaiting(),
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -6,7 +6,7 @@
 import type { AppError } from '../../errors.ts'
 import type { BootSettings } from '../../platform/boot-file.ts'
 import { startLatenessWatch } from '../lateness-watch.ts'
-import { ADDRESS_LIFETIME_MS, createParts, publishStatus } from './gateway-parts.ts'
+import { ADDRESS_LIFETIME_MS, applyMembershipChanges, createParts, publishStatus } from './gateway-parts.ts'
 import type { GatewayOptions, GatewayParts } from './gateway-parts.ts'
 
 /** A running gateway. */
@@ -79,6 +79,7 @@
   const metrics = await parts.servers.startMetrics()
   if (metrics.isErr()) log.warn('Metrics are not served.', { error: metrics.error.message })
   const maintenance = setInterval(() => {
+    applyMembershipChanges(parts)
     state.removeExpired(followers.hasLostTargets())
     publishStatus(parts)
   }, MAINTENANCE_INTERVAL_MS)
--- a/src/process/gateway/request-log.ts
+++ b/src/process/gateway/request-log.ts
@@ -44,6 +44,7 @@
     expectedMs: Math.round(attempt.expectedMs),
     load: load ? `${load.running}+${load.waiting}/${load.slots} x${load.slowdown}` : 'untold',
     loadAgeMs: Number.isFinite(loadAgeMs) ? Math.round(loadAgeMs) : undefined,
+    limitPerSecond: attempt.limitPerSecond,
     atMs: Math.round(attempt.startedMs),
     end: attempt.end,
     status: attempt.status
--- a/src/process/gossip/gossip-membership.ts
+++ b/src/process/gossip/gossip-membership.ts
@@ -49,8 +49,8 @@
   createAttachment(): unknown
   /** Called with the attachment of each probe and response that arrives. */
   handleAttachment(from: EntryId, attachment: unknown): void
-  /** Called with each broadcast that arrives. */
-  handleBroadcast(from: EntryId, payload: unknown): void
+  /** Called with each value that another member has sent, to all or to this one alone. */
+  handlePayload(from: EntryId, payload: unknown): void
   /** Called when a member has appeared, changed its status or liveness, or is gone. */
   handleChange(): void
   timing?: Partial<GossipTiming>
@@ -68,6 +68,8 @@
   setStatus(changes: Partial<MemberStatus>): void
   /** Sends a value to all members. Some may miss it. */
   broadcast(payload: unknown): void
+  /** Sends a value to one member, if it is known. It may be lost. */
+  sendTo(id: EntryId, payload: unknown): void
   /** Lists all members, this one included, without those that have been forgotten. */
   listMembers(): MemberView[]
   /** Counts the members that are not gone, this one included. */
@@ -218,7 +220,7 @@
   const handleBroadcast = (message: GossipMessage & { type: 'broadcast' }): void => {
     const alive = listAlive(members).map(({ update }) => update.record).filter(({ id }) => id !== message.from.id)
     if (message.isRelay) for (const member of listRelayRecipients(self.zone, alive)) send(toAddress(member), { ...message, isRelay: false })
-    if (message.payload !== undefined) options.handleBroadcast(message.from.id, message.payload)
+    if (message.payload !== undefined) options.handlePayload(message.from.id, message.payload)
   }
   const handleMessage = (message: GossipMessage): void => {
     const { from } = message
@@ -237,6 +239,7 @@
         hasJoined = true
         return
       case 'broadcast': return handleBroadcast(message)
+      case 'direct': return options.handlePayload(from.id, message.payload)
     }
   }
   return {
@@ -256,6 +259,10 @@
       if (members.setStatus(changes)) sendBroadcast(undefined)
     },
     broadcast: sendBroadcast,
+    sendTo (id, payload) {
+      const known = members.get(id)
+      if (known) send(toAddress(known.update.record), { type: 'direct', from: members.getSelf(), payload })
+    },
     listMembers: () => members.listUpdates().map((update) => toView(update, self.id)),
     countMembers: () => members.countMembers(),
     getSelf: () => members.getSelf(),
--- a/src/process/selection/service-selector.ts
+++ b/src/process/selection/service-selector.ts
@@ -13,6 +13,7 @@
 import type { QueuedRequest } from '../../request/selection/request-queue.ts'
 import type { ServiceId, TargetId, ZoneId } from '../../types.ts'
 import type { TargetRegistry } from '../discovery/target-registry.ts'
+import type { TargetLimiter } from '../target-limits/target-limiter.ts'
 import { createLoadProber, getFaster } from './load-prober.ts'
 import type { RequestOutcome, EstimatedTarget, LoadProberOptions } from './load-prober.ts'
 import type { TargetState, TargetStates } from './target-states.ts'
@@ -40,6 +41,8 @@
   /** How long the selection took, with the time in the queue, in ms. */
   waitedMs: number
   reason: SelectionReason
+  /** Rate limit that the target names, in requests per second over all entries; undefined without one. */
+  limitPerSecond: number | undefined
 }
 
 /** Totals since the start: load probes sent, requests queued, requests rejected. */
@@ -51,6 +54,8 @@
   select(request: SelectionRequest): Promise<Result<TargetSelection, AppError>>
   /** Stops counting a request as in flight at a target, and records the load report of its response. */
   release(state: TargetState, report: LoadReport | undefined): void
+  /** Undoes a selection whose request was not sent. */
+  cancel(selection: TargetSelection): void
   /** Records how a request ended at a target, for ejection. */
   recordOutcome(state: TargetState, outcome: RequestOutcome): void
   /** Returns the number of queued requests. */
@@ -65,6 +70,7 @@
   zone: ZoneId
   registry: TargetRegistry
   states: TargetStates
+  limiter: Pick<TargetLimiter, 'getPerSecond' | 'getAvailableAtMs' | 'isAvailable' | 'acquire' | 'release'>
   random: () => number
 }
 
@@ -81,11 +87,14 @@
 const MAX_DISPATCH_INTERVAL_MS = 100
 /** Weight of a new interval in the moving average. */
 const DISPATCH_INTERVAL_WEIGHT = 0.1
+const MS_PER_SECOND = 1_000
 /** Shortest `Retry-After` of a rejected request, in s; up to as much again is added at random to spread the retries. */
 const MIN_RETRY_AFTER_S = 0.2
 
 /** When at least this share of the targets is ejected, ejections are ignored, since the few others could not take the load. */
 const MAX_EJECTED_SHARE = 0.6
+/** Targets for which a permit is requested when none can be probed. */
+const MAX_UNPROBED_CANDIDATES = 3
 
 interface QueueItem {
   request: SelectionRequest
@@ -96,7 +105,7 @@
 
 /** Creates the target selector of a service. */
 export function createServiceSelector (options: ServiceSelectorOptions): ServiceSelector {
-  const { service, zone, registry, states, clock, random, logger } = options
+  const { service, zone, registry, states, limiter, clock, random, logger } = options
   const prober = createLoadProber(options)
   const queue = createRequestQueue<QueueItem>()
   const counts = { queued: 0, rejected: 0 }
@@ -113,7 +122,8 @@
   }
   const orderCandidates = (request: SelectionRequest, probed: ReadonlySet<TargetState>): TargetState[] => {
     const nowMs = clock.monotonicMs()
-    const scored = listUsable(request).filter((state) => !probed.has(state)).map((state) => ({
+    const candidates = listUsable(request).filter((state) => !probed.has(state) && limiter.isAvailable(state.registered.report.id))
+    const scored = candidates.map((state) => ({
       state,
       penalty: computePenalty({
         inFlight: state.inFlight + state.probesInFlight,
@@ -121,19 +131,35 @@
         isSameZone: state.registered.report.zone === zone,
         hasIdleConnection: state.pool.countConnections().idle > 0,
         isWarming: state.registered.warmupEndsAtMs > nowMs,
+        isLimited: limiter.getPerSecond(state.registered.report.id) !== undefined,
         unsuitableReportAgeMs: state.isReportUnsuitable ? nowMs - state.reportAtMs : undefined
       }, request, random())
     }))
     return scored.sort((a, b) => a.penalty - b.penalty).map(({ state }) => state)
   }
-  const acquireTarget = ({ state, estimate }: EstimatedTarget, startedAtMs: number, reason: SelectionReason): TargetSelection => {
+  const countInFlight = ({ state, estimate }: EstimatedTarget, startedAtMs: number, reason: SelectionReason): TargetSelection => {
     state.inFlight += 1
     state.sentCount += 1
-    return { state, expectedMs: estimate.totalMs, waitedMs: clock.monotonicMs() - startedAtMs, reason }
+    const limitPerSecond = limiter.getPerSecond(state.registered.report.id)
+    return { state, expectedMs: estimate.totalMs, waitedMs: clock.monotonicMs() - startedAtMs, reason, limitPerSecond }
   }
-  const reject = (kind: 'no-target' | 'queue-full' | 'queue-timeout', message: string): Result<TargetSelection, AppError> => {
+  const cancel = ({ state, limitPerSecond }: TargetSelection): void => {
+    state.inFlight -= 1
+    state.sentCount -= 1
+    if (limitPerSecond !== undefined) limiter.release(state.registered.report.id)
+  }
+  /** Selects a target if its rate limit allows one more request. */
+  const tryAcquireTarget = async (candidate: EstimatedTarget, startedAtMs: number, reason: SelectionReason): Promise<TargetSelection | undefined> => {
+    const selection = countInFlight(candidate, startedAtMs, reason)
+    const { id } = candidate.state.registered.report
+    if (selection.limitPerSecond === undefined || await limiter.acquire(id)) return { ...selection, waitedMs: clock.monotonicMs() - startedAtMs }
+    candidate.state.inFlight -= 1
+    candidate.state.sentCount -= 1
+    return undefined
+  }
+  const reject = (kind: 'no-target' | 'queue-full' | 'queue-timeout', message: string, minRetryAfterS = MIN_RETRY_AFTER_S): Result<TargetSelection, AppError> => {
     counts.rejected += 1
-    return err({ ...createError(kind, message), retryAfterS: MIN_RETRY_AFTER_S * (1 + random()) })
+    return err({ ...createError(kind, message), retryAfterS: minRetryAfterS * (1 + random()) })
   }
   /** Finds a target whose recent load report shows it suitable. */
   const findReported = (ordered: readonly TargetState[], workMs: number): EstimatedTarget | undefined => {
@@ -151,11 +177,14 @@
     return nowMs + totalMs <= (canMeetLatencyTarget(request, nowMs) ? request.latencyTargetAtMs : request.deadlineAtMs)
   }
   /** Selects the best target by this process's own counts, when no load probe can be sent or none returns a load. */
-  const acquireUnprobed = (request: SelectionRequest, startedAtMs: number): TargetSelection | undefined => {
-    const [state] = orderCandidates(request, new Set())
-    if (!state) return undefined
-    const candidate = { state, estimate: prober.estimate(state, request.workMs, state.sentCountAtReport) }
-    return prober.hasLoadReports() === false || isOnTime(candidate, request) ? acquireTarget(candidate, startedAtMs, 'untold') : undefined
+  const acquireUnprobed = async (request: SelectionRequest, startedAtMs: number): Promise<TargetSelection | undefined> => {
+    for (const state of orderCandidates(request, new Set()).slice(0, MAX_UNPROBED_CANDIDATES)) {
+      const candidate = { state, estimate: prober.estimate(state, request.workMs, state.sentCountAtReport) }
+      if (prober.hasLoadReports() !== false && !isOnTime(candidate, request)) return undefined
+      const selection = await tryAcquireTarget(candidate, startedAtMs, 'untold')
+      if (selection) return selection
+    }
+    return undefined
   }
   /** Probes candidates in rounds of these sizes; returns the first suitable target, else the fastest if it is on time. */
   const search = async (request: SelectionRequest, sizes: readonly number[], startedAtMs: number): Promise<TargetSelection | undefined> => {
@@ -164,20 +193,18 @@
     for (const size of sizes) {
       const ordered = orderCandidates(request, probed)
       const reported = findReported(ordered, request.workMs)
-      if (reported) return acquireTarget(reported, startedAtMs, 'reported')
-      const candidates = prober.acquireProbes(ordered, size)
+      const acquired = reported && await tryAcquireTarget(reported, startedAtMs, 'reported')
+      if (acquired) return acquired
+      const candidates = prober.acquireProbes(ordered.filter((state) => state !== reported?.state), size)
       if (candidates.length === 0) break
       for (const state of candidates) probed.add(state)
       const candidate = await prober.probeCandidates(candidates, request.workMs)
-      if (candidate?.estimate.isSuitable) return acquireTarget(candidate, startedAtMs, 'looked')
-      best = getFaster(best, candidate)
+      const selection = candidate?.estimate.isSuitable ? await tryAcquireTarget(candidate, startedAtMs, 'looked') : undefined
+      if (selection) return selection
+      if (!candidate?.estimate.isSuitable) best = getFaster(best, candidate)
     }
     if (probed.size === 0) return acquireUnprobed(request, startedAtMs)
-    return best && isOnTime(best, request) ? acquireTarget(best, startedAtMs, 'best-seen') : undefined
-  }
-  const releaseTarget = ({ state }: TargetSelection): void => {
-    state.inFlight -= 1
-    state.sentCount -= 1
+    return best && isOnTime(best, request) ? tryAcquireTarget(best, startedAtMs, 'best-seen') : undefined
   }
   const settle = (item: QueueItem, result: Result<TargetSelection, AppError>): void => {
     item.isSettled = true
@@ -208,7 +235,7 @@
       const selection = await search(head.request, [PROBES_PER_QUEUE_ROUND], head.queuedAtMs)
       if (selection) {
         // A response may have offered its target to the request during the search.
-        if (head.isSettled) releaseTarget(selection)
+        if (head.isSettled) cancel(selection)
         else settleWithTarget(head, selection)
         continue
       }
@@ -238,22 +265,37 @@
   })
   const selectTarget = async (request: SelectionRequest): Promise<Result<TargetSelection, AppError>> => {
     const startedAtMs = clock.monotonicMs()
-    if (listUsable(request).length === 0) return reject('no-target', `No usable target is left for service ${service}.`)
+    const usable = listUsable(request)
+    if (usable.length === 0) return reject('no-target', `No usable target is left for service ${service}.`)
+    const permitAtMs = Math.min(...usable.map((state) => limiter.getAvailableAtMs(state.registered.report.id)))
+    if (permitAtMs + request.workMs > request.deadlineAtMs) {
+      const waitS = (permitAtMs - startedAtMs) / MS_PER_SECOND
+      return reject('queue-full', `All targets of service ${service} are at the rate limits that they name until after the deadline.`, waitS)
+    }
     if (prober.hasLoadReports() === false) {
-      const unprobed = acquireUnprobed(request, startedAtMs)
+      const unprobed = await acquireUnprobed(request, startedAtMs)
       if (unprobed) return ok(unprobed)
     }
     if (queue.count() > 0) return waitForTarget(request, startedAtMs)
     const selection = await search(request, PROBES_PER_ROUND, startedAtMs)
     return selection ? ok(selection) : waitForTarget(request, startedAtMs)
   }
+  const offerTarget = async (candidate: EstimatedTarget, item: QueueItem): Promise<void> => {
+    const { id } = candidate.state.registered.report
+    if (!limiter.isAvailable(id)) return
+    const selection = limiter.getPerSecond(id) === undefined
+      ? countInFlight(candidate, item.queuedAtMs, 'waited')
+      : await tryAcquireTarget(candidate, item.queuedAtMs, 'waited')
+    if (selection && item.isSettled) cancel(selection)
+    else if (selection) settleWithTarget(item, selection)
+  }
   /** Offers a target with a new load report to the head of the queue. */
   const offerToQueue = (state: TargetState): void => {
     const nowMs = clock.monotonicMs()
     const head = queue.peek(nowMs)
     if (!head || state.registered.isLeaving || state.ejectedUntilMs > nowMs || head.request.excluded.has(state.registered.report.id)) return
     const estimate = prober.estimate(state, head.request.workMs, state.sentCountAtReport)
-    if (estimate.isSuitable) settleWithTarget(head, acquireTarget({ state, estimate }, head.queuedAtMs, 'waited'))
+    if (estimate.isSuitable) offerTarget({ state, estimate }, head).catch((cause: unknown) => logger.error('Offering a target failed.', { service, err: cause }))
   }
   return {
     select: selectTarget,
@@ -263,6 +305,7 @@
       prober.recordReport(state, report)
       offerToQueue(state)
     },
+    cancel,
     recordOutcome: prober.recordOutcome,
     countWaiting: () => queue.count(),
     report: () => ({ ...counts, loadProbes: prober.countProbes() })
--- /dev/null
+++ b/src/process/target-limits/limit-messages.ts
@@ -0,0 +1,23 @@
+/**
+ * The messages by which entries share the rate limits of targets.
+ */
+import type { TargetId } from '../../types.ts'
+import type { PermitAnswer } from './permit-issuer.ts'
+
+/** The limit that a target named on a response. Ages in ms, since the clocks of entries differ. */
+export interface SharedLimit {
+  /** Requests per second over all entries; undefined when the target names none. */
+  perSecond: number | undefined
+  /** How long ago the request was sent, and the response arrived. */
+  sentAgoMs: number
+  receivedAgoMs: number
+}
+
+/** A message between entries. */
+export type LimitMessage =
+  /** Requests one permit of a target. */
+  | { type: 'permit-request', sequence: number, target: TargetId, limit: SharedLimit }
+  /** Answers the request with the same sequence number. */
+  | { type: 'permit-response', sequence: number, target: TargetId, answer: PermitAnswer, limit: SharedLimit }
+  /** Tells all entries that a target has begun or ceased to name a limit. */
+  | { type: 'target-limit', target: TargetId, limit: SharedLimit }
--- a/src/process/target-limits/named-limits.ts
+++ b/src/process/target-limits/named-limits.ts
@@ -1,9 +1,9 @@
 /**
  * The rate limits that targets name on their responses, as far as this process knows them.
  *
- * Responses may arrive out of order, and other entries may report what they have received. A lower limit takes effect at
- * once. A higher one, or none, takes effect only when it is certainly newer than the known one: when its request was sent
- * after the known one had arrived.
+ * Responses may arrive out of order, and other entries may report what they have received. An observation is certainly newer
+ * than another when its request was sent after the other response had arrived. Of two whose order is not certain, the lower
+ * limit is in effect.
  */
 import type { Clock } from '../../clock.ts'
 import type { NamedLimit } from '../../request/selection/named-limit.ts'
@@ -43,8 +43,20 @@
   return perSecond ?? Infinity
 }
 
-function isNewer (observation: LimitObservation, known: LimitObservation): boolean {
-  return observation.sentAtMs >= known.receivedAtMs
+/** Whether an observation was certainly made after another. */
+function isNewer (observation: LimitObservation, other: LimitObservation): boolean {
+  return observation.sentAtMs >= other.receivedAtMs
+}
+
+/** Whether an observation replaces the known one. */
+function canReplace (observation: LimitObservation, known: LimitObservation): boolean {
+  if (isNewer(observation, known)) return true
+  return !isNewer(known, observation) && toRate(observation) <= toRate(known)
+}
+
+/** Returns the observation with the later instants of both, so that only a certainly newer one replaces it by a higher limit. */
+function toLater (observation: LimitObservation, known: LimitObservation): LimitObservation {
+  return { ...observation, sentAtMs: Math.max(observation.sentAtMs, known.sentAtMs), receivedAtMs: Math.max(observation.receivedAtMs, known.receivedAtMs) }
 }
 
 function describeChange (before: number | undefined, after: number | undefined): LimitChange {
@@ -66,11 +78,8 @@
   const apply = (target: TargetId, observation: LimitObservation): LimitChange => {
     const known = observations.get(target)
     if (!known && observation.perSecond === undefined) return 'none'
-    const isApplied = !known || isNewer(observation, known) || toRate(observation) <= toRate(known)
-    if (!isApplied) return 'none'
-    // An older observation of the same or a lower limit must not make the known one look older.
-    const isOlder = known !== undefined && observation.receivedAtMs < known.receivedAtMs
-    observations.set(target, isOlder ? { ...known, perSecond: observation.perSecond } : observation)
+    if (known && !canReplace(observation, known)) return 'none'
+    observations.set(target, known && !isNewer(observation, known) ? toLater(observation, known) : observation)
     const change = describeChange(known?.perSecond, observation.perSecond)
     writeChange(target, known, observation, change)
     return change
--- /dev/null
+++ b/src/process/target-limits/target-limiter.ts
@@ -0,0 +1,190 @@
+/**
+ * Keeps the requests of all entries to a target within the rate limit that the target names.
+ *
+ * One entry issues the permits of a target; which one follows from the live entries. Any entry that wants to send a request
+ * to the target requests a permit there. A permit that was not used stays valid for a short time.
+ */
+import type { Clock } from '../../clock.ts'
+import type { NamedLimit } from '../../request/selection/named-limit.ts'
+import type { Cancel, EntryId, TargetId } from '../../types.ts'
+import type { PartLogger } from '../logger.ts'
+import { createIssuerView } from './issuer-view.ts'
+import type { IssuerCandidate } from './issuer-view.ts'
+import type { LimitMessage, SharedLimit } from './limit-messages.ts'
+import { createNamedLimits } from './named-limits.ts'
+import type { LimitObservation } from './named-limits.ts'
+import { createPermitIssuer } from './permit-issuer.ts'
+import type { PermitAnswer } from './permit-issuer.ts'
+import { createUnusedPermits } from './unused-permits.ts'
+
+/** Totals since the start, and the targets that name a limit at present. */
+export interface LimiterCounts {
+  limitedTargets: number
+  /** Permits that this entry received, and requests for one that were denied or not answered in time. */
+  granted: number
+  denied: number
+  unanswered: number
+  /** Permits that this entry issued to any entry. */
+  issued: number
+}
+
+/** Keeps requests within the limits of targets. */
+export interface TargetLimiter {
+  /** Records what a response said whose request was sent at `sentAtMs` by the monotonic clock. */
+  record(target: TargetId, limit: NamedLimit, sentAtMs: number): void
+  /** Returns the limit of a target in requests per second over all entries; undefined without one. */
+  getPerSecond(target: TargetId): number | undefined
+  /** Returns the earliest instant at which a permit may be available, by the monotonic clock in ms; `-Infinity` if one may be available now. */
+  getAvailableAtMs(target: TargetId): number
+  /** Whether it is worthwhile to request a permit now. */
+  isAvailable(target: TargetId): boolean
+  /** Acquires a permit for one request; true at once for a target without a limit. */
+  acquire(target: TargetId): Promise<boolean>
+  /** Gives back a permit whose request was not sent. */
+  release(target: TargetId): void
+  /** Handles a message of another entry. */
+  handleMessage(from: EntryId, message: LimitMessage): void
+  /** Updates the view of the entries, this one included. */
+  updateEntries(entries: readonly IssuerCandidate[]): void
+  /** Forgets targets that are no longer registered. */
+  removeUnregistered(isRegistered: (target: TargetId) => boolean): void
+  report(): LimiterCounts
+}
+
+/** Options of `createTargetLimiter`. */
+export interface TargetLimiterOptions {
+  self: EntryId
+  clock: Clock
+  random: () => number
+  logger: Pick<PartLogger, 'info' | 'warn'>
+  /** Sends a message to one entry; it may be lost. */
+  send(to: EntryId, message: LimitMessage): void
+  /** Sends a message to all entries; some may miss it. */
+  broadcast(message: LimitMessage): void
+}
+
+/** A request for a permit counts as denied without a response within this time, in ms. */
+const RESPONSE_TIMEOUT_MS = 30
+/** Time after which a permit is requested again from an entry that did not respond or does not issue it, in ms. */
+const NO_ISSUER_RETRY_MS = 100
+const MAX_SEQUENCE = 0x7fff_ffff
+
+interface PendingRequest { target: TargetId, settle(answer: PermitAnswer | undefined): void, cancelTimer: Cancel }
+
+/** When a permit may be available, and when this entry requests one again; later, so that the entries do not all ask at once. */
+interface Denial { availableAtMs: number, retryAtMs: number }
+
+/** Creates a limiter that knows no limits and no other entries. */
+export function createTargetLimiter (options: TargetLimiterOptions): TargetLimiter {
+  const { self, clock, random, logger } = options
+  const limits = createNamedLimits({ clock, logger })
+  const issuers = createIssuerView({ self, clock })
+  const issuer = createPermitIssuer({ clock, getStartMs: () => issuers.getSettledAtMs() })
+  const unused = createUnusedPermits(clock)
+  const pending = new Map<number, PendingRequest>()
+  const denials = new Map<TargetId, Denial>()
+  const counts = { granted: 0, denied: 0, unanswered: 0, issued: 0 }
+  let sequence = Math.floor(random() * MAX_SEQUENCE)
+
+  const toShared = ({ perSecond, sentAtMs, receivedAtMs }: LimitObservation): SharedLimit => {
+    const nowMs = clock.monotonicMs()
+    return { perSecond, sentAgoMs: nowMs - sentAtMs, receivedAgoMs: nowMs - receivedAtMs }
+  }
+  const describeLimit = (target: TargetId): SharedLimit =>
+    toShared(limits.get(target) ?? { perSecond: undefined, sentAtMs: 0, receivedAtMs: 0 })
+  const applyShared = (target: TargetId, { perSecond, sentAgoMs, receivedAgoMs }: SharedLimit): void => {
+    const nowMs = clock.monotonicMs()
+    limits.apply(target, { perSecond, sentAtMs: nowMs - sentAgoMs, receivedAtMs: nowMs - receivedAgoMs })
+  }
+  const recordDenial = (target: TargetId, waitMs: number): void => {
+    const nowMs = clock.monotonicMs()
+    denials.set(target, { availableAtMs: nowMs + waitMs, retryAtMs: nowMs + waitMs * (1 + random()) })
+  }
+  /** Answers a request for a permit of a target for which this entry issues them. */
+  const issuePermit = (target: TargetId): PermitAnswer => {
+    const perSecond = limits.getPerSecond(target)
+    if (perSecond === undefined) return { isGranted: true, waitMs: 0 }
+    const answer = issuer.issue(target, perSecond * issuers.getLiveShare())
+    counts.issued += Number(answer.isGranted)
+    return answer
+  }
+  const handleAnswer = (target: TargetId, answer: PermitAnswer): boolean => {
+    counts.granted += Number(answer.isGranted)
+    counts.denied += Number(!answer.isGranted)
+    if (answer.isGranted) denials.delete(target)
+    else recordDenial(target, answer.waitMs)
+    return answer.isGranted
+  }
+  const requestPermit = async (to: EntryId, target: TargetId): Promise<boolean> => {
+    sequence = sequence === MAX_SEQUENCE ? 0 : sequence + 1
+    const own = sequence
+    const answer = await new Promise<PermitAnswer | undefined>((resolve) => {
+      const cancelTimer = clock.startTimer(RESPONSE_TIMEOUT_MS, () => resolve(undefined))
+      pending.set(own, { target, settle: resolve, cancelTimer })
+      options.send(to, { type: 'permit-request', sequence: own, target, limit: describeLimit(target) })
+    })
+    pending.delete(own)
+    if (answer) return handleAnswer(target, answer)
+    counts.unanswered += 1
+    recordDenial(target, NO_ISSUER_RETRY_MS)
+    return false
+  }
+  const handleRequest = (from: EntryId, { sequence, target, limit }: LimitMessage & { type: 'permit-request' }): void => {
+    applyShared(target, limit)
+    const isIssuer = issuers.getIssuer(target) === self
+    const answer = isIssuer ? issuePermit(target) : { isGranted: false, waitMs: NO_ISSUER_RETRY_MS }
+    options.send(from, { type: 'permit-response', sequence, target, answer, limit: describeLimit(target) })
+  }
+  const handleResponse = ({ sequence, target, answer, limit }: LimitMessage & { type: 'permit-response' }): void => {
+    applyShared(target, limit)
+    const request = pending.get(sequence)
+    if (request?.target === target) {
+      request.cancelTimer()
+      request.settle(answer)
+      return
+    }
+    // The response came after the timeout: the permit serves the next request.
+    if (answer.isGranted && handleAnswer(target, answer)) unused.add(target)
+  }
+  return {
+    record (target, limit, sentAtMs) {
+      const change = limits.record(target, limit, sentAtMs)
+      if (change === 'begun' || change === 'ended') options.broadcast({ type: 'target-limit', target, limit: describeLimit(target) })
+    },
+    getPerSecond: (target) => limits.getPerSecond(target),
+    getAvailableAtMs: (target) => limits.getPerSecond(target) === undefined ? -Infinity : denials.get(target)?.availableAtMs ?? -Infinity,
+    isAvailable (target) {
+      const denial = denials.get(target)
+      return denial === undefined || denial.retryAtMs <= clock.monotonicMs() || limits.getPerSecond(target) === undefined
+    },
+    async acquire (target) {
+      if (limits.getPerSecond(target) === undefined || unused.tryTake(target)) return true
+      const to = issuers.getIssuer(target)
+      return to === self ? handleAnswer(target, issuePermit(target)) : requestPermit(to, target)
+    },
+    release (target) {
+      if (limits.getPerSecond(target) === undefined) return
+      unused.add(target)
+      denials.delete(target)
+    },
+    handleMessage (from, message) {
+      switch (message.type) {
+        case 'permit-request': return handleRequest(from, message)
+        case 'permit-response': return handleResponse(message)
+        case 'target-limit': return applyShared(message.target, message.limit)
+      }
+    },
+    updateEntries (entries) {
+      if (!issuers.update(entries)) return
+      issuer.removeOthers((target) => issuers.getIssuer(target) === self)
+    },
+    removeUnregistered (isRegistered) {
+      limits.removeUnregistered(isRegistered)
+      unused.removeUnregistered(isRegistered)
+      issuers.removeUnregistered(isRegistered)
+      issuer.removeOthers(isRegistered)
+      for (const target of denials.keys()) if (!isRegistered(target)) denials.delete(target)
+    },
+    report: () => ({ ...counts, limitedTargets: limits.countLimited() })
+  }
+}
--- a/src/request/gateway/request-record.ts
+++ b/src/request/gateway/request-record.ts
@@ -16,6 +16,8 @@
   load: LoadReport | undefined
   /** Age of that report; `Infinity` without one. */
   loadAgeMs: number
+  /** Rate limit that the target names, in requests per second; undefined without one. */
+  limitPerSecond: number | undefined
   /** Time from the start of the request to the start of the attempt. */
   startedMs: number
   /** Outcome of the attempt; `pending` until it ends. */
--- a/src/request/gateway/run-attempts.ts
+++ b/src/request/gateway/run-attempts.ts
@@ -113,7 +113,7 @@
     const selection = await service.selector.select(createSelectionRequest(call, triedTargets))
     pendingSelections -= 1
     if (selection.isErr()) events.add({ type: 'selection-failed', error: selection.error })
-    else if (isFinished || call.caller.isDisconnected()) service.selector.release(selection.value.state, undefined)
+    else if (isFinished || call.caller.isDisconnected()) service.selector.cancel(selection.value)
     else send(selection.value)
   }
   const startInBackground = (): void => {
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -64,6 +64,7 @@
     expectedMs: selection.expectedMs,
     load: state.report,
     loadAgeMs: startedAtMs - state.reportAtMs,
+    limitPerSecond: selection.limitPerSecond,
     startedMs: startedAtMs - call.startedAtMs,
     end: 'pending',
     status: undefined
--- a/src/request/selection/candidate-penalty.ts
+++ b/src/request/selection/candidate-penalty.ts
@@ -13,6 +13,8 @@
   hasIdleConnection: boolean
   /** Whether it is warming up. */
   isWarming: boolean
+  /** Whether it names a rate limit. */
+  isLimited: boolean
   /** Age of the latest load report in ms if the latest probe found the target unsuitable; undefined otherwise. */
   unsuitableReportAgeMs: number | undefined
 }
@@ -26,6 +28,8 @@
 /** Penalties in the same unit: 1 is a target whose slots are all taken. */
 const NEW_CONNECTION_PENALTY = 0.3
 const WARMING_PENALTY = 0.5
+/** More than the penalty of another zone: a target that names a limit is in need, so others are tried first. */
+const LIMITED_PENALTY = 0.4
 const UNSUITABLE_PENALTY = 1
 /** Largest random penalty: candidates closer than this may swap order, so that entries do not all probe the same one. */
 const MAX_RANDOM_PENALTY = 0.25
@@ -40,6 +44,7 @@
     (candidate.isSameZone ? 0 : crossZonePenalty) +
     (candidate.hasIdleConnection ? 0 : NEW_CONNECTION_PENALTY) +
     (candidate.isWarming ? WARMING_PENALTY : 0) +
+    (candidate.isLimited ? LIMITED_PENALTY : 0) +
     unsuitableWeight * UNSUITABLE_PENALTY +
     random * MAX_RANDOM_PENALTY
 }
--- a/stand-ins/platform-target.ts
+++ b/stand-ins/platform-target.ts
@@ -17,6 +17,8 @@
   abortedAttempts: string[]
   /** The value of the load header of each response. */
   load: string
+  /** Further headers of each response, that of a health probe included. */
+  headers: Record<string, string>
   /** Responds to a request other than a health probe. */
   handleRequest: RequestListener
   server: Server
@@ -28,17 +30,18 @@
   outgoing.writeHead(200, {
     'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'],
     'medlarcove-response-signature': target.id,
-    'medlarcove-upstream-load': target.load
+    'medlarcove-upstream-load': target.load,
+    ...target.headers
   }).end(text)
 }
 
 /** Starts a target on a free port; `handleRequest` responds to its requests, by default with `sendCompleteResponse`. */
 export async function startPlatformTarget (id: string, handleRequest?: (target: PlatformTarget, incoming: IncomingMessage, outgoing: ServerResponse) => void): Promise<PlatformTarget> {
-  const target: PlatformTarget = { id, receivedAttempts: [], abortedAttempts: [], load: '0,0,4,100', handleRequest: () => undefined, server: createServer(), port: 0 }
+  const target: PlatformTarget = { id, receivedAttempts: [], abortedAttempts: [], load: '0,0,4,100', headers: {}, handleRequest: () => undefined, server: createServer(), port: 0 }
   target.handleRequest = (incoming, outgoing) => handleRequest ? handleRequest(target, incoming, outgoing) : sendCompleteResponse(target, incoming, outgoing)
   target.server.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
     if (incoming.url === '/health') {
-      outgoing.writeHead(200, { 'medlarcove-instance-id': id, 'medlarcove-upstream-load': target.load }).end()
+      outgoing.writeHead(200, { 'medlarcove-instance-id': id, 'medlarcove-upstream-load': target.load, ...target.headers }).end()
       return
     }
     const attempt = String(incoming.headers['medlarcove-attempt-id'])
--- a/test/deferred-metrics.test.ts
+++ b/test/deferred-metrics.test.ts
@@ -11,7 +11,7 @@
   store: { reads: 0, appends: 0, failures: 0, receivedBytes: 0 },
   version: 0,
   isReady: false,
-  limitedTargets: 0,
+  limiter: { limitedTargets: 0, granted: 0, denied: 0, unanswered: 0, issued: 0 },
   liveEntries: 1,
   datagrams: { sent: 0, received: 0, refused: 0, failed: 0 },
   droppedLogLines: 0,
--- a/test/gateway-peers.test.ts
+++ b/test/gateway-peers.test.ts
@@ -7,7 +7,7 @@
 import type { PlatformStore } from '../stand-ins/platform-store.ts'
 import { toBrand } from '../src/types.ts'
 import type { EntryId } from '../src/types.ts'
-import { describeConfiguration, describeTarget, ROUTE_HOST } from '../stand-ins/platform-target.ts'
+import { describeConfiguration, describeTarget, ROUTE_HOST, sendCompleteResponse, startPlatformTarget } from '../stand-ins/platform-target.ts'
 import { buildSettings, createListLogger, findFreePort, sendRaw } from './support/gateway-system.ts'
 
 const WAIT_MS = 3_000
@@ -83,3 +83,29 @@
   // One entry reads two topics, each at most every 0.6 s; all entries read the records of entries now and then.
   expect(store.countCalls() - before).toBeLessThan(2 * 2_000 / 600 + 1 + 2 * entries.length)
 })
+
+test('two entries together send a target no more requests than the limit that it names allows', async () => {
+  const store = await startPlatformStore()
+  open.push(store)
+  const receivedAtMs: number[] = []
+  const target = await startPlatformTarget('i-1', (self, incoming, outgoing) => {
+    receivedAtMs.push(performance.now())
+    sendCompleteResponse(self, incoming, outgoing)
+  })
+  target.headers = { 'server-limit': '0.5' }
+  open.push({ close: () => target.server.close(() => target.server.closeAllConnections()) })
+  store.put('keyed.op', 'config', describeConfiguration(1))
+  store.put('keyed.servers', target.id, describeTarget(target))
+  const entries = [await buildSettings(store), await buildSettings(store, { entry: toBrand<EntryId>('front-2') })]
+  for (const settings of entries) await startEntry(settings)
+  await waitForAddresses(entries[0]!, entries)
+  const send = async ({ listen: { front } }: BootSettings, id: string): Promise<string> => {
+    const text = `GET /safe/a HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nMedlarcove-Attempt-Id: ${id}\r\nMedlarcove-Deadline-Ms: 300\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`
+    return (await sendRaw(front.port, text)).text.slice(9, 12)
+  }
+  const statuses = await Promise.all(Array.from({ length: 80 }, (_, index) => send(entries[index % 2]!, `attempt-${index}`)))
+  // The platform allows one and a half times the limit in any 4 s, and 5 requests.
+  const mostInWindow = Math.max(0, ...receivedAtMs.map((startMs) => receivedAtMs.filter((atMs) => atMs >= startMs && atMs <= startMs + 4_000).length))
+  expect(mostInWindow).toBeLessThanOrEqual(8)
+  expect(statuses.filter((status) => status === '503').length).toBeGreaterThanOrEqual(72)
+})
--- a/test/service-selector.test.ts
+++ b/test/service-selector.test.ts
@@ -52,6 +52,28 @@
   expect(silent.map(({ running }) => running)).toEqual([0, 0, 0, 0])
 })
 
+// Load: half of the capacity; half of the targets name a limit far below what they would get.
+test('targets that name a limit get less, and the others take what they do not accept', async () => {
+  const service = createModelledService({ ...SHIFTING, slowShare: 0, seed: 17 })
+  const limited = [...service.targets.keys()].slice(0, 5)
+  for (const id of limited) service.limiter.record(id, { kind: 'limited', perSecond: 2 }, 0)
+  const requests = await service.runLoad({ ...WORK, perSecond: 140, lengthMs: 4_000 })
+  const toLimited = requests.filter(({ target }) => target !== undefined && limited.includes(target))
+  expect(toLimited.length).toBeLessThanOrEqual(5 * (1.5 * 2 * 4 + 5))
+  expect(computeShareOnTime(requests)).toBeGreaterThan(0.95)
+})
+
+test('a request is rejected at once when no target accepts another one before its deadline', async () => {
+  const service = createModelledService({ ...SHIFTING, targets: 1, slowShare: 0, seed: 18 })
+  const [id] = service.targets.keys()
+  service.limiter.record(id!, { kind: 'limited', perSecond: 0.2 }, 0)
+  await service.runLoad({ ...WORK, perSecond: 1, lengthMs: 1_000 })
+  const rejected = service.send(WORK)
+  await service.clock.advance(0)
+  expect(await rejected).toMatchObject({ startedMs: service.clock.monotonicMs(), rejectedMs: service.clock.monotonicMs() })
+  expect((await rejected).retryAfterS).toBeGreaterThan(0.5)
+})
+
 test('a service without targets rejects requests at once', async () => {
   const service = createModelledService({ ...SHIFTING, targets: 0, seed: 15 })
   const requests = await service.runLoad({ ...WORK, perSecond: 100, lengthMs: 50 })
--- a/test/support/gossip-fleet.ts
+++ b/test/support/gossip-fleet.ts
@@ -81,7 +81,7 @@
       send: (to, message) => send(member, to.address, message),
       createAttachment: () => null,
       handleAttachment: () => undefined,
-      handleBroadcast: (_, payload) => { member.received.push(payload) },
+      handlePayload: (_, payload) => { member.received.push(payload) },
       handleChange: () => undefined
     })
     const replaced = members[index]
--- a/test/support/modelled-service.ts
+++ b/test/support/modelled-service.ts
@@ -4,6 +4,7 @@
 import type { TargetConnection, TargetPool } from '../../src/connection/target-pool.ts'
 import { createTargetRegistry } from '../../src/process/discovery/target-registry.ts'
 import { createServiceSelector } from '../../src/process/selection/service-selector.ts'
+import { createTargetLimiter } from '../../src/process/target-limits/target-limiter.ts'
 import { createTargetStates } from '../../src/process/selection/target-states.ts'
 import type { TargetState } from '../../src/process/selection/target-states.ts'
 import { toBrand } from '../../src/types.ts'
@@ -35,7 +36,17 @@
 }
 
 /** A request of a modelled load and its instants in ms: sent, target selected, completed, rejected. */
-export interface ModelledRequest { priority: number, startedMs: number, selectedMs?: number, endedMs?: number, rejectedMs?: number }
+export interface ModelledRequest {
+  priority: number
+  startedMs: number
+  selectedMs?: number
+  endedMs?: number
+  rejectedMs?: number
+  /** The selected target. */
+  target?: TargetId
+  /** When the caller may come back after a rejection, in s. */
+  retryAfterS?: number
+}
 
 /** Response time of a load probe, in ms. */
 const LOAD_PROBE_MS = 2
@@ -59,6 +70,7 @@
 /** Creates a target selector over modelled targets; `send` and `runLoad` send requests and return how each ended. */
 export function createModelledService (model: ServiceModel) {
   const clock: TestClock = createTestClock()
+  const limiter = createTargetLimiter({ self: toBrand('front-1'), clock, random: createSeededRandom(model.seed), logger: SILENT_LOGGER, send: () => undefined, broadcast: () => undefined })
   const random = createSeededRandom(model.seed)
   const targets = createTargets(model, clock, random)
   const registry = createTargetRegistry()
@@ -80,6 +92,7 @@
     getHealthPath: () => '/health',
     handleLeaving: () => undefined,
     recordLimit: () => undefined,
+    limiter,
     async sendLoadProbe (_, { target, timeoutMs }): Promise<LoadProbeResult> {
       const modelled = targets.get(target)!
       await clock.wait(modelled.isSilent ? timeoutMs : LOAD_PROBE_MS)
@@ -99,10 +112,10 @@
     const { priority = 1, workMs, latencyTargetMs, deadlineMs, isGone = () => false } = options
     const request: ModelledRequest = { priority, startedMs }
     const selection = await selector.select({ priority, workMs, latencyTargetAtMs: startedMs + latencyTargetMs, deadlineAtMs: startedMs + deadlineMs, crossZonePenalty: 0, excluded: new Set(), isCallerGone: isGone })
-    if (selection.isErr()) return { ...request, rejectedMs: clock.monotonicMs() }
+    if (selection.isErr()) return { ...request, rejectedMs: clock.monotonicMs(), retryAfterS: selection.error.retryAfterS }
     const selectedAtMs = clock.monotonicMs()
     await runOnTarget(selection.value.state, workMs)
-    return { ...request, selectedMs: selectedAtMs, endedMs: clock.monotonicMs() }
+    return { ...request, selectedMs: selectedAtMs, endedMs: clock.monotonicMs(), target: selection.value.state.registered.report.id }
   }
   /** Sends `perSecond` requests per second for `lengthMs`, and resolves when all of them have ended. */
   const runLoad = async (options: { perSecond: number, lengthMs: number, workMs: number, latencyTargetMs: number, deadlineMs: number, urgentShare?: number }): Promise<ModelledRequest[]> => {
@@ -116,5 +129,5 @@
     await clock.advance(options.deadlineMs * 2)
     return Promise.all(sent)
   }
-  return { clock, targets, selector, send, runLoad, registry }
+  return { clock, targets, limiter, selector, send, runLoad, registry }
 }
