Log and count the eras of the store, and ranges that are ignored

The logs could not tell an offset that was given out twice from a range that was lost. The store's client decodes the era on each response; a restore and an ignored range are logged, the era is in the metrics.

--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -10,6 +10,8 @@
 import type { AppError } from '../errors.ts'
 import { createLogConnections } from '../process/log-connections.ts'
 import type { LogResponse } from '../process/log-connections.ts'
+import { toBrand } from '../types.ts'
+import type { StoreEra } from '../types.ts'
 import type { HostPort } from './boot-file.ts'
 import { decodeKeyedRecord, decodePage, encodeKeyedRecord } from './store-frames.ts'
 import type { KeyedRecord } from './store-frames.ts'
@@ -21,6 +23,9 @@
 /** The topic of target reports; the key is the target's id. */
 export const TARGETS_TOPIC = 'keyed.servers'
 
+/** On each response of the store: the era of its content. */
+const ERA_HEADER = 'store-era'
+const ERA_PATTERN = /^\d{1,15}$/
 const STATUS_OK = 200
 const STATUS_GONE = 410
 /** The time limit of a read on top of the wait that it requests, in ms. */
@@ -34,6 +39,8 @@
   next: number
   /** The number of records that were skipped because their key is incomplete. */
   malformed: number
+  /** The era to which the offsets belong. */
+  era: StoreEra
 }
 
 /** Counts of calls to the store since the process started. */
@@ -54,8 +61,10 @@
   readNewest(topic: string, options?: Pick<FollowOptions, 'timeoutMs'>): Promise<Result<KeyedPage, AppError>>
   /** Reads records from an offset on. `log-gap`: the store no longer keeps them; call `readNewest` instead. */
   readFrom(topic: string, from: number, options: FollowOptions): Promise<Result<KeyedPage, AppError>>
-  /** Appends one record. `log-unknown`: the store may have stored it. */
-  append(topic: string, key: string, value: Uint8Array): Promise<Result<void, AppError>>
+  /** Appends one record, and returns the era to which it belongs. `log-unknown`: the store may have stored it. */
+  append(topic: string, key: string, value: Uint8Array): Promise<Result<StoreEra, AppError>>
+  /** Returns the highest era that a response of the store has stated. */
+  getEra(): StoreEra
   /** Returns the counts of calls. */
   report(): StoreUse
   /** Closes all connections. */
@@ -69,27 +78,54 @@
 })
 
 /** Decodes the keyed records of a page that begins at `from` and skips those without a complete key. */
-function toKeyedPage (records: readonly { offset: number, data: Uint8Array }[], from: number): KeyedPage {
+function toKeyedPage (records: readonly { offset: number, data: Uint8Array }[], from: number, era: StoreEra): KeyedPage {
   const decoded = records.map(({ offset, data }) => decodeKeyedRecord(offset, data))
   const complete = decoded.filter((record) => record !== undefined)
-  return { records: complete, next: from + records.length, malformed: decoded.length - complete.length }
+  return { records: complete, next: from + records.length, malformed: decoded.length - complete.length, era }
 }
 
-function parseNewest (response: LogResponse): Result<z.infer<typeof newestSchema>, AppError> {
+/** The body of a successful read, and the era that the response states. */
+interface ReadResponse { body: Uint8Array, era: StoreEra }
+
+function parseNewest ({ body }: ReadResponse): Result<z.infer<typeof newestSchema>, AppError> {
   try {
-    return ok(newestSchema.parse(JSON.parse(Buffer.from(response.body).toString('utf8'))))
+    return ok(newestSchema.parse(JSON.parse(Buffer.from(body).toString('utf8'))))
   } catch (cause) {
     return err(createError('record-malformed', `The store's response cannot be decoded: ${describeCause(cause)}`, cause))
   }
 }
 
+/** Options of `createStoreClient`. */
+export interface StoreClientOptions {
+  store: HostPort
+  clock: Clock
+  /** Called when a response states a higher era than all before, with the highest one before; also for responses with an error status. */
+  handleEra(era: StoreEra, before: StoreEra): void
+  /** Called when a response states an era that cannot be decoded; the highest one before counts as its era. */
+  handleMalformedEra(text: string): void
+}
+
 /** Creates a client of the store. */
-export function createStoreClient (options: { store: HostPort, clock: Clock }): StoreClient {
+export function createStoreClient (options: StoreClientOptions): StoreClient {
   const { store, clock } = options
   const connections = createLogConnections({ url: `http://${store.address}:${store.port}`, clock })
   const use: StoreUse = { reads: 0, appends: 0, failures: 0, receivedBytes: 0 }
 
-  const sendRead = async (path: string, { waitMs, timeoutMs = READ_TIMEOUT_MS, signal }: FollowOptions): Promise<Result<LogResponse, AppError>> => {
+  let highestEra = toBrand<StoreEra>(0)
+  /** Returns the era that a response states. */
+  const readEra = ({ headers }: LogResponse): StoreEra => {
+    const text = String(headers[ERA_HEADER] ?? highestEra)
+    if (!ERA_PATTERN.test(text)) {
+      options.handleMalformedEra(text)
+      return highestEra
+    }
+    const era = toBrand<StoreEra>(Number(text))
+    const before = highestEra
+    highestEra = toBrand<StoreEra>(Math.max(before, era))
+    if (era > before) options.handleEra(era, before)
+    return era
+  }
+  const sendRead = async (path: string, { waitMs, timeoutMs = READ_TIMEOUT_MS, signal }: FollowOptions): Promise<Result<ReadResponse, AppError>> => {
     use.reads += 1
     const sent = await connections.send({ method: 'GET', path, limitMs: timeoutMs + waitMs, signal })
     if (sent.isErr()) {
@@ -97,7 +133,8 @@
       return err(createError('log-unavailable', `The store did not respond: ${describeCause(sent.error.cause)}`, sent.error.cause))
     }
     use.receivedBytes += sent.value.body.byteLength
-    if (sent.value.status === STATUS_OK) return ok(sent.value)
+    const era = readEra(sent.value)
+    if (sent.value.status === STATUS_OK) return ok({ body: sent.value.body, era })
     if (sent.value.status === STATUS_GONE) return err(createError('log-gap', 'The store no longer keeps the requested records.'))
     use.failures += 1
     return err(createError('log-unavailable', `The store responded with status ${sent.value.status}.`))
@@ -108,16 +145,19 @@
     let after: string | undefined
     // The pages are not a consistent snapshot, so following starts at the end stated by the first page; records may be read twice.
     let next: number | undefined
+    let era: StoreEra | undefined
     for (;;) {
       const query = new URLSearchParams({ topic, part: '0', ...(after === undefined ? {} : { after }) })
       const response = await sendRead(`/log-newest?${query}`, { ...options, waitMs: 0 })
       if (response.isErr()) return err(response.error)
       const page = parseNewest(response.value)
       if (page.isErr()) return err(page.error)
+      era ??= response.value.era
+      if (response.value.era !== era) return err(createError('log-gap', `The store was restored between two pages of one read: era ${era} became ${response.value.era}.`))
       next ??= page.value.end
       for (const { key, value, offset } of page.value.items) records.push({ key, offset, value: Buffer.from(value, 'base64') })
       after = page.value.items.at(-1)?.key
-      if (!page.value.more || after === undefined) return ok({ records, next, malformed: 0 })
+      if (!page.value.more || after === undefined) return ok({ records, next, malformed: 0, era })
     }
   }
 
@@ -127,7 +167,8 @@
       const query = new URLSearchParams({ topic, part: '0', from: String(from), waitMs: String(Math.round(follow.waitMs)) })
       const response = await sendRead(`/log-read?${query}`, follow)
       if (response.isErr()) return err(response.error)
-      return decodePage(response.value.body, from).map((page) => toKeyedPage(page.records, from))
+      const { body, era } = response.value
+      return decodePage(body, from).map((page) => toKeyedPage(page.records, from, era))
     },
     async append (topic, key, value) {
       use.appends += 1
@@ -138,10 +179,12 @@
         const kind = sent.error.isNeverSent ? 'log-unavailable' : 'log-unknown'
         return err(createError(kind, `The store did not respond to the append: ${describeCause(sent.error.cause)}`, sent.error.cause))
       }
-      if (sent.value.status === STATUS_OK) return ok(undefined)
+      const era = readEra(sent.value)
+      if (sent.value.status === STATUS_OK) return ok(era)
       use.failures += 1
       return err(createError('log-unavailable', `The store responded to the append with status ${sent.value.status}.`))
     },
+    getEra: () => highestEra,
     report: () => ({ ...use }),
     close: connections.close
   }
--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -246,7 +246,10 @@
       // The reader has just read the store, so this process need not find out by itself that it is available.
       recordSuccess()
       currentAtMs = clock.monotonicMs()
-      if (range.next <= next) return
+      if (range.next <= next) {
+        if (range.records.length > 0) logger.info('Ignored records that count as applied.', { topic, from: range.from, next, records: range.records.length })
+        return
+      }
       const from = next
       next = range.next
       options.applyRecords(range.records.filter(({ offset }) => offset >= from), {
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -211,6 +211,7 @@
     renderMetrics: () => metrics.renderText({
       services: state.listMetrics(),
       store: parts.store.report(),
+      storeEra: parts.store.getEra(),
       version: state.getInEffect()?.configuration.version ?? 0,
       isReady: isReady(parts),
       limiter: parts.limiter.report(),
@@ -237,13 +238,26 @@
   })
 }
 
+function createStore ({ settings, clock, logger }: GatewayOptions): StoreClient {
+  const log = logger.forPart('store')
+  return createStoreClient({
+    store: settings.store,
+    clock,
+    handleEra (era, before) {
+      if (before > 0) log.warn('The store was restored from a copy; what was written since the copy may be gone.', { era, before })
+      else log.info('The store states its era.', { era })
+    },
+    handleMalformedEra: (text) => log.warn('The store states an era that cannot be decoded.', { text })
+  })
+}
+
 /** Creates the parts; each uses the others only after all have been created. */
 export function createParts (options: GatewayOptions): GatewayParts {
   const { settings, clock, logger, random = Math.random } = options
   const run = clock.wallMs()
   const incarnation = toBrand<Incarnation>(`${run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
   const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, hasMembershipChanged: true, endAtMs: undefined }
-  const parts = { ...base, store: createStoreClient({ store: settings.store, clock }) } as GatewayParts
+  const parts = { ...base, store: createStore(options) } as GatewayParts
   parts.limiter = createLimiter(parts)
   parts.membership = createMembership(parts, run)
   parts.state = createState(parts)
--- a/src/process/log-connections.ts
+++ b/src/process/log-connections.ts
@@ -1,6 +1,7 @@
 /**
  * The HTTP connections to the log. When a request times out, later requests use new connections.
  */
+import type { IncomingHttpHeaders } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { Pool } from 'undici'
@@ -17,7 +18,7 @@
 }
 
 /** The response of the log. */
-export interface LogResponse { status: number, body: Uint8Array }
+export interface LogResponse { status: number, headers: IncomingHttpHeaders, body: Uint8Array }
 
 /** A request that got no complete response. */
 export interface LogExchangeFailure {
@@ -74,7 +75,7 @@
     if (signal?.aborted) stopEarly()
     try {
       const response = await used.request({ method, path, body, signal: stop.signal })
-      return ok({ status: response.statusCode, body: new Uint8Array(await response.body.arrayBuffer()) })
+      return ok({ status: response.statusCode, headers: response.headers, body: new Uint8Array(await response.body.arrayBuffer()) })
     } catch (cause) {
       if (isTimeout) resetPool(used)
       return err({ cause, isTimeout, isNeverSent: isNeverSent(cause) })
--- a/test/entry-contacts.test.ts
+++ b/test/entry-contacts.test.ts
@@ -8,8 +8,10 @@
 import type { KeyedRecord } from '../src/platform/store-frames.ts'
 import { createEntryContacts } from '../src/process/gateway/entry-contacts.ts'
 import { toBrand } from '../src/types.ts'
+import type { StoreEra } from '../src/types.ts'
 import { SILENT_LOGGER } from './support/silent-logger.ts'
 
+const ERA = toBrand<StoreEra>(1)
 const PEER_PORT = 7_660
 
 /** Entries that write to one store; each that is greeted by another knows it from then on. */
@@ -25,7 +27,7 @@
       state.reads += 1
       await clock.wait(5)
       if (state.isStoreLost) return err(createError('log-unavailable', 'no response'))
-      return ok({ records: [...records.values()], next: records.size, malformed: 0 })
+      return ok({ records: [...records.values()], next: records.size, malformed: 0, era: ERA })
     },
     readFrom: async () => err(createError('log-unavailable', 'unused')),
     async append (_, key, value) {
@@ -33,8 +35,9 @@
       await clock.wait(5)
       if (state.isStoreLost) return err(createError('log-unavailable', 'no response'))
       records.set(key, { key, offset: records.size, value })
-      return ok(undefined)
+      return ok(ERA)
     },
+    getEra: () => ERA,
     report: () => ({ reads: 0, appends: 0, failures: 0, receivedBytes: 0 }),
     close: async () => undefined
   }
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -10,9 +10,10 @@
 import { createSharedReads, selectReader } from '../src/process/gateway/shared-reads.ts'
 import type { ReaderCandidate } from '../src/process/gateway/shared-reads.ts'
 import { toBrand } from '../src/types.ts'
-import type { EntryId } from '../src/types.ts'
+import type { EntryId, StoreEra } from '../src/types.ts'
 import { SILENT_LOGGER } from './support/silent-logger.ts'
 
+const ERA = toBrand<StoreEra>(1)
 const READ_MS = 4
 const PAUSE_MS = 600
 const SILENT_AFTER_MS = 900
@@ -34,7 +35,7 @@
   const createStore = (self: () => Follower): StoreClient => {
     const read = async (from: number) => {
       self().reads += 1
-      const page = { records: log.slice(from), next: log.length, malformed: 0 }
+      const page = { records: log.slice(from), next: log.length, malformed: 0, era: ERA }
       await clock.wait(self().readMs)
       if (self().isStoreLost) return err(createError('log-unavailable', 'no response'))
       if (from < state.firstKept) return err(createError('log-gap', 'compacted'))
@@ -49,7 +50,8 @@
         return page
       },
       readFrom: (_, from) => read(from),
-      append: async () => ok(undefined),
+      append: async () => ok(ERA),
+      getEra: () => ERA,
       report: () => ({ reads: 0, appends: 0, failures: 0, receivedBytes: 0 }),
       close: async () => undefined
     }
