Name positions in the store by era and offset

Cause: a position was an offset alone, and a restored store gives offsets out again. An entry that had read up to 4 ignored the range from 3 to 4 of the new era as applied, and agreed with the others on 4 from then on. Ruled out: a lost datagram, failing reads.

Change: the store's client states the era of each page; positions, shared ranges and progress carry it. A later era leads to a full read, counts as an outage for targets whose record is missing, and makes each entry write its address again; an earlier one changes nothing. The follower is split into its position, its applied records and its watch on outages.

--- /dev/null
+++ b/src/process/discovery/read-position.ts
@@ -0,0 +1,95 @@
+/**
+ * How far this entry has read a topic, how far others have, and how long it may rely on them.
+ */
+import type { Clock } from '../../clock.ts'
+import type { StoreEra } from '../../types.ts'
+import { canContinue, comparePositions, TOPIC_BEGINNING } from './topic-position.ts'
+import type { TopicPosition } from './topic-position.ts'
+
+/** How far a topic has been read. */
+export interface TopicProgress extends TopicPosition {
+  /** How long ago the store was seen to hold no further record, in ms. */
+  ageMs: number
+}
+
+/** The position of this entry in a topic. */
+export interface ReadPosition {
+  /** Returns how far this entry has read; undefined when it has to read the newest record of every key. */
+  get(): TopicPosition | undefined
+  /** Returns how far another entry has read. */
+  getFurthest(): TopicPosition
+  /** Moves on. Call `recordCurrent` too if the store holds no further record. */
+  moveTo(position: TopicPosition): void
+  /** Records that the store held no further record `ageMs` ago. */
+  recordCurrent(ageMs: number): void
+  /** Gives the position up: the newest record of every key has to be read. */
+  reset(): void
+  /** Gives up how far others have read too, since the store no longer keeps those records. */
+  resetAll(): void
+  /** Records how far another entry has read. This entry may wait `graceMs` for the records before it reads by itself. Returns whether it is behind. */
+  recordOther(position: TopicPosition, graceMs: number): boolean
+  isBehind(): boolean
+  /** Returns a later era of the store than that of the position; only once for an era that others have stated and the store has not. */
+  takeLaterEra(storeEra: StoreEra): StoreEra | undefined
+  /** Returns how long this entry may rely on what it knows, in ms, if that may be `maxAgeMs` old; 0 if it must read by itself. */
+  getTrustMs(maxAgeMs: number): number
+  /** Returns how long ago the store was seen to hold no further record, in ms. */
+  getAgeMs(): number
+  getProgress(): TopicProgress | undefined
+}
+
+/** Creates a position at which nothing has been read: the beginning of the topic, or undefined for a full read. */
+export function createReadPosition (clock: Clock, initial: TopicPosition | undefined): ReadPosition {
+  let position = initial
+  let furthest = TOPIC_BEGINNING
+  /** Instant at which the store held no record beyond `position`, as far as this process knows. */
+  let currentAtMs = -Infinity
+  /** Instant from which this entry reads by itself because it is behind. */
+  let catchUpAtMs = Infinity
+  /** The latest era for which a position was given up. */
+  let leftForEra = TOPIC_BEGINNING.era
+
+  const isBehind = (): boolean => position === undefined || comparePositions(position, furthest) < 0
+  const getAgeMs = (): number => Math.max(0, clock.monotonicMs() - currentAtMs)
+  const reset = (): void => {
+    position = undefined
+    currentAtMs = -Infinity
+  }
+  return {
+    get: () => position,
+    getFurthest: () => furthest,
+    moveTo ({ era, next }) {
+      position = { era, next }
+    },
+    recordCurrent (ageMs) {
+      currentAtMs = Math.max(currentAtMs, clock.monotonicMs() - ageMs)
+    },
+    reset,
+    resetAll () {
+      reset()
+      furthest = TOPIC_BEGINNING
+    },
+    recordOther (other, graceMs) {
+      const wasBehind = isBehind()
+      if (comparePositions(other, furthest) > 0) furthest = { era: other.era, next: other.next }
+      if (!isBehind()) return false
+      const readAtMs = clock.monotonicMs() + graceMs
+      catchUpAtMs = wasBehind ? Math.min(catchUpAtMs, readAtMs) : readAtMs
+      return true
+    },
+    isBehind,
+    takeLaterEra (storeEra) {
+      const era = storeEra > furthest.era ? storeEra : furthest.era
+      if (position === undefined || canContinue(position, era) || era <= leftForEra) return undefined
+      leftForEra = era
+      return era
+    },
+    getTrustMs (maxAgeMs) {
+      const nowMs = clock.monotonicMs()
+      const trustMs = currentAtMs + maxAgeMs - nowMs
+      return Math.max(0, isBehind() ? Math.min(trustMs, catchUpAtMs - nowMs) : trustMs)
+    },
+    getAgeMs,
+    getProgress: () => position === undefined || currentAtMs === -Infinity ? undefined : { ...position, ageMs: getAgeMs() }
+  }
+}
--- a/src/process/gateway/entry-contacts.ts
+++ b/src/process/gateway/entry-contacts.ts
@@ -7,6 +7,7 @@
 import type { DatagramAddress } from '../../connection/datagram-socket.ts'
 import type { Clock } from '../../clock.ts'
 import { describeCause } from '../../errors.ts'
+import type { StoreEra } from '../../types.ts'
 import type { KeyedRecord } from '../../platform/store-frames.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import type { PartLogger } from '../logger.ts'
@@ -19,6 +20,8 @@
 export interface EntryContacts {
   /** Starts to write the record of this entry, and to read those of the others while nobody is known. */
   start(): void
+  /** Handles that the store has stated a later era: the record of this entry may be gone and is written again. */
+  handleEra(): void
   close(): void
 }
 
@@ -46,6 +49,8 @@
 /** Time between two checks whether this entry is still alone, in ms: doubles from the first to the last. */
 const ALONE_CHECK_MS = { first: 500, last: 30_000 }
 const RETRY_MS = 500
+/** After a restore of the store the entries write their records within this time, at random, in ms. */
+const REWRITE_SPREAD_MS = 1_000
 
 const recordSchema = z.object({
   address: z.ipv4(),
@@ -71,6 +76,7 @@
     const { zone, address, port, peerPort, run } = self
     const written = await store.append(ENTRIES_TOPIC, self.id, Buffer.from(JSON.stringify({ zone, address, port, peerPort, run })))
     if (written.isErr()) logger.warn('The record of this entry could not be written.', { error: written.error.message })
+    else writtenInEra = written.value
     return written.isOk()
   }
   const readContacts = async (): Promise<boolean> => {
@@ -87,6 +93,11 @@
     logger.info('Read the records of entries.', { count: others.length })
     return true
   }
+  let writtenInEra: StoreEra | undefined
+  const runRewriting = async (): Promise<void> => {
+    await clock.wait(random() * REWRITE_SPREAD_MS, stop.signal)
+    if (writtenInEra !== undefined && writtenInEra < store.getEra()) await runWriting()
+  }
   const runWriting = async (): Promise<void> => {
     while (!stop.signal.aborted && !await writeOwnRecord()) await clock.wait(RETRY_MS, stop.signal)
   }
@@ -109,6 +120,7 @@
       startTask('Writing the record of this entry', runWriting)
       startTask('Reading the records of entries', runReading)
     },
+    handleEra: () => startTask('Writing the record of this entry again', runRewriting),
     close: () => stop.abort()
   }
 }
--- a/src/process/gateway/gateway-followers.ts
+++ b/src/process/gateway/gateway-followers.ts
@@ -7,7 +7,8 @@
 import type { StoreClient } from '../../platform/store-client.ts'
 import { EXPIRY_GRACE_MS } from '../discovery/target-registry.ts'
 import { createTopicFollower } from '../discovery/topic-follower.ts'
-import type { SharedReading, TopicFollower } from '../discovery/topic-follower.ts'
+import type { SharedReading } from '../discovery/shared-reading.ts'
+import type { TopicFollower } from '../discovery/topic-follower.ts'
 import type { PartLogger } from '../logger.ts'
 import type { ReadProgress } from './gateway-messages.ts'
 import type { GatewayState } from './gateway-state.ts'
@@ -21,6 +22,8 @@
   getProgress(): ReadProgress
   /** Applies how far another entry has read. */
   applyProgress(progress: ReadProgress): void
+  /** Handles that the store has stated a later era. */
+  handleEra(): void
   /** Whether reads of this process have failed for as long as an outage lasts at least. */
   hasLostStore(): boolean
   /** Whether the latest read of the targets by this process failed. */
@@ -87,6 +90,10 @@
     applyProgress (topics) {
       for (const { topic, progress } of topics) byTopic.get(topic)?.applyProgress(progress)
     },
+    handleEra () {
+      configuration.handleEra()
+      targets.handleEra()
+    },
     hasLostStore: () => configuration.hasLostStore() || targets.hasLostStore(),
     hasLostTargets: () => targets.isStoreUnavailable(),
     close () {
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -8,7 +8,7 @@
 import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
 import type { EntryId, Incarnation, ZoneId } from '../../types.ts'
-import type { SharedReading } from '../discovery/topic-follower.ts'
+import type { SharedReading } from '../discovery/shared-reading.ts'
 import type { MemberRecord } from '../gossip/member-record.ts'
 import type { Logger, PartLogger } from '../logger.ts'
 import { createTargetLimiter } from '../target-limits/target-limiter.ts'
@@ -238,7 +238,8 @@
   })
 }
 
-function createStore ({ settings, clock, logger }: GatewayOptions): StoreClient {
+function createStore (parts: GatewayParts): StoreClient {
+  const { settings, clock, logger } = parts
   const log = logger.forPart('store')
   return createStoreClient({
     store: settings.store,
@@ -246,6 +247,8 @@
     handleEra (era, before) {
       if (before > 0) log.warn('The store was restored from a copy; what was written since the copy may be gone.', { era, before })
       else log.info('The store states its era.', { era })
+      parts.followers.handleEra()
+      parts.contacts.handleEra()
     },
     handleMalformedEra: (text) => log.warn('The store states an era that cannot be decoded.', { text })
   })
@@ -257,7 +260,8 @@
   const run = clock.wallMs()
   const incarnation = toBrand<Incarnation>(`${run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
   const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, hasMembershipChanged: true, endAtMs: undefined }
-  const parts = { ...base, store: createStore(options) } as GatewayParts
+  const parts = { ...base } as GatewayParts
+  parts.store = createStore(parts)
   parts.limiter = createLimiter(parts)
   parts.membership = createMembership(parts, run)
   parts.state = createState(parts)
--- a/src/process/gateway/shared-reads.ts
+++ b/src/process/gateway/shared-reads.ts
@@ -3,7 +3,7 @@
  * the one with the lowest id.
  */
 import type { EntryId } from '../../types.ts'
-import type { SharedReading } from '../discovery/topic-follower.ts'
+import type { SharedReading } from '../discovery/shared-reading.ts'
 import type { MemberView } from '../gossip/gossip-membership.ts'
 
 /** What the election knows of an entry. */
--- a/stand-ins/platform-log.ts
+++ b/stand-ins/platform-log.ts
@@ -28,12 +28,14 @@
 /** A topic of keyed records. */
 export interface PlatformTopic {
   append(records: readonly Buffer[], options?: AppendOptions): AppendResult
-  /** Lists records from an offset on; returns undefined when the offset is before the first record that is kept. */
+  /** Lists records from an offset on; returns undefined when the offset is before the first record that is kept, or after the end. */
   listFrom(from: number): StoredRecord[] | undefined
   /** Lists the newest record of each key, sorted by key. */
   listNewest(): { key: string, value: Buffer, offset: number }[]
   /** Drops the records before an offset; `listNewest` still returns the newest record of each key. */
   trim(before: number): void
+  /** Returns a copy of the topic as it is. */
+  copy(): PlatformTopic
   /** Returns the offset of the next record to be appended. */
   getEnd(): number
   /** Returns the offset of the first record that is kept. */
@@ -58,12 +60,18 @@
 
 const MAX_STORED_RESULTS = 5
 
-/** Creates an empty topic. */
-export function createPlatformTopic (): PlatformTopic {
-  let records: StoredRecord[] = []
-  let first = 0
-  let end = 0
-  const newest = new Map<string, { value: Buffer, offset: number }>()
+/** What a topic holds. */
+interface TopicContent {
+  records: StoredRecord[]
+  first: number
+  end: number
+  newest: Map<string, { value: Buffer, offset: number }>
+}
+
+/** Creates a topic, empty by default. */
+export function createPlatformTopic (content: TopicContent = { records: [], first: 0, end: 0, newest: new Map() }): PlatformTopic {
+  const { newest } = content
+  let { records, first, end } = content
   const producers = new Map<string, Producer>()
 
   /** Returns the result if the producer's epoch and sequence already decide it; undefined when the records are to be appended. */
@@ -103,12 +111,13 @@
       if (producer) recordResult(producer.name, producer.sequence, result)
       return result
     },
-    listFrom: (from) => from < first ? undefined : records.filter((record) => record.offset >= from),
+    listFrom: (from) => from < first || from > end ? undefined : records.filter((record) => record.offset >= from),
     listNewest: () => [...newest].map(([key, { value, offset }]) => ({ key, value, offset })).sort((a, b) => a.key < b.key ? -1 : 1),
     trim (before) {
       first = Math.max(first, Math.min(before, end))
       records = records.filter((record) => record.offset >= first)
     },
+    copy: () => createPlatformTopic({ records: [...records], first, end, newest: new Map(newest) }),
     getEnd: () => end,
     getFirst: () => first
   }
--- a/stand-ins/platform-store.ts
+++ b/stand-ins/platform-store.ts
@@ -18,12 +18,19 @@
  */
 export type StoreFault = 'none' | 'busy' | 'reset' | 'silent' | 'lost'
 
+/** A copy of all topics, by name. */
+export type StoreCopy = ReadonlyMap<string, PlatformTopic>
+
 /** A running stand-in. */
 export interface PlatformStore {
   port: number
   /** Appends a keyed record as the operator and the targets do, regardless of faults; without a value it deletes the key. */
   put(topic: string, key: string, value?: unknown): void
   getTopic(name: string): PlatformTopic
+  /** Takes a copy of all topics. */
+  takeCopy(): StoreCopy
+  /** Goes back to a copy and begins a new era: offsets are given out again, and what was appended since the copy is gone. */
+  restore(copy: StoreCopy): void
   getGroup(name: string): PlatformGroup
   setFault(fault: StoreFault): void
   /** Counts the requests received so far. */
@@ -63,10 +70,12 @@
   }
 }
 
-async function handleRead (topic: PlatformTopic, query: URLSearchParams, outgoing: ServerResponse): Promise<void> {
+async function handleRead (getTopic: () => PlatformTopic, query: URLSearchParams, outgoing: ServerResponse, setEra: () => void): Promise<void> {
   const from = Number(query.get('from'))
   const deadlineMs = performance.now() + Number(query.get('waitMs') ?? 0)
-  while (topic.getEnd() <= from && performance.now() < deadlineMs) await wait(READ_POLL_MS)
+  while (getTopic().getEnd() === from && performance.now() < deadlineMs) await wait(READ_POLL_MS)
+  const topic = getTopic()
+  setEra()
   const records = topic.listFrom(from)
   if (records) outgoing.writeHead(200).end(encodePage(topic, records))
   else sendJson(outgoing, 410, { first: topic.getFirst() })
@@ -138,7 +147,8 @@
 
 /** Starts the stand-in on a free port of an address; resolves when it listens. */
 export function startPlatformStore (address = '127.0.0.1'): Promise<PlatformStore> {
-  const topics = new Map<string, PlatformTopic>()
+  let topics = new Map<string, PlatformTopic>()
+  let era = 1
   const groups = new Map<string, PlatformGroup>()
   let fault: StoreFault = 'none'
   let callCount = 0
@@ -152,6 +162,7 @@
     groups.set(name, known)
     return known
   }
+  const setEra = (outgoing: ServerResponse): void => { outgoing.setHeader('store-era', String(era)) }
   const handleRequest = async (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> => {
     const url = new URL(incoming.url ?? '/', 'http://store')
     const topic = getTopic(url.searchParams.get('topic') ?? '')
@@ -161,7 +172,7 @@
         if (fault !== 'lost') sendAppendResult(outgoing, result)
         return
       }
-      case 'GET /log-read': return handleRead(topic, url.searchParams, outgoing)
+      case 'GET /log-read': return handleRead(() => getTopic(url.searchParams.get('topic') ?? ''), url.searchParams, outgoing, () => setEra(outgoing))
       case 'GET /log-newest': return handleNewest(topic, url.searchParams, outgoing)
       case 'POST /log-trim':
         topic.trim(Number(url.searchParams.get('before')))
@@ -175,6 +186,7 @@
   }
   const server = createServer((incoming, outgoing) => {
     callCount += 1
+    setEra(outgoing)
     if (fault === 'busy') sendJson(outgoing, 503, {})
     else if (fault === 'reset') incoming.socket.resetAndDestroy()
     else if (fault !== 'silent') handleRequest(incoming, outgoing).catch(() => outgoing.destroy())
@@ -186,6 +198,11 @@
         port: typeof bound === 'object' && bound ? bound.port : 0,
         put: (topic, key, value) => { getTopic(topic).append([encodeKeyed(key, value)]) },
         getTopic,
+        takeCopy: () => new Map([...topics].map(([name, topic]) => [name, topic.copy()])),
+        restore (copy) {
+          topics = new Map([...copy].map(([name, topic]) => [name, topic.copy()]))
+          era += 1
+        },
         getGroup,
         setFault (next) { fault = next },
         countCalls: () => callCount,
--- a/test/entry-contacts.test.ts
+++ b/test/entry-contacts.test.ts
@@ -7,11 +7,11 @@
 import type { StoreClient } from '../src/platform/store-client.ts'
 import type { KeyedRecord } from '../src/platform/store-frames.ts'
 import { createEntryContacts } from '../src/process/gateway/entry-contacts.ts'
+import type { EntryContacts } from '../src/process/gateway/entry-contacts.ts'
 import { toBrand } from '../src/types.ts'
 import type { StoreEra } from '../src/types.ts'
 import { SILENT_LOGGER } from './support/silent-logger.ts'
 
-const ERA = toBrand<StoreEra>(1)
 const PEER_PORT = 7_660
 
 /** Entries that write to one store; each that is greeted by another knows it from then on. */
@@ -19,7 +19,7 @@
   const clock = createTestClock()
   const random = createRandom(3)
   const records = new Map<string, KeyedRecord>()
-  const state = { isStoreLost: changes.isStoreLost ?? false, reads: 0, appends: 0, reader: undefined as string | undefined }
+  const state = { isStoreLost: changes.isStoreLost ?? false, reads: 0, appends: 0, reader: undefined as string | undefined, era: toBrand<StoreEra>(1) }
   const known = new Set<string>()
   const found: DatagramAddress[][] = []
   const store: StoreClient = {
@@ -27,7 +27,7 @@
       state.reads += 1
       await clock.wait(5)
       if (state.isStoreLost) return err(createError('log-unavailable', 'no response'))
-      return ok({ records: [...records.values()], next: records.size, malformed: 0, era: ERA })
+      return ok({ records: [...records.values()], next: records.size, malformed: 0, era: state.era })
     },
     readFrom: async () => err(createError('log-unavailable', 'unused')),
     async append (_, key, value) {
@@ -35,18 +35,19 @@
       await clock.wait(5)
       if (state.isStoreLost) return err(createError('log-unavailable', 'no response'))
       records.set(key, { key, offset: records.size, value })
-      return ok(ERA)
+      return ok(state.era)
     },
-    getEra: () => ERA,
+    getEra: () => state.era,
     report: () => ({ reads: 0, appends: 0, failures: 0, receivedBytes: 0 }),
     close: async () => undefined
   }
+  const entries: EntryContacts[] = []
   const idByAddress = new Map<string, string>()
   for (let index = 0; index < count; index++) {
     const id = `front-${index}`
     const address = `10.0.0.${index + 1}`
     idByAddress.set(address, id)
-    createEntryContacts({
+    const contacts = createEntryContacts({
       self: { id: toBrand(id), zone: toBrand('zone-a'), address, port: 8_144, peerPort: PEER_PORT, run: 1, version: 0, status: { isReady: false, isLeaving: false, isBusy: false, canReadStore: true } },
       store,
       clock,
@@ -60,9 +61,11 @@
         if (contacts.length > 0) known.add(id)
         for (const contact of contacts) known.add(idByAddress.get(contact.address) ?? '')
       }
-    }).start()
+    })
+    contacts.start()
+    entries.push(contacts)
   }
-  return { clock, state, records, found, known }
+  return { clock, state, records, found, known, entries }
 }
 
 test('of 120 entries that start for the first time at once, few read, and all know another one', async () => {
@@ -111,3 +114,19 @@
   await clock.advance(1_000)
   expect(found[0]).toEqual([{ address: '10.0.0.9', port: PEER_PORT }])
 })
+
+test('after a restore of the store each entry writes its record once more, also when the store fails at first', async () => {
+  const { clock, state, records, entries } = setup(7)
+  await clock.advance(3_000)
+  records.clear()
+  state.era = toBrand<StoreEra>(2)
+  state.isStoreLost = true
+  for (const entry of entries) entry.handleEra()
+  await clock.advance(2_000)
+  state.isStoreLost = false
+  await clock.advance(2_000)
+  expect(records.size).toBe(7)
+  const { appends } = state
+  await clock.advance(20_000)
+  expect(state.appends).toBe(appends)
+})
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -230,3 +230,38 @@
   await started._unsafeUnwrap().close()
   store.close()
 })
+
+test('a version at an offset that was given out again after a restore takes effect, and no earlier one comes back', async () => {
+  const system = await setup([await startPlatformTarget('i-1')])
+  const { store, log } = system
+  const getVersions = () => log.filter(({ message }) => message === 'A configuration is in effect.').map(({ fields }) => fields['version'])
+  const copy = store.takeCopy()
+  store.put('keyed.op', 'config', describeConfiguration(2))
+  store.put('keyed.op', 'config', describeConfiguration(3))
+  await waitFor(() => getVersions().includes(3))
+  store.restore(copy)
+  // Version 3 is written again and replaced before the entry reads: the log is as long as before the restore.
+  store.put('keyed.op', 'config', describeConfiguration(3))
+  store.put('keyed.op', 'config', describeConfiguration(5))
+  await waitFor(() => getVersions().includes(5))
+  expect(getVersions()).toEqual(getVersions().toSorted())
+})
+
+test('a target that registered after the copy keeps its requests after a restore, and one that left stays away', async () => {
+  const targets = [await startPlatformTarget('i-1'), await startPlatformTarget('i-2')]
+  const joined = await startPlatformTarget('i-3')
+  const system = await setup([...targets])
+  system.targets.push(joined)
+  const { store, log } = system
+  const copy = store.takeCopy()
+  store.put('keyed.servers', 'i-3', describeTarget(joined))
+  for (const target of targets) store.put('keyed.servers', target.id, describeTarget(target, { state: 'draining', sequence: 2 }))
+  await waitFor(() => log.filter(({ message }) => message === 'A target is leaving.').length === 2)
+  store.restore(copy)
+  await waitFor(() => log.some(({ message }) => message === 'The store was restored from a copy; what was written since the copy may be gone.'))
+  await waitFor(() => log.filter(({ message }) => message === 'Read all targets.').length === 2)
+  for (const target of targets) target.receivedAttempts.length = 0
+  for (let index = 0; index < 5; index++) expect((await send(system, '/safe/a')).status).toBe(200)
+  expect(targets.flatMap(({ receivedAttempts }) => receivedAttempts)).toEqual([])
+  expect(joined.receivedAttempts.length).toBe(5)
+})
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -1,87 +1,13 @@
-import { err, ok } from 'neverthrow'
 import { expect, test } from 'vitest'
-import { createTestClock } from '../src/clock.ts'
-import { createError } from '../src/errors.ts'
-import type { StoreClient } from '../src/platform/store-client.ts'
-import type { KeyedRecord } from '../src/platform/store-frames.ts'
-import { createTopicFollower } from '../src/process/discovery/topic-follower.ts'
-import type { SharedRecordRange } from '../src/process/discovery/shared-range.ts'
-import type { TopicFollower } from '../src/process/discovery/topic-follower.ts'
 import { createSharedReads, selectReader } from '../src/process/gateway/shared-reads.ts'
 import type { ReaderCandidate } from '../src/process/gateway/shared-reads.ts'
 import { toBrand } from '../src/types.ts'
 import type { EntryId, StoreEra } from '../src/types.ts'
-import { SILENT_LOGGER } from './support/silent-logger.ts'
+import { createSharedReaders, DRAIN_MS, PAUSE_MS, READ_MS, SILENT_AFTER_MS } from './support/shared-readers.ts'
+import type { Follower } from './support/shared-readers.ts'
 
 const ERA = toBrand<StoreEra>(1)
-const READ_MS = 4
-const PAUSE_MS = 600
-const SILENT_AFTER_MS = 900
-/** A leaving target must get no requests after this time. */
-const DRAIN_MS = 2_000
 const LARGE_BYTES = 100_000
-const RETRYING_ENTRIES = 3
-const PROBE_MS = 300
-
-interface Follower { follower: TopicFollower, known: Map<string, string>, reads: number, readMs: number, isStoreLost: boolean, isCut: boolean }
-
-/** Creates followers of one topic that share their reads; the first is the reader. Values that begin with `~` change nothing. */
-function setup (count: number) {
-  const clock = createTestClock()
-  const log: KeyedRecord[] = []
-  const followers: Follower[] = []
-  const state = { reader: 0, firstKept: 0 }
-  const write = (key: string, value: string): void => { log.push({ offset: log.length, key, value: Buffer.from(value) }) }
-  const createStore = (self: () => Follower): StoreClient => {
-    const read = async (from: number) => {
-      self().reads += 1
-      const page = { records: log.slice(from), next: log.length, malformed: 0, era: ERA }
-      await clock.wait(self().readMs)
-      if (self().isStoreLost) return err(createError('log-unavailable', 'no response'))
-      if (from < state.firstKept) return err(createError('log-gap', 'compacted'))
-      return ok(page)
-    }
-    return {
-      async readNewest () {
-        const kept = state.firstKept
-        state.firstKept = 0
-        const page = await read(0)
-        state.firstKept = kept
-        return page
-      },
-      readFrom: (_, from) => read(from),
-      append: async () => ok(ERA),
-      getEra: () => ERA,
-      report: () => ({ reads: 0, appends: 0, failures: 0, receivedBytes: 0 }),
-      close: async () => undefined
-    }
-  }
-  const publishFrom = (from: number, stretch: SharedRecordRange): void => {
-    if (followers[from]!.isCut) return
-    for (const [index, { follower, isCut }] of followers.entries()) if (index !== from && !isCut) follower.applyShared(stretch)
-  }
-  for (let index = 0; index < count; index++) {
-    const known = new Map<string, string>()
-    const follower = createTopicFollower({
-      topic: 't',
-      store: createStore(() => followers[index]!),
-      clock,
-      random: () => 0.5,
-      logger: SILENT_LOGGER,
-      waitMs: 0,
-      pauseMs: PAUSE_MS,
-      applyRecords (records) {
-        const changed = records.filter(({ value }) => value && !Buffer.from(value).toString().startsWith('~'))
-        for (const { key, value } of changed) known.set(key, Buffer.from(value!).toString())
-        return changed
-      },
-      sharing: { isReader: () => state.reader === index, publish: (stretch) => publishFrom(index, stretch), silentAfterMs: SILENT_AFTER_MS, getRetryFactor: () => Math.max(1, count / RETRYING_ENTRIES) }
-    })
-    followers.push({ follower, known, reads: 0, readMs: READ_MS, isStoreLost: false, isCut: false })
-  }
-  for (const { follower } of followers) follower.start()
-  return { clock, state, followers, write, log }
-}
 
 function countOthersReads (followers: readonly Follower[]): number {
   return followers.slice(1).reduce((sum, { reads }) => sum + reads, 0)
@@ -89,7 +15,7 @@
 
 // Load: 30 entries, of which one reads the store.
 test('records that the reader reads reach all entries within the drain time, and the others do not read', async () => {
-  const { clock, followers, write } = setup(30)
+  const { clock, followers, write } = createSharedReaders(30)
   await clock.advance(2_000)
   const before = countOthersReads(followers)
   for (let turn = 0; turn < 20; turn++) {
@@ -104,7 +30,7 @@
 test('when the reader is cut off from the entries or the store, the others get new records within the drain time', async () => {
   for (const fault of ['isCut', 'isStoreLost'] as const) {
     for (let offsetMs = 0; offsetMs < PAUSE_MS; offsetMs += 70) {
-      const { clock, followers, write } = setup(4)
+      const { clock, followers, write } = createSharedReaders(4)
       await clock.advance(2_000 + offsetMs)
       followers[0]![fault] = true
       write('a', 'news')
@@ -115,7 +41,7 @@
 })
 
 test('an entry that missed a range reads it by itself', async () => {
-  const { clock, followers, write } = setup(3)
+  const { clock, followers, write } = createSharedReaders(3)
   await clock.advance(2_000)
   followers[2]!.isCut = true
   write('a', 'missed')
@@ -127,7 +53,7 @@
 })
 
 test('records that are too large to share are read by each entry without delay', async () => {
-  const { clock, followers, write } = setup(3)
+  const { clock, followers, write } = createSharedReaders(3)
   await clock.advance(2_000)
   write('large', 'x'.repeat(LARGE_BYTES))
   await clock.advance(PAUSE_MS + 3 * READ_MS)
@@ -135,7 +61,7 @@
 })
 
 test('many records at once are shared in parts that each entry applies in order, without reading', async () => {
-  const { clock, followers, write } = setup(3)
+  const { clock, followers, write } = createSharedReaders(3)
   await clock.advance(2_000)
   const before = countOthersReads(followers)
   for (let index = 0; index < 150; index++) write(`k${index}`, `${index} ${'x'.repeat(300)}`)
@@ -145,7 +71,7 @@
 })
 
 test('an entry that missed one of the parts reads the rest by itself', async () => {
-  const { clock, followers, write } = setup(2)
+  const { clock, followers, write } = createSharedReaders(2)
   await clock.advance(2_000)
   const late = followers[1]!
   const { applyShared } = late.follower
@@ -160,7 +86,7 @@
 })
 
 test('a compacted topic is read in full, and shared reading continues', async () => {
-  const { clock, state, followers, write, log } = setup(3)
+  const { clock, state, followers, write, log } = createSharedReaders(3)
   await clock.advance(2_000)
   write('a', '1')
   write('a', '2')
@@ -175,7 +101,7 @@
 })
 
 test('a late result of an own read never overwrites what the reader shared', async () => {
-  const { clock, followers, write } = setup(2)
+  const { clock, followers, write } = createSharedReaders(2)
   await clock.advance(2_000)
   const [, late] = followers
   late!.isCut = true
@@ -184,17 +110,17 @@
   const { reads } = late!
   for (let waitedMs = 0; late!.reads === reads && waitedMs < 2 * SILENT_AFTER_MS; waitedMs++) await clock.advance(1)
   // The own read is in flight and will return only the old value.
-  late!.follower.applyShared({ topic: 't', from: 0, next: 1, isAfterOutage: false, records: [{ offset: 0, key: 'a', value: Buffer.from('newer') }] })
+  late!.follower.applyShared({ topic: 't', era: ERA, from: 0, next: 1, isAfterOutage: false, records: [{ offset: 0, key: 'a', value: Buffer.from('newer') }] })
   await clock.advance(PAUSE_MS / 2)
   expect(late!.known.get('a')).toBe('newer')
 })
 
 test('an entry that is behind the reader keeps reading until it has caught up', async () => {
-  const { clock, followers, write } = setup(2)
+  const { clock, followers, write } = createSharedReaders(2)
   await clock.advance(2_000)
   const [, late] = followers
   late!.readMs = 50
-  late!.follower.applyShared({ topic: 't', from: 5, next: 5, isAfterOutage: false, records: [] })
+  late!.follower.applyShared({ topic: 't', era: ERA, from: 5, next: 5, isAfterOutage: false, records: [] })
   await clock.advance(10)
   for (let index = 0; index < 5; index++) write('a', `${index}`)
   await clock.advance(PAUSE_MS + 2 * 50)
@@ -202,7 +128,7 @@
 })
 
 test('an entry that lost the range of a change reads it by itself once it hears how far another has read', async () => {
-  const { clock, followers, write } = setup(2)
+  const { clock, followers, write } = createSharedReaders(2)
   await clock.advance(2_000)
   const [reader, late] = followers as [Follower, Follower]
   late.isCut = true
@@ -218,7 +144,7 @@
 })
 
 test('the progress of others keeps an entry from reading while the ranges of the reader are lost', async () => {
-  const { clock, followers } = setup(2)
+  const { clock, followers } = createSharedReaders(2)
   await clock.advance(2_000)
   const [reader, other] = followers as [Follower, Follower]
   other.isCut = true
@@ -234,22 +160,18 @@
 test('the calls to a store that is unavailable do not grow with the number of entries', async () => {
   const counts: number[] = []
   for (const size of [30, 120]) {
-    const { clock, followers } = setup(size)
+    const { clock, followers, advanceWithProbes } = createSharedReaders(size)
     await clock.advance(2_000)
     const before = followers.reduce((sum, { reads }) => sum + reads, 0)
     for (const follower of followers) follower.isStoreLost = true
-    for (let step = 1; step <= 12_000 / PROBE_MS; step++) {
-      await clock.advance(PROBE_MS)
-      // Each entry is probed by another one, whose progress rides on the probe.
-      for (const [index, { follower }] of followers.entries()) follower.applyProgress(followers[(index + step) % size]!.follower.getProgress()!)
-    }
+    await advanceWithProbes(12_000)
     counts.push(followers.reduce((sum, { reads }) => sum + reads, 0) - before - size)
   }
   expect(counts[1]).toBeLessThan(1.5 * counts[0]!)
 })
 
 test('after an outage the entries get new records through the reader, and do not read', async () => {
-  const { clock, followers, write } = setup(30)
+  const { clock, followers, write } = createSharedReaders(30)
   await clock.advance(2_000)
   for (const follower of followers) follower.isStoreLost = true
   await clock.advance(6_000)
@@ -266,7 +188,7 @@
 // Load: 120 entries, of which one is cut off from the store and the others for 12 s, as when its machine is partitioned.
 test('an entry that was cut off from the store and the others has new records within the drain time after its return', async () => {
   for (let offsetMs = 0; offsetMs < 2_000; offsetMs += 330) {
-    const { clock, followers, write } = setup(120)
+    const { clock, followers, write } = createSharedReaders(120)
     await clock.advance(2_000)
     const cut = followers[7]!
     cut.isCut = true
@@ -282,7 +204,7 @@
 })
 
 test('an entry that hears how far others have read tries again at once, though its last reads failed', async () => {
-  const { clock, followers, write } = setup(120)
+  const { clock, followers, write } = createSharedReaders(120)
   await clock.advance(2_000)
   for (const follower of followers) follower.isStoreLost = true
   await clock.advance(6_000)
--- /dev/null
+++ b/test/support/shared-readers.ts
@@ -0,0 +1,114 @@
+import { err, ok } from 'neverthrow'
+import { createTestClock } from '../../src/clock.ts'
+import { createError } from '../../src/errors.ts'
+import type { KeyedPage, StoreClient } from '../../src/platform/store-client.ts'
+import type { KeyedRecord } from '../../src/platform/store-frames.ts'
+import type { SharedRecordRange } from '../../src/process/discovery/shared-range.ts'
+import { createTopicFollower } from '../../src/process/discovery/topic-follower.ts'
+import type { TopicFollower } from '../../src/process/discovery/topic-follower.ts'
+import { toBrand } from '../../src/types.ts'
+import type { StoreEra } from '../../src/types.ts'
+import { SILENT_LOGGER } from './silent-logger.ts'
+
+export const READ_MS = 4
+export const PAUSE_MS = 600
+export const SILENT_AFTER_MS = 900
+/** A leaving target must get no requests after this time. */
+export const DRAIN_MS = 2_000
+const RETRYING_ENTRIES = 3
+const PROBE_MS = 300
+
+/** An entry that follows the topic, what it knows, its reads, and its faults. */
+export interface Follower {
+  follower: TopicFollower
+  known: Map<string, string>
+  reads: number
+  /** How often it was told that keys may be missing, with a full read. */
+  readsAfterOutage: number
+  readMs: number
+  isStoreLost: boolean
+  /** Neither sends nor receives ranges. */
+  isCut: boolean
+}
+
+/** Creates followers of one topic that share their reads; the first is the reader. Values that begin with `~` change nothing. */
+export function createSharedReaders (count: number) {
+  const clock = createTestClock()
+  const log: KeyedRecord[] = []
+  const followers: Follower[] = []
+  const state = { reader: 0, firstKept: 0, era: 1 }
+  const write = (key: string, value: string): void => { log.push({ offset: log.length, key, value: Buffer.from(value) }) }
+  const createStore = (self: () => Follower): StoreClient => {
+    let highestEra = 0
+    const toPage = (records: KeyedRecord[]): KeyedPage => ({ records, next: log.length, malformed: 0, era: toBrand<StoreEra>(state.era) })
+    const answer = async (from: number | undefined) => {
+      self().reads += 1
+      const page = toPage(log.slice(from ?? 0))
+      const isGone = from !== undefined && (from < state.firstKept || from > log.length)
+      await clock.wait(self().readMs)
+      if (self().isStoreLost) return err(createError('log-unavailable', 'no response'))
+      if (page.era > highestEra) {
+        highestEra = page.era
+        self().follower.handleEra()
+      }
+      return isGone ? err(createError('log-gap', 'compacted or restored')) : ok(page)
+    }
+    return {
+      readNewest: () => answer(undefined),
+      readFrom: (_, from) => answer(from),
+      append: async () => ok(toBrand<StoreEra>(state.era)),
+      getEra: () => toBrand<StoreEra>(highestEra),
+      report: () => ({ reads: 0, appends: 0, failures: 0, receivedBytes: 0 }),
+      close: async () => undefined
+    }
+  }
+  const publishFrom = (from: number, range: SharedRecordRange): void => {
+    if (followers[from]!.isCut) return
+    for (const [index, { follower, isCut }] of followers.entries()) if (index !== from && !isCut) follower.applyShared(range)
+  }
+  for (let index = 0; index < count; index++) {
+    const known = new Map<string, string>()
+    const follower = createTopicFollower({
+      topic: 't',
+      store: createStore(() => followers[index]!),
+      clock,
+      random: () => 0.5,
+      logger: SILENT_LOGGER,
+      waitMs: 0,
+      pauseMs: PAUSE_MS,
+      postOutageWindowMs: DRAIN_MS,
+      applyRecords (records, { isFullRead, isAfterOutage }) {
+        if (isFullRead && isAfterOutage) followers[index]!.readsAfterOutage += 1
+        const changed = records.filter(({ value }) => value && !Buffer.from(value).toString().startsWith('~'))
+        for (const { key, value } of changed) known.set(key, Buffer.from(value!).toString())
+        return changed
+      },
+      sharing: { isReader: () => state.reader === index, publish: (range) => publishFrom(index, range), silentAfterMs: SILENT_AFTER_MS, getRetryFactor: () => Math.max(1, count / RETRYING_ENTRIES) }
+    })
+    followers.push({ follower, known, reads: 0, readsAfterOutage: 0, readMs: READ_MS, isStoreLost: false, isCut: false })
+  }
+  for (const { follower } of followers) follower.start()
+  return {
+    clock,
+    state,
+    followers,
+    write,
+    log,
+    /** Restores the store from a copy with this number of records; offsets are given out again in a new era. */
+    restore (length: number): void {
+      log.length = length
+      state.era += 1
+    },
+    /** Advances the time; each entry is probed by another one, whose progress rides on the probe, unless one of them is cut off. */
+    async advanceWithProbes (ms: number): Promise<void> {
+      for (let step = 1; step <= ms / PROBE_MS; step++) {
+        await clock.advance(PROBE_MS)
+        for (const [index, { follower, isCut }] of followers.entries()) {
+          const prober = followers[(index + step) % count]!
+          const progress = prober.follower.getProgress()
+          if (progress && !isCut && !prober.isCut) follower.applyProgress(progress)
+        }
+      }
+    }
+  }
+}
