--- /dev/null
+++ b/src/process/selection/target-search.ts
@@ -0,0 +1,178 @@
+/**
+ * Finds a target for one request of a service: orders the candidates by the local view, sends load probes to the first of
+ * them, and acquires a permit where the target names a rate limit.
+ */
+import { computePenalty } from '../../request/selection/candidate-penalty.ts'
+import { canMeetLatencyTarget } from '../../request/selection/request-queue.ts'
+import type { QueuedRequest } from '../../request/selection/request-queue.ts'
+import type { ServiceId, TargetId, ZoneId } from '../../types.ts'
+import type { TargetRegistry } from '../discovery/target-registry.ts'
+import type { TargetLimiter } from '../target-limits/target-limiter.ts'
+import { getFaster } from './load-prober.ts'
+import type { EstimatedTarget, LoadProber, LoadProberOptions } from './load-prober.ts'
+import type { TargetState, TargetStates } from './target-states.ts'
+
+/** A request that needs a target. */
+export interface SelectionRequest extends QueuedRequest {
+  /** Penalty of targets in other zones; 1 is the penalty of a target whose slots are all taken. */
+  crossZonePenalty: number
+  /** Targets that earlier attempts of the request used. */
+  excluded: ReadonlySet<TargetId>
+}
+
+/**
+ * Why a target was selected. Suitable targets: `looked` by a load probe, `reported` by a recent load report, `waited`
+ * by a response while the request was queued. Others: `best-seen` is the fastest of the probed ones, `untold` is the
+ * best by this process's own counts.
+ */
+export type SelectionReason = 'looked' | 'reported' | 'waited' | 'best-seen' | 'untold'
+
+/** The target selected for a request. */
+export interface TargetSelection {
+  state: TargetState
+  /** Expected time from sending the request to its response, in ms. */
+  expectedMs: number
+  /** How long the selection took, with the time in the queue, in ms. */
+  waitedMs: number
+  reason: SelectionReason
+  /** Rate limit that the target names, in requests per second over all entries; undefined without one. */
+  limitPerSecond: number | undefined
+}
+
+/** Finds targets. A target that is returned counts the request as in flight. */
+export interface TargetSearch {
+  /** Lists the targets that a request may use, without those that are ejected while enough others are left. */
+  listUsable(request: SelectionRequest): TargetState[]
+  /** Returns the earliest instant at which one of these targets may accept a request, by the monotonic clock in ms; `-Infinity` for now. */
+  getPermitAtMs(targets: readonly TargetState[]): number
+  /** Probes candidates in rounds of these sizes; resolves with the first suitable target, else the fastest if it is on time. */
+  search(request: SelectionRequest, sizes: readonly number[], startedAtMs: number): Promise<TargetSelection | undefined>
+  /** Selects the best target by this process's own counts, when no load probe can be sent or none returns a load. */
+  acquireUnprobed(request: SelectionRequest, startedAtMs: number): Promise<TargetSelection | undefined>
+  /** Selects a target that names no rate limit. */
+  acquireUnlimited(candidate: EstimatedTarget, startedAtMs: number, reason: SelectionReason): TargetSelection
+  /** Selects a target if its rate limit allows one more request. */
+  tryAcquire(candidate: EstimatedTarget, startedAtMs: number, reason: SelectionReason): Promise<TargetSelection | undefined>
+  /** Undoes a selection whose request was not sent. */
+  cancel(selection: TargetSelection): void
+}
+
+/** Options of the target selection of a service. */
+export interface TargetSearchOptions extends LoadProberOptions {
+  service: ServiceId
+  zone: ZoneId
+  registry: TargetRegistry
+  states: TargetStates
+  limiter: Pick<TargetLimiter, 'getPerSecond' | 'getAvailableAtMs' | 'isAvailable' | 'acquire' | 'release'>
+  random: () => number
+}
+
+/** A load report up to this age makes a probe unnecessary, in ms. */
+const MAX_FRESH_REPORT_AGE_MS = 6
+/** When at least this share of the targets is ejected, ejections are ignored, since the few others could not take the load. */
+const MAX_EJECTED_SHARE = 0.6
+/** Targets for which a permit is requested when none can be probed. */
+const MAX_UNPROBED_CANDIDATES = 3
+
+/** Creates the search for targets of a service. */
+export function createTargetSearch (options: TargetSearchOptions, prober: LoadProber): TargetSearch {
+  const { service, zone, registry, states, limiter, clock, random } = options
+
+  const listUsable = ({ excluded }: SelectionRequest): TargetState[] => {
+    const nowMs = clock.monotonicMs()
+    const all = registry.list(service).filter((target) => !target.isLeaving && !excluded.has(target.report.id)).map((target) => states.get(target))
+    const notEjected = all.filter((state) => state.ejectedUntilMs <= nowMs)
+    return notEjected.length > all.length * (1 - MAX_EJECTED_SHARE) ? notEjected : all
+  }
+  const orderCandidates = (request: SelectionRequest, probed: ReadonlySet<TargetState>): TargetState[] => {
+    const nowMs = clock.monotonicMs()
+    const candidates = listUsable(request).filter((state) => !probed.has(state) && limiter.isAvailable(state.registered.report.id))
+    const scored = candidates.map((state) => ({
+      state,
+      penalty: computePenalty({
+        inFlight: state.inFlight + state.probesInFlight,
+        slots: state.registered.report.slots,
+        isSameZone: state.registered.report.zone === zone,
+        hasIdleConnection: state.pool.countConnections().idle > 0,
+        isWarming: state.registered.warmupEndsAtMs > nowMs,
+        isLimited: limiter.getPerSecond(state.registered.report.id) !== undefined,
+        unsuitableReportAgeMs: state.isReportUnsuitable ? nowMs - state.reportAtMs : undefined
+      }, request, random())
+    }))
+    return scored.sort((a, b) => a.penalty - b.penalty).map(({ state }) => state)
+  }
+  const countInFlight = ({ state, estimate }: EstimatedTarget, startedAtMs: number, reason: SelectionReason): TargetSelection => {
+    state.inFlight += 1
+    state.sentCount += 1
+    const limitPerSecond = limiter.getPerSecond(state.registered.report.id)
+    return { state, expectedMs: estimate.totalMs, waitedMs: clock.monotonicMs() - startedAtMs, reason, limitPerSecond }
+  }
+  const cancel = ({ state, limitPerSecond }: TargetSelection): void => {
+    state.inFlight -= 1
+    state.sentCount -= 1
+    if (limitPerSecond !== undefined) limiter.release(state.registered.report.id)
+  }
+  /** Selects a target if its rate limit allows one more request. */
+  const tryAcquire = async (candidate: EstimatedTarget, startedAtMs: number, reason: SelectionReason): Promise<TargetSelection | undefined> => {
+    const selection = countInFlight(candidate, startedAtMs, reason)
+    const { id } = candidate.state.registered.report
+    if (selection.limitPerSecond === undefined || await limiter.acquire(id)) return { ...selection, waitedMs: clock.monotonicMs() - startedAtMs }
+    candidate.state.inFlight -= 1
+    candidate.state.sentCount -= 1
+    return undefined
+  }
+  /** Finds a target whose recent load report shows it suitable. */
+  const findReported = (ordered: readonly TargetState[], workMs: number): EstimatedTarget | undefined => {
+    const nowMs = clock.monotonicMs()
+    for (const state of ordered) {
+      if (nowMs - state.reportAtMs > MAX_FRESH_REPORT_AGE_MS) continue
+      const estimate = prober.estimate(state, workMs, state.sentCountAtReport)
+      if (estimate.isSuitable) return { state, estimate }
+    }
+    return undefined
+  }
+  /** Whether a response from the target would meet the latency target or, when that is no longer possible, the deadline. */
+  const isOnTime = ({ estimate: { totalMs } }: EstimatedTarget, request: SelectionRequest): boolean => {
+    const nowMs = clock.monotonicMs()
+    return nowMs + totalMs <= (canMeetLatencyTarget(request, nowMs) ? request.latencyTargetAtMs : request.deadlineAtMs)
+  }
+  /** Selects the best target by this process's own counts, when no load probe can be sent or none returns a load. */
+  const acquireUnprobed = async (request: SelectionRequest, startedAtMs: number): Promise<TargetSelection | undefined> => {
+    for (const state of orderCandidates(request, new Set()).slice(0, MAX_UNPROBED_CANDIDATES)) {
+      const candidate = { state, estimate: prober.estimate(state, request.workMs, state.sentCountAtReport) }
+      if (prober.hasLoadReports() !== false && !isOnTime(candidate, request)) return undefined
+      const selection = await tryAcquire(candidate, startedAtMs, 'untold')
+      if (selection) return selection
+    }
+    return undefined
+  }
+  /** Probes candidates in rounds of these sizes; returns the first suitable target, else the fastest if it is on time. */
+  const search = async (request: SelectionRequest, sizes: readonly number[], startedAtMs: number): Promise<TargetSelection | undefined> => {
+    const probed = new Set<TargetState>()
+    let best: EstimatedTarget | undefined
+    for (const size of sizes) {
+      const ordered = orderCandidates(request, probed)
+      const reported = findReported(ordered, request.workMs)
+      const acquired = reported && await tryAcquire(reported, startedAtMs, 'reported')
+      if (acquired) return acquired
+      const candidates = prober.acquireProbes(ordered.filter((state) => state !== reported?.state), size)
+      if (candidates.length === 0) break
+      for (const state of candidates) probed.add(state)
+      const candidate = await prober.probeCandidates(candidates, request.workMs)
+      const selection = candidate?.estimate.isSuitable ? await tryAcquire(candidate, startedAtMs, 'looked') : undefined
+      if (selection) return selection
+      if (!candidate?.estimate.isSuitable) best = getFaster(best, candidate)
+    }
+    if (probed.size === 0) return acquireUnprobed(request, startedAtMs)
+    return best && isOnTime(best, request) ? tryAcquire(best, startedAtMs, 'best-seen') : undefined
+  }
+  return {
+    listUsable,
+    getPermitAtMs: (targets) => Math.min(...targets.map((state) => limiter.getAvailableAtMs(state.registered.report.id))),
+    search,
+    acquireUnprobed,
+    acquireUnlimited: countInFlight,
+    tryAcquire,
+    cancel
+  }
+}
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -2,7 +2,7 @@
  * One attempt of a request at the target selected for it.
  */
 import { decodeLoadReport, decodeNamedLimit, getAttemptId, isMisdirected, isNotExecuted } from '../../platform/wire-names.ts'
-import type { TargetSelection } from '../../process/selection/service-selector.ts'
+import type { TargetSelection } from '../../process/selection/target-search.ts'
 import { createError } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
 import { isIdempotent } from '../../version/configuration.ts'
