Split what connects a gateway to the other entries from its other parts; one hash function

No change of behaviour; the digests of views differ from those of earlier releases, so during a rolling upgrade entries compare views more often.

--- /dev/null
+++ b/src/process/gateway/gateway-types.ts
@@ -0,0 +1,55 @@
+/**
+ * Types that the modules of a gateway share.
+ */
+import type { Clock } from '../../clock.ts'
+import type { BootSettings } from '../../platform/boot-file.ts'
+import type { StoreClient } from '../../platform/store-client.ts'
+import type { Incarnation } from '../../types.ts'
+import type { Logger, PartLogger } from '../logger.ts'
+import type { TargetLimiter } from '../target-limits/target-limiter.ts'
+import type { DeferredMetrics } from './deferred-metrics.ts'
+import type { EntryContacts } from './entry-contacts.ts'
+import type { GatewayFollowers } from './gateway-followers.ts'
+import type { GatewayMembership } from './gateway-membership.ts'
+import type { GatewayRequests } from './gateway-requests.ts'
+import type { GatewayServers } from './gateway-servers.ts'
+import type { GatewayState } from './gateway-state.ts'
+
+/** Options of a gateway. */
+export interface GatewayOptions {
+  settings: BootSettings
+  clock: Clock
+  logger: Logger
+  random?: () => number
+  /** Returns how many log lines have been dropped, for the metrics. */
+  countDroppedLines?(): number
+  /** Port of the metrics; `METRICS_PORT` when left out. */
+  metricsPort?: number
+}
+
+/** What a gateway consists of. */
+export interface GatewayParts {
+  settings: BootSettings
+  clock: Clock
+  random: () => number
+  logger: Logger
+  log: PartLogger
+  incarnation: Incarnation
+  store: StoreClient
+  contacts: EntryContacts
+  membership: GatewayMembership
+  limiter: TargetLimiter
+  state: GatewayState
+  requests: GatewayRequests
+  metrics: DeferredMetrics
+  followers: GatewayFollowers
+  servers: GatewayServers
+  startedAtMs: number
+  isStopping: boolean
+  /** Whether this process is overloaded, by the lateness of its event loop. */
+  isBusy: boolean
+  /** Whether a member has appeared, changed or is gone since `applyMembershipChanges` was last called. */
+  hasMembershipChanged: boolean
+  /** Latest end of the process, by the monotonic clock in ms; undefined until a shutdown starts. */
+  endAtMs: number | undefined
+}
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -6,8 +6,9 @@
 import type { AppError } from '../../errors.ts'
 import type { BootSettings } from '../../platform/boot-file.ts'
 import { startLatenessWatch } from '../lateness-watch.ts'
-import { ADDRESS_LIFETIME_MS, applyMembershipChanges, createParts, publishStatus } from './gateway-parts.ts'
-import type { GatewayOptions, GatewayParts } from './gateway-parts.ts'
+import { ADDRESS_LIFETIME_MS, createParts } from './gateway-parts.ts'
+import { applyMembershipChanges, publishStatus } from './gateway-peers.ts'
+import type { GatewayOptions, GatewayParts } from './gateway-types.ts'
 
 /** A running gateway. */
 export interface Gateway {
--- a/src/process/gossip/member-list.ts
+++ b/src/process/gossip/member-list.ts
@@ -2,6 +2,7 @@
  * One member's view of all members, merged from the updates that members pass on. It neither sends nor waits.
  */
 import type { Clock } from '../../clock.ts'
+import { computeHash } from '../../request/balancing/rendezvous.ts'
 import type { EntryId } from '../../types.ts'
 import { compareUpdates } from './member-record.ts'
 import type { Liveness, MemberRecord, MemberStatus, MemberUpdate } from './member-record.ts'
@@ -53,16 +54,6 @@
   handleChange(update: MemberUpdate): void
 }
 
-const HASH_PRIME = 0x0100_0193
-const HASH_OFFSET = 0x811c_9dc5
-
-/** Computes the FNV-1a hash of a text, as an unsigned 32-bit integer. */
-function computeHash (text: string): number {
-  let hash = HASH_OFFSET
-  for (let index = 0; index < text.length; index++) hash = Math.imul(hash ^ text.charCodeAt(index), HASH_PRIME)
-  return hash >>> 0
-}
-
 /** Computes a member's share of the digest. Suspicions are left out, because they pass within seconds. */
 function computeShare ({ record, liveness }: MemberUpdate): number {
   return liveness === 'dead' ? 0 : computeHash(`${record.id} ${record.run} ${record.version}`)
