Tell an entry that appears the limits of targets; name the fault of a broken link in the message

An entry that restarted knew no limits until its own first responses; with many entries that restart at once, each could send a target one request too many. Those that issued a target's permits tell it now. The test failed before: none of ten limits known 2 s after a restart.

--- a/src/process/keyed-requests.ts
+++ b/src/process/keyed-requests.ts
@@ -72,7 +72,7 @@
       // The forwarded copy may still run at the peer, so `not-run` is correct only if no byte reached the peer.
       const isNotRun = own.isErr() && getErrorResponse(own.error.kind).fate === 'not-run'
       if (!isNotRun || forwarded.error.kind === 'peer-unreachable') return own
-      return err(createError('claim-elsewhere', 'Another entry, which ranks first for the key, may still run the request.'))
+      return err(createError('claim-elsewhere', `Another entry, which ranks first for the key, may still run the request: ${forwarded.error.message}`))
     },
     async runForPeer (call, operation) {
       const key = hashCallKey(call, operation)
--- a/src/process/target-limits/issuer-view.ts
+++ b/src/process/target-limits/issuer-view.ts
@@ -12,8 +12,8 @@
 
 /** The issuers of all targets in the view of one entry. */
 export interface IssuerView {
-  /** Updates the view. Returns whether the set of live entries has changed. */
-  update(entries: readonly IssuerCandidate[]): boolean
+  /** Updates the view. Returns which entries are live now and were not before; undefined if the same ones are live. */
+  update(entries: readonly IssuerCandidate[]): EntryId[] | undefined
   /** Returns the entry that issues the permits of a target. */
   getIssuer(target: TargetId): EntryId
   /**
@@ -40,11 +40,12 @@
     update (entries) {
       const next = entries.filter(({ state }) => state === 'live').map(({ id }) => id).sort()
       lostCount = entries.filter(({ state, status }) => state === 'suspect' || (state === 'gone' && !status.isLeaving)).length
-      if (next.join() === live.join()) return false
+      if (next.join() === live.join()) return undefined
+      const before = new Set(live)
       live = next
       changedAtMs = clock.monotonicMs()
       issuers.clear()
-      return true
+      return live.filter((id) => !before.has(id))
     },
     getIssuer (target) {
       const known = issuers.get(target) ?? sortByRendezvous(target, live)[0] ?? self
--- a/src/process/target-limits/named-limits.ts
+++ b/src/process/target-limits/named-limits.ts
@@ -33,8 +33,8 @@
   getPerSecond(target: TargetId): number | undefined
   /** Returns the observation in effect; undefined if the target has never named a limit. */
   get(target: TargetId): LimitObservation | undefined
-  /** Counts the targets that have a limit. */
-  countLimited(): number
+  /** Lists the targets that have a limit. */
+  listLimited(): TargetId[]
   /** Forgets the targets that are no longer registered. */
   removeUnregistered(isRegistered: (target: TargetId) => boolean): void
 }
@@ -101,7 +101,7 @@
     apply,
     getPerSecond: (target) => observations.get(target)?.perSecond,
     get: (target) => observations.get(target),
-    countLimited: () => [...observations.values()].filter(({ perSecond }) => perSecond !== undefined).length,
+    listLimited: () => [...observations].filter(([, { perSecond }]) => perSecond !== undefined).map(([target]) => target),
     removeUnregistered (isRegistered) {
       for (const target of observations.keys()) if (!isRegistered(target)) observations.delete(target)
       for (const target of malformed.keys()) if (!isRegistered(target)) malformed.delete(target)
--- a/src/process/target-limits/target-limiter.ts
+++ b/src/process/target-limits/target-limiter.ts
@@ -44,7 +44,7 @@
   release(target: TargetId): void
   /** Handles a message of another entry. */
   handleMessage(from: EntryId, message: LimitMessage): void
-  /** Updates the view of the entries, this one included. */
+  /** Updates the view of the entries, this one included, and tells those that have appeared the limits for which this entry issues permits. */
   updateEntries(entries: readonly IssuerCandidate[]): void
   /** Forgets targets that are no longer registered. */
   removeUnregistered(isRegistered: (target: TargetId) => boolean): void
@@ -175,8 +175,11 @@
       }
     },
     updateEntries (entries) {
-      if (!issuers.update(entries)) return
+      const issuedHere = limits.listLimited().filter((target) => issuers.getIssuer(target) === self)
+      const appeared = issuers.update(entries)
+      if (!appeared) return
       issuer.removeOthers((target) => issuers.getIssuer(target) === self)
+      for (const id of appeared) if (id !== self) for (const target of issuedHere) options.send(id, { type: 'target-limit', target, limit: describeLimit(target) })
     },
     removeUnregistered (isRegistered) {
       limits.removeUnregistered(isRegistered)
@@ -185,6 +188,6 @@
       issuer.removeOthers(isRegistered)
       for (const target of denials.keys()) if (!isRegistered(target)) denials.delete(target)
     },
-    report: () => ({ ...counts, limitedTargets: limits.countLimited() })
+    report: () => ({ ...counts, limitedTargets: limits.listLimited().length })
   }
 }
--- a/test/target-limiter.test.ts
+++ b/test/target-limiter.test.ts
@@ -162,3 +162,14 @@
   await fleet.runLoad({ perSecond: 20, lengthMs: 2_000 })
   expect(countSince(fleet.targets[0]!, fromMs)).toBeGreaterThan(30)
 })
+
+test('an entry that restarts knows the limits of targets before it sends them anything', async () => {
+  const fleet = createLimiterFleet({ size: 7, perSecond: 2, targetCount: 10, seed: 8 })
+  await fleet.runLoad({ perSecond: 40, lengthMs: 4_000 })
+  const [restarted] = fleet.entries
+  fleet.stop(restarted!)
+  await fleet.clock.advance(5_000)
+  fleet.restart(restarted!)
+  await fleet.clock.advance(2_000)
+  expect(fleet.targets.map(({ id }) => restarted!.limiter.getPerSecond(id))).toEqual(new Array(10).fill(2))
+})
