--- a/src/connection/send-load-probe.ts
+++ b/src/connection/send-load-probe.ts
@@ -2,12 +2,12 @@
  * Load probe: queries the health endpoint of a target for its load, on a pooled connection.
  */
 import type { Clock } from '../clock.ts'
-import { decodeLoadReport, decodeNamedLimit, getInstanceId } from '../platform/wire-names.ts'
+import { decodeLoadReport, decodeAdvertisedLimit, getInstanceId } from '../platform/wire-names.ts'
 import { drainResponse } from '../request/drain-response.ts'
 import { startExchange } from '../request/exchange.ts'
 import type { ResponseHead, ExchangeRequest } from '../request/exchange.ts'
 import type { LoadReport } from '../request/selection/load-report.ts'
-import type { NamedLimit } from '../request/selection/named-limit.ts'
+import type { AdvertisedLimit } from '../request/selection/advertised-limit.ts'
 import { toBrand } from '../types.ts'
 import type { RequestId, TargetId } from '../types.ts'
 import type { TargetConnection } from './target-pool.ts'
@@ -18,11 +18,11 @@
 /** Result of a load probe. */
 export type LoadProbeResult =
   /** The target is healthy and reported its load. */
-  | { kind: 'load', report: LoadReport, limit: NamedLimit }
+  | { kind: 'load', report: LoadReport, limit: AdvertisedLimit }
   /** The target is healthy, but its load is unreported. */
-  | { kind: 'healthy', limit: NamedLimit }
+  | { kind: 'healthy', limit: AdvertisedLimit }
   /** The target responded with another status than 200: it is leaving or failing. */
-  | { kind: 'unhealthy', limit: NamedLimit }
+  | { kind: 'unhealthy', limit: AdvertisedLimit }
   /** Another target responded at this address. */
   | { kind: 'replaced' }
   /** Connected, but no complete response came in time. */
@@ -43,7 +43,7 @@
 function toResult (target: TargetId, { status, headers }: ResponseHead): LoadProbeResult {
   const instance = getInstanceId(headers)
   if (instance !== undefined && instance !== target) return { kind: 'replaced' }
-  const limit = decodeNamedLimit(headers)
+  const limit = decodeAdvertisedLimit(headers)
   if (status !== STATUS_OK) return { kind: 'unhealthy', limit }
   const report = decodeLoadReport(headers)
   return report ? { kind: 'load', report, limit } : { kind: 'healthy', limit }
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -11,7 +11,7 @@
 import { createLogConnections } from '../process/log-connections.ts'
 import type { LogResponse } from '../process/log-connections.ts'
 import { toBrand } from '../types.ts'
-import type { StoreEra } from '../types.ts'
+import type { StoreEpoch } from '../types.ts'
 import type { HostPort } from './boot-file.ts'
 import { decodeKeyedRecord, decodePage, encodeKeyedRecord } from './store-frames.ts'
 import type { KeyedRecord } from './store-frames.ts'
@@ -23,9 +23,9 @@
 /** The topic of target reports; the key is the target's id. */
 export const TARGETS_TOPIC = 'keyed.servers'
 
-/** On each response of the store: the era of its content. */
-const ERA_HEADER = 'store-era'
-const ERA_PATTERN = /^\d{1,15}$/
+/** On each response of the store: the epoch of its content. */
+const EPOCH_HEADER = 'store-era'
+const EPOCH_PATTERN = /^\d{1,15}$/
 const STATUS_OK = 200
 const STATUS_GONE = 410
 /** The time limit of a read on top of the wait that it requests, in ms. */
@@ -39,8 +39,8 @@
   next: number
   /** The number of records that were skipped because their key is incomplete. */
   malformed: number
-  /** The era to which the offsets belong. */
-  era: StoreEra
+  /** The epoch to which the offsets belong. */
+  epoch: StoreEpoch
 }
 
 /** Counts of calls to the store since the process started. */
@@ -61,10 +61,10 @@
   readNewest(topic: string, options?: Pick<FollowOptions, 'timeoutMs'>): Promise<Result<KeyedPage, AppError>>
   /** Reads records from an offset on. `log-gap`: the store no longer keeps them; call `readNewest` instead. */
   readFrom(topic: string, from: number, options: FollowOptions): Promise<Result<KeyedPage, AppError>>
-  /** Appends one record, and returns the era to which it belongs. `log-unknown`: the store may have stored it. */
-  append(topic: string, key: string, value: Uint8Array): Promise<Result<StoreEra, AppError>>
-  /** Returns the highest era that a response of the store has stated. */
-  getEra(): StoreEra
+  /** Appends one record, and returns the epoch to which it belongs. `log-unknown`: the store may have stored it. */
+  append(topic: string, key: string, value: Uint8Array): Promise<Result<StoreEpoch, AppError>>
+  /** Returns the highest epoch that a response of the store has stated. */
+  getEpoch(): StoreEpoch
   /** Returns the counts of calls. */
   report(): StoreUse
   /** Closes all connections. */
@@ -78,14 +78,14 @@
 })
 
 /** Decodes the keyed records of a page that begins at `from` and skips those without a complete key. */
-function toKeyedPage (records: readonly { offset: number, data: Uint8Array }[], from: number, era: StoreEra): KeyedPage {
+function toKeyedPage (records: readonly { offset: number, data: Uint8Array }[], from: number, epoch: StoreEpoch): KeyedPage {
   const decoded = records.map(({ offset, data }) => decodeKeyedRecord(offset, data))
   const complete = decoded.filter((record) => record !== undefined)
-  return { records: complete, next: from + records.length, malformed: decoded.length - complete.length, era }
+  return { records: complete, next: from + records.length, malformed: decoded.length - complete.length, epoch }
 }
 
-/** The body of a successful read, and the era that the response states. */
-interface ReadResponse { body: Uint8Array, era: StoreEra }
+/** The body of a successful read, and the epoch that the response states. */
+interface ReadResponse { body: Uint8Array, epoch: StoreEpoch }
 
 function parseNewest ({ body }: ReadResponse): Result<z.infer<typeof newestSchema>, AppError> {
   try {
@@ -99,10 +99,10 @@
 export interface StoreClientOptions {
   store: HostPort
   clock: Clock
-  /** Called when a response states a higher era than all before, with the highest one before; also for responses with an error status. */
-  handleEra(era: StoreEra, before: StoreEra): void
-  /** Called when a response states an era that cannot be decoded; the highest one before counts as its era. */
-  handleMalformedEra(text: string): void
+  /** Called when a response states a higher epoch than all before, with the highest one before; also for responses with an error status. */
+  handleEpoch(epoch: StoreEpoch, before: StoreEpoch): void
+  /** Called when a response states an epoch that cannot be decoded; the highest one before counts as its epoch. */
+  handleMalformedEpoch(text: string): void
 }
 
 /** Creates a client of the store. */
@@ -111,19 +111,19 @@
   const connections = createLogConnections({ url: `http://${store.address}:${store.port}`, clock })
   const use: StoreUse = { reads: 0, appends: 0, failures: 0, receivedBytes: 0 }
 
-  let highestEra = toBrand<StoreEra>(0)
-  /** Returns the era that a response states. */
-  const readEra = ({ headers }: LogResponse): StoreEra => {
-    const text = String(headers[ERA_HEADER] ?? highestEra)
-    if (!ERA_PATTERN.test(text)) {
-      options.handleMalformedEra(text)
-      return highestEra
+  let highestEpoch = toBrand<StoreEpoch>(0)
+  /** Returns the epoch that a response states. */
+  const readEpoch = ({ headers }: LogResponse): StoreEpoch => {
+    const text = String(headers[EPOCH_HEADER] ?? highestEpoch)
+    if (!EPOCH_PATTERN.test(text)) {
+      options.handleMalformedEpoch(text)
+      return highestEpoch
     }
-    const era = toBrand<StoreEra>(Number(text))
-    const before = highestEra
-    highestEra = toBrand<StoreEra>(Math.max(before, era))
-    if (era > before) options.handleEra(era, before)
-    return era
+    const epoch = toBrand<StoreEpoch>(Number(text))
+    const before = highestEpoch
+    highestEpoch = toBrand<StoreEpoch>(Math.max(before, epoch))
+    if (epoch > before) options.handleEpoch(epoch, before)
+    return epoch
   }
   const sendRead = async (path: string, { waitMs, timeoutMs = READ_TIMEOUT_MS, signal }: FollowOptions): Promise<Result<ReadResponse, AppError>> => {
     use.reads += 1
@@ -133,8 +133,8 @@
       return err(createError('log-unavailable', `The store did not respond: ${describeCause(sent.error.cause)}`, sent.error.cause))
     }
     use.receivedBytes += sent.value.body.byteLength
-    const era = readEra(sent.value)
-    if (sent.value.status === STATUS_OK) return ok({ body: sent.value.body, era })
+    const epoch = readEpoch(sent.value)
+    if (sent.value.status === STATUS_OK) return ok({ body: sent.value.body, epoch })
     if (sent.value.status === STATUS_GONE) return err(createError('log-gap', 'The store no longer keeps the requested records.'))
     use.failures += 1
     return err(createError('log-unavailable', `The store responded with status ${sent.value.status}.`))
@@ -145,19 +145,19 @@
     let after: string | undefined
     // The pages are not a consistent snapshot, so following starts at the end stated by the first page; records may be read twice.
     let next: number | undefined
-    let era: StoreEra | undefined
+    let epoch: StoreEpoch | undefined
     for (;;) {
       const query = new URLSearchParams({ topic, part: '0', ...(after === undefined ? {} : { after }) })
       const response = await sendRead(`/log-newest?${query}`, { ...options, waitMs: 0 })
       if (response.isErr()) return err(response.error)
       const page = parseNewest(response.value)
       if (page.isErr()) return err(page.error)
-      era ??= response.value.era
-      if (response.value.era !== era) return err(createError('log-gap', `The store was restored between two pages of one read: era ${era} became ${response.value.era}.`))
+      epoch ??= response.value.epoch
+      if (response.value.epoch !== epoch) return err(createError('log-gap', `The store was restored between two pages of one read: epoch ${epoch} became ${response.value.epoch}.`))
       next ??= page.value.end
       for (const { key, value, offset } of page.value.items) records.push({ key, offset, value: Buffer.from(value, 'base64') })
       after = page.value.items.at(-1)?.key
-      if (!page.value.more || after === undefined) return ok({ records, next, malformed: 0, era })
+      if (!page.value.more || after === undefined) return ok({ records, next, malformed: 0, epoch })
     }
   }
 
@@ -167,8 +167,8 @@
       const query = new URLSearchParams({ topic, part: '0', from: String(from), waitMs: String(Math.round(follow.waitMs)) })
       const response = await sendRead(`/log-read?${query}`, follow)
       if (response.isErr()) return err(response.error)
-      const { body, era } = response.value
-      return decodePage(body, from).map((page) => toKeyedPage(page.records, from, era))
+      const { body, epoch } = response.value
+      return decodePage(body, from).map((page) => toKeyedPage(page.records, from, epoch))
     },
     async append (topic, key, value) {
       use.appends += 1
@@ -179,12 +179,12 @@
         const kind = sent.error.isNeverSent ? 'log-unavailable' : 'log-unknown'
         return err(createError(kind, `The store did not respond to the append: ${describeCause(sent.error.cause)}`, sent.error.cause))
       }
-      const era = readEra(sent.value)
-      if (sent.value.status === STATUS_OK) return ok(era)
+      const epoch = readEpoch(sent.value)
+      if (sent.value.status === STATUS_OK) return ok(epoch)
       use.failures += 1
       return err(createError('log-unavailable', `The store responded to the append with status ${sent.value.status}.`))
     },
-    getEra: () => highestEra,
+    getEpoch: () => highestEpoch,
     report: () => ({ ...use }),
     close: connections.close
   }
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { LoadReport } from '../request/selection/load-report.ts'
-import type { NamedLimit } from '../request/selection/named-limit.ts'
+import type { AdvertisedLimit } from '../request/selection/advertised-limit.ts'
 import { toBrand } from '../types.ts'
 import type { RequestId, TargetId, ZoneId } from '../types.ts'
 import { formatDuration } from './durations.ts'
@@ -74,8 +74,8 @@
   return { running, waiting, slots, slowdown: workPercent > 0 ? workPercent / PERCENT : 1 }
 }
 
-/** Decodes the rate limit that a target names on a response. */
-export function decodeNamedLimit (headers: IncomingHttpHeaders): NamedLimit {
+/** Decodes the rate limit that a target advertises on a response. */
+export function decodeAdvertisedLimit (headers: IncomingHttpHeaders): AdvertisedLimit {
   const text = getText(headers, LIMIT_HEADER)?.trim()
   if (text === undefined) return { kind: 'unlimited' }
   return DECIMAL_PATTERN.test(text) ? { kind: 'limited', perSecond: Number(text) } : { kind: 'malformed', text }
--- a/src/process/discovery/read-position.ts
+++ b/src/process/discovery/read-position.ts
@@ -2,7 +2,7 @@
  * How far this entry has read a topic, how far others have, and how long it may rely on them.
  */
 import type { Clock } from '../../clock.ts'
-import type { StoreEra } from '../../types.ts'
+import type { StoreEpoch } from '../../types.ts'
 import { canContinue, comparePositions, TOPIC_BEGINNING } from './topic-position.ts'
 import type { TopicPosition } from './topic-position.ts'
 
@@ -29,8 +29,8 @@
   /** Records how far another entry has read. This entry may wait `graceMs` for the records before it reads by itself. Returns whether it is behind. */
   recordOther(position: TopicPosition, graceMs: number): boolean
   isBehind(): boolean
-  /** Returns a later era of the store than that of the position; only once for an era that others have stated and the store has not. */
-  takeLaterEra(storeEra: StoreEra): StoreEra | undefined
+  /** Returns a later epoch of the store than that of the position; only once for an epoch that others have stated and the store has not. */
+  takeLaterEpoch(storeEpoch: StoreEpoch): StoreEpoch | undefined
   /** Returns how long this entry may rely on what it knows, in ms, if that may be `maxAgeMs` old; 0 if it must read by itself. */
   getTrustMs(maxAgeMs: number): number
   /** Returns how long ago the store was seen to hold no further record, in ms. */
@@ -46,8 +46,8 @@
   let currentAtMs = -Infinity
   /** Instant from which this entry reads by itself because it is behind. */
   let catchUpAtMs = Infinity
-  /** The latest era for which a position was given up. */
-  let leftForEra = TOPIC_BEGINNING.era
+  /** The latest epoch for which a position was given up. */
+  let leftForEpoch = TOPIC_BEGINNING.epoch
 
   const isBehind = (): boolean => position === undefined || comparePositions(position, furthest) < 0
   const getAgeMs = (): number => Math.max(0, clock.monotonicMs() - currentAtMs)
@@ -58,8 +58,8 @@
   return {
     get: () => position,
     getFurthest: () => furthest,
-    moveTo ({ era, next }) {
-      position = { era, next }
+    moveTo ({ epoch, next }) {
+      position = { epoch, next }
     },
     recordCurrent (ageMs) {
       currentAtMs = Math.max(currentAtMs, clock.monotonicMs() - ageMs)
@@ -71,18 +71,18 @@
     },
     recordOther (other, graceMs) {
       const wasBehind = isBehind()
-      if (comparePositions(other, furthest) > 0) furthest = { era: other.era, next: other.next }
+      if (comparePositions(other, furthest) > 0) furthest = { epoch: other.epoch, next: other.next }
       if (!isBehind()) return false
       const readAtMs = clock.monotonicMs() + graceMs
       catchUpAtMs = wasBehind ? Math.min(catchUpAtMs, readAtMs) : readAtMs
       return true
     },
     isBehind,
-    takeLaterEra (storeEra) {
-      const era = storeEra > furthest.era ? storeEra : furthest.era
-      if (position === undefined || canContinue(position, era) || era <= leftForEra) return undefined
-      leftForEra = era
-      return era
+    takeLaterEpoch (storeEpoch) {
+      const epoch = storeEpoch > furthest.epoch ? storeEpoch : furthest.epoch
+      if (position === undefined || canContinue(position, epoch) || epoch <= leftForEpoch) return undefined
+      leftForEpoch = epoch
+      return epoch
     },
     getTrustMs (maxAgeMs) {
       const nowMs = clock.monotonicMs()
--- a/src/process/discovery/shared-range.ts
+++ b/src/process/discovery/shared-range.ts
@@ -2,13 +2,13 @@
  * The ranges of records in which an entry that has read a topic sends what it read to the others.
  */
 import type { KeyedRecord } from '../../platform/store-frames.ts'
-import type { StoreEra } from '../../types.ts'
+import type { StoreEpoch } from '../../types.ts'
 
 /** A range of records that one entry has read, for the entries that have read the topic up to `from`. */
 export interface SharedRecordRange {
   topic: string
-  /** Era to which the offsets belong. */
-  era: StoreEra
+  /** Epoch to which the offsets belong. */
+  epoch: StoreEpoch
   from: number
   /** Offset at which the next read continues. */
   next: number
--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -6,7 +6,7 @@
  * a gap, and while they receive nothing from the reader. Entries also tell each other how far they have read and how long
  * ago, so that one that missed a record notices it.
  *
- * When the store was restored from a copy, its offsets begin anew in another era: each entry then reads the newest record of
+ * When the store was restored from a copy, its offsets begin anew in another epoch: each entry then reads the newest record of
  * every key once more.
  */
 import type { Result } from 'neverthrow'
@@ -14,7 +14,7 @@
 import type { AppError } from '../../errors.ts'
 import type { KeyedPage, StoreClient } from '../../platform/store-client.ts'
 import type { PartLogger } from '../logger.ts'
-import type { StoreEra } from '../../types.ts'
+import type { StoreEpoch } from '../../types.ts'
 import { createOutageWatch } from './outage-watch.ts'
 import { createReadPosition } from './read-position.ts'
 import type { TopicProgress } from './read-position.ts'
@@ -55,8 +55,8 @@
   applyShared(range: SharedRecordRange): void
   /** Applies how far another entry has read. */
   applyProgress(progress: TopicProgress): void
-  /** Handles that the store has stated a later era, in whichever response. */
-  handleEra(): void
+  /** Handles that the store has stated a later epoch, in whichever response. */
+  handleEpoch(): void
   /** Returns how far this entry has read; undefined before the first read. */
   getProgress(): TopicProgress | undefined
   /** Returns whether the latest read of this process failed. */
@@ -86,8 +86,8 @@
   /** Aborts the wait for the reader. */
   let wake = new AbortController()
 
-  const startInLaterEra = (storeEra: StoreEra): void => {
-    logger.info('The store was restored; reading the newest record of every key.', { topic, ...position.get(), storeEra })
+  const startInLaterEpoch = (storeEpoch: StoreEpoch): void => {
+    logger.info('The store was restored; reading the newest record of every key.', { topic, ...position.get(), storeEpoch })
     position.reset()
   }
   const recordFailure = (error: AppError): void => {
@@ -106,8 +106,8 @@
   }
   /** Reads once. Returns whether the records were applied. */
   const readOnce = async (): Promise<boolean> => {
-    const laterEra = position.takeLaterEra(store.getEra())
-    if (laterEra !== undefined) startInLaterEra(laterEra)
+    const laterEpoch = position.takeLaterEpoch(store.getEpoch())
+    if (laterEpoch !== undefined) startInLaterEpoch(laterEpoch)
     const from = position.get()
     const page = await read(from)
     if (stop.signal.aborted) return false
@@ -117,8 +117,8 @@
     }
     outages.recordSuccess()
     if (page.value.malformed > 0) logger.warn('Skipped records without a key.', { topic, count: page.value.malformed })
-    const isApplied = applyPage(page.value, from, store.getEra())
-    if (!isApplied && page.value.era >= store.getEra()) startInLaterEra(page.value.era)
+    const isApplied = applyPage(page.value, from, store.getEpoch())
+    if (!isApplied && page.value.epoch >= store.getEpoch()) startInLaterEpoch(page.value.epoch)
     return isApplied
   }
   const pause = (durationMs: number): Promise<void> => clock.wait(durationMs, stop.signal)
@@ -129,7 +129,7 @@
   const getReaderTrustMs = (): number => {
     const known = position.get()
     if (!sharing || known === undefined || outages.isUnavailable() || sharing.isReader()) return 0
-    return canContinue(known, store.getEra()) ? position.getTrustMs(sharing.silentAfterMs) : 0
+    return canContinue(known, store.getEpoch()) ? position.getTrustMs(sharing.silentAfterMs) : 0
   }
   /** Whether other entries have been heard lately, so that this one will hear from them when the store recovers. */
   const isHearingOthers = (): boolean => clock.monotonicMs() - lastHeardAtMs < OTHERS_HEARD_MS
@@ -185,7 +185,7 @@
       if (known && comparePositions(progress, known) === 0) position.recordCurrent(progress.ageMs)
       else recordOther(progress, BEHIND_GRACE_MS)
     },
-    handleEra: () => wake.abort(),
+    handleEpoch: () => wake.abort(),
     getProgress: () => position.getProgress(),
     hasLostStore: () => outages.hasLostStore(),
     isStoreUnavailable: () => outages.isUnavailable(),
--- a/src/process/gateway/entry-contacts.ts
+++ b/src/process/gateway/entry-contacts.ts
@@ -7,7 +7,7 @@
 import type { DatagramAddress } from '../../connection/datagram-socket.ts'
 import type { Clock } from '../../clock.ts'
 import { describeCause } from '../../errors.ts'
-import type { StoreEra } from '../../types.ts'
+import type { StoreEpoch } from '../../types.ts'
 import type { KeyedRecord } from '../../platform/store-frames.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import type { PartLogger } from '../logger.ts'
@@ -20,8 +20,8 @@
 export interface EntryContacts {
   /** Starts to write the record of this entry, and to read those of the others while nobody is known. */
   start(): void
-  /** Handles that the store has stated a later era: the record of this entry may be gone and is written again. */
-  handleEra(): void
+  /** Handles that the store has stated a later epoch: the record of this entry may be gone and is written again. */
+  handleEpoch(): void
   close(): void
 }
 
@@ -76,7 +76,7 @@
     const { zone, address, port, peerPort, run } = self
     const written = await store.append(ENTRIES_TOPIC, self.id, Buffer.from(JSON.stringify({ zone, address, port, peerPort, run })))
     if (written.isErr()) logger.warn('The record of this entry could not be written.', { error: written.error.message })
-    else writtenInEra = written.value
+    else writtenInEpoch = written.value
     return written.isOk()
   }
   const readContacts = async (): Promise<boolean> => {
@@ -93,10 +93,10 @@
     logger.info('Read the records of entries.', { count: others.length })
     return true
   }
-  let writtenInEra: StoreEra | undefined
+  let writtenInEpoch: StoreEpoch | undefined
   const runRewriting = async (): Promise<void> => {
     await clock.wait(random() * REWRITE_SPREAD_MS, stop.signal)
-    if (writtenInEra !== undefined && writtenInEra < store.getEra()) await runWriting()
+    if (writtenInEpoch !== undefined && writtenInEpoch < store.getEpoch()) await runWriting()
   }
   const runWriting = async (): Promise<void> => {
     while (!stop.signal.aborted && !await writeOwnRecord()) await clock.wait(RETRY_MS, stop.signal)
@@ -120,7 +120,7 @@
       startTask('Writing the record of this entry', runWriting)
       startTask('Reading the records of entries', runReading)
     },
-    handleEra: () => startTask('Writing the record of this entry again', runRewriting),
+    handleEpoch: () => startTask('Writing the record of this entry again', runRewriting),
     close: () => stop.abort()
   }
 }
--- a/src/process/gateway/gateway-followers.ts
+++ b/src/process/gateway/gateway-followers.ts
@@ -22,8 +22,8 @@
   getProgress(): ReadProgress
   /** Applies how far another entry has read. */
   applyProgress(progress: ReadProgress): void
-  /** Handles that the store has stated a later era. */
-  handleEra(): void
+  /** Handles that the store has stated a later epoch. */
+  handleEpoch(): void
   /** Whether reads of this process have failed for as long as an outage lasts at least. */
   hasLostStore(): boolean
   /** Whether the latest read of the targets by this process failed. */
@@ -90,9 +90,9 @@
     applyProgress (topics) {
       for (const { topic, progress } of topics) byTopic.get(topic)?.applyProgress(progress)
     },
-    handleEra () {
-      configuration.handleEra()
-      targets.handleEra()
+    handleEpoch () {
+      configuration.handleEpoch()
+      targets.handleEpoch()
     },
     hasLostStore: () => configuration.hasLostStore() || targets.hasLostStore(),
     hasLostTargets: () => targets.isStoreUnavailable(),
--- a/src/process/gateway/gateway-messages.ts
+++ b/src/process/gateway/gateway-messages.ts
@@ -7,7 +7,7 @@
 import { createError } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
 import { toBrand } from '../../types.ts'
-import type { StoreEra, TargetId } from '../../types.ts'
+import type { StoreEpoch, TargetId } from '../../types.ts'
 import type { SharedRecordRange } from '../discovery/shared-range.ts'
 import type { TopicProgress } from '../discovery/read-position.ts'
 import type { LimitMessage } from '../target-limits/limit-messages.ts'
@@ -34,7 +34,7 @@
 const target = text.transform((id) => toBrand<TargetId>(id))
 const limit = z.object({ perSecond: duration.optional(), sentAgoMs: duration, receivedAgoMs: duration })
 const answer = z.object({ isGranted: z.boolean(), waitMs: duration })
-const era = counter.transform((value) => toBrand<StoreEra>(value))
+const epoch = counter.transform((value) => toBrand<StoreEpoch>(value))
 const messageSchema = z.discriminatedUnion('type', [
   z.object({ type: z.literal('target-leaving'), target }),
   z.object({ type: z.literal('target-limit'), target, limit }),
@@ -44,7 +44,7 @@
     type: z.literal('topic-range'),
     range: z.object({
       topic: text,
-      era,
+      epoch,
       from: counter,
       next: counter,
       isAfterOutage: z.boolean(),
@@ -52,7 +52,7 @@
     })
   })
 ])
-const progressSchema = z.array(z.tuple([text, era, counter, duration])).max(MAX_TOPICS)
+const progressSchema = z.array(z.tuple([text, epoch, counter, duration])).max(MAX_TOPICS)
 
 function toMalformed (error: z.ZodError): AppError {
   const issue = error.issues[0]
@@ -68,12 +68,12 @@
 
 /** Converts the progress of all topics to its wire form. */
 export function formatProgress (topics: ReadProgress): unknown {
-  return topics.map(({ topic, progress }) => [topic, progress.era, progress.next, Math.round(progress.ageMs)])
+  return topics.map(({ topic, progress }) => [topic, progress.epoch, progress.next, Math.round(progress.ageMs)])
 }
 
 /** Parses the progress of another gateway. Errors: `frame-malformed`. */
 export function parseProgress (value: unknown): Result<ReadProgress, AppError> {
   const parsed = progressSchema.safeParse(value)
   if (!parsed.success) return err(toMalformed(parsed.error))
-  return ok(parsed.data.map(([topic, era, next, ageMs]) => ({ topic, progress: { era, next, ageMs } })))
+  return ok(parsed.data.map(([topic, epoch, next, ageMs]) => ({ topic, progress: { epoch, next, ageMs } })))
 }
--- a/src/process/gateway/gateway-metrics.ts
+++ b/src/process/gateway/gateway-metrics.ts
@@ -15,8 +15,8 @@
   services: readonly ServiceMetrics[]
   /** Calls to the store since the start. */
   store: { reads: number, appends: number, failures: number, receivedBytes: number }
-  /** Highest era that the store has stated; 0 for none. */
-  storeEra: number
+  /** Highest epoch that the store has stated; 0 for none. */
+  storeEpoch: number
   /** Version of the configuration in effect; 0 for none. */
   version: number
   isReady: boolean
@@ -47,11 +47,11 @@
     retries: new Gauge({ name: 'medlarcove_repeats_total', help: 'Attempts beyond the first.', labelNames, registers }),
     storeCalls: new Gauge({ name: 'medlarcove_store_calls_total', help: 'Calls to the store.', labelNames: ['kind'], registers }),
     storeBytes: new Gauge({ name: 'medlarcove_store_received_bytes_total', help: 'Bytes read from the store.', registers }),
-    storeEra: new Gauge({ name: 'medlarcove_store_era', help: 'Era of the store: one more each time it was restored from a copy.', registers }),
+    storeEpoch: new Gauge({ name: 'medlarcove_store_epoch', help: 'Epoch of the store: one more each time it was restored from a copy.', registers }),
     version: new Gauge({ name: 'medlarcove_configuration_version', help: 'Version of the configuration in force.', registers }),
     ready: new Gauge({ name: 'medlarcove_ready', help: '1 while the entry is ready.', registers }),
-    limitedTargets: new Gauge({ name: 'medlarcove_limited_targets', help: 'Targets that name a rate limit, as far as this entry knows.', registers }),
-    permits: new Gauge({ name: 'medlarcove_target_permits_total', help: 'Permits for requests to targets that name a rate limit; issued: by this entry to any entry, the others: requests of this entry for one.', labelNames: ['outcome'], registers }),
+    limitedTargets: new Gauge({ name: 'medlarcove_limited_targets', help: 'Targets that advertise a rate limit, as far as this entry knows.', registers }),
+    permits: new Gauge({ name: 'medlarcove_target_permits_total', help: 'Permits for requests to targets that advertise a rate limit; issued: by this entry to any entry, the others: requests of this entry for one.', labelNames: ['outcome'], registers }),
     entries: new Gauge({ name: 'medlarcove_live_entries', help: 'Entries that are known to live.', registers }),
     datagrams: new Gauge({ name: 'medlarcove_datagrams_total', help: 'Datagrams between entries; refused: wrong key or malformed, failed: not sent.', labelNames: ['kind'], registers }),
     dropped: new Gauge({ name: 'medlarcove_log_lines_dropped_total', help: 'Log lines dropped because the reader was slow.', registers }),
@@ -70,7 +70,7 @@
   }
   for (const kind of ['reads', 'appends', 'failures'] as const) metrics.storeCalls.set({ kind }, values.store[kind])
   metrics.storeBytes.set(values.store.receivedBytes)
-  metrics.storeEra.set(values.storeEra)
+  metrics.storeEpoch.set(values.storeEpoch)
   metrics.version.set(values.version)
   metrics.ready.set(Number(values.isReady))
   metrics.limitedTargets.set(values.limiter.limitedTargets)
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -62,7 +62,7 @@
     renderMetrics: () => metrics.renderText({
       services: state.listMetrics(),
       store: parts.store.report(),
-      storeEra: parts.store.getEra(),
+      storeEpoch: parts.store.getEpoch(),
       version: state.getInEffect()?.configuration.version ?? 0,
       isReady: isReady(parts),
       limiter: parts.limiter.report(),
@@ -80,13 +80,13 @@
   return createStoreClient({
     store: settings.store,
     clock,
-    handleEra (era, before) {
-      if (before > 0) log.warn('The store was restored from a copy; what was written since the copy may be gone.', { era, before })
-      else log.info('The store states its era.', { era })
-      parts.followers.handleEra()
-      parts.contacts.handleEra()
+    handleEpoch (epoch, before) {
+      if (before > 0) log.warn('The store was restored from a copy; what was written since the copy may be gone.', { epoch, before })
+      else log.info('The store states its epoch.', { epoch })
+      parts.followers.handleEpoch()
+      parts.contacts.handleEpoch()
     },
-    handleMalformedEra: (text) => log.warn('The store states an era that cannot be decoded.', { text })
+    handleMalformedEpoch: (text) => log.warn('The store states an epoch that cannot be decoded.', { text })
   })
 }
 
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -84,7 +84,7 @@
   getLoadProbesPerSecond(): number
   /** Maximum number of connections of this process to one target. */
   maxConnections: number
-  /** Keeps the requests within the rate limits that targets name. */
+  /** Keeps the requests within the rate limits that targets advertise. */
   limiter: TargetLimiter
   /** Called when a configuration comes into effect. */
   handleConfiguration(configuration: Configuration): void
--- a/src/process/selection/load-prober.ts
+++ b/src/process/selection/load-prober.ts
@@ -8,7 +8,7 @@
 import { tryAcquireToken } from '../../request/balancing/token-bucket.ts'
 import { estimateTarget } from '../../request/selection/estimate-target.ts'
 import type { Estimate } from '../../request/selection/estimate-target.ts'
-import type { NamedLimit } from '../../request/selection/named-limit.ts'
+import type { AdvertisedLimit } from '../../request/selection/advertised-limit.ts'
 import type { LoadReport } from '../../request/selection/load-report.ts'
 import type { TargetId } from '../../types.ts'
 import type { PartLogger } from '../logger.ts'
@@ -34,7 +34,7 @@
   /** Called when a load probe shows that another target has taken over the address. */
   handleLeaving(state: TargetState, evidence: string): void
   /** Called with what a load probe sent at `sentAtMs` says about the rate limit of the target. */
-  recordLimit(target: TargetId, limit: NamedLimit, sentAtMs: number): void
+  recordLimit(target: TargetId, limit: AdvertisedLimit, sentAtMs: number): void
   /** Sends one load probe; tests replace it to need no network. */
   sendLoadProbe?: typeof sendLoadProbe
 }
--- a/src/process/selection/target-search.ts
+++ b/src/process/selection/target-search.ts
@@ -1,6 +1,6 @@
 /**
  * Finds a target for one request of a service: orders the candidates by the local view, sends load probes to the first of
- * them, and acquires a permit where the target names a rate limit.
+ * them, and acquires a permit where the target advertises a rate limit.
  */
 import { computePenalty } from '../../request/selection/candidate-penalty.ts'
 import { canMeetLatencyTarget } from '../../request/selection/request-queue.ts'
@@ -35,7 +35,7 @@
   /** How long the selection took, with the time in the queue, in ms. */
   waitedMs: number
   reason: SelectionReason
-  /** Rate limit that the target names, in requests per second over all entries; undefined without one. */
+  /** Rate limit that the target advertises, in requests per second over all entries; undefined without one. */
   limitPerSecond: number | undefined
 }
 
@@ -49,7 +49,7 @@
   search(request: SelectionRequest, sizes: readonly number[], startedAtMs: number): Promise<TargetSelection | undefined>
   /** Selects the best target by this process's own counts, when no load probe can be sent or none returns a load. */
   acquireUnprobed(request: SelectionRequest, startedAtMs: number): Promise<TargetSelection | undefined>
-  /** Selects a target that names no rate limit. */
+  /** Selects a target that advertises no rate limit. */
   acquireUnlimited(candidate: EstimatedTarget, startedAtMs: number, reason: SelectionReason): TargetSelection
   /** Selects a target if its rate limit allows one more request. */
   tryAcquire(candidate: EstimatedTarget, startedAtMs: number, reason: SelectionReason): Promise<TargetSelection | undefined>
--- a/src/process/target-limits/named-limits.ts
+++ b/src/process/target-limits/advertised-limits.ts
@@ -1,18 +1,18 @@
 /**
- * The rate limits that targets name on their responses, as far as this process knows them.
+ * The rate limits that targets advertise on their responses, as far as this process knows them.
  *
  * Responses may arrive out of order, and other entries may report what they have received. An observation is certainly newer
  * than another when its request was sent after the other response had arrived. Of two whose order is not certain, the lower
  * limit is in effect.
  */
 import type { Clock } from '../../clock.ts'
-import type { NamedLimit } from '../../request/selection/named-limit.ts'
+import type { AdvertisedLimit } from '../../request/selection/advertised-limit.ts'
 import type { TargetId } from '../../types.ts'
 import type { PartLogger } from '../logger.ts'
 
 /** What one response said about the limit of its target. Instants by the monotonic clock in ms. */
 export interface LimitObservation {
-  /** The limit in requests per second over all entries; undefined when the target names none. */
+  /** The limit in requests per second over all entries; undefined when the target advertises none. */
   perSecond: number | undefined
   /** When the request was sent. */
   sentAtMs: number
@@ -24,14 +24,14 @@
 export type LimitChange = 'begun' | 'changed' | 'ended' | 'none'
 
 /** The limits of all targets. */
-export interface NamedLimits {
+export interface AdvertisedLimits {
   /** Records what a response said whose request was sent at `sentAtMs`. A malformed limit changes nothing. */
-  record(target: TargetId, limit: NamedLimit, sentAtMs: number): LimitChange
+  record(target: TargetId, limit: AdvertisedLimit, sentAtMs: number): LimitChange
   /** Applies an observation. */
   apply(target: TargetId, observation: LimitObservation): LimitChange
   /** Returns the limit of a target in requests per second; undefined without one. */
   getPerSecond(target: TargetId): number | undefined
-  /** Returns the observation in effect; undefined if the target has never named a limit. */
+  /** Returns the observation in effect; undefined if the target has never advertised a limit. */
   get(target: TargetId): LimitObservation | undefined
   /** Lists the targets that have a limit. */
   listLimited(): TargetId[]
@@ -66,14 +66,14 @@
 }
 
 /** Creates an empty view. */
-export function createNamedLimits ({ logger, clock }: { logger: Pick<PartLogger, 'info' | 'warn'>, clock: Clock }): NamedLimits {
+export function createAdvertisedLimits ({ logger, clock }: { logger: Pick<PartLogger, 'info' | 'warn'>, clock: Clock }): AdvertisedLimits {
   const observations = new Map<TargetId, LimitObservation>()
   /** The latest malformed limit of each target, so that each is logged once. */
   const malformed = new Map<TargetId, string>()
   const writeChange = (target: TargetId, before: LimitObservation | undefined, { perSecond, sentAtMs }: LimitObservation, change: LimitChange): void => {
     const fields = { target, perSecond, before: before?.perSecond, askedMsAgo: Math.round(clock.monotonicMs() - sentAtMs) }
-    if (change === 'begun') logger.info('A target names a limit.', fields)
-    if (change === 'ended') logger.info('A target no longer names a limit.', fields)
+    if (change === 'begun') logger.info('A target advertises a limit.', fields)
+    if (change === 'ended') logger.info('A target no longer advertises a limit.', fields)
   }
   const apply = (target: TargetId, observation: LimitObservation): LimitChange => {
     const known = observations.get(target)
@@ -85,7 +85,7 @@
     return change
   }
   const warnMalformed = (target: TargetId, text: string): LimitChange => {
-    if (malformed.get(target) !== text) logger.warn('A target names a limit that cannot be decoded; the one known before stays.', { target, text, known: observations.get(target)?.perSecond })
+    if (malformed.get(target) !== text) logger.warn('A target advertises a limit that cannot be decoded; the one known before stays.', { target, text, known: observations.get(target)?.perSecond })
     malformed.set(target, text)
     return 'none'
   }
--- a/src/process/target-limits/limit-messages.ts
+++ b/src/process/target-limits/limit-messages.ts
@@ -4,9 +4,9 @@
 import type { TargetId } from '../../types.ts'
 import type { PermitAnswer } from './permit-issuer.ts'
 
-/** The limit that a target named on a response. Ages in ms, since the clocks of entries differ. */
+/** The limit that a target advertised on a response. Ages in ms, since the clocks of entries differ. */
 export interface SharedLimit {
-  /** Requests per second over all entries; undefined when the target names none. */
+  /** Requests per second over all entries; undefined when the target advertises none. */
   perSecond: number | undefined
   /** How long ago the request was sent, and the response arrived. */
   sentAgoMs: number
@@ -19,5 +19,5 @@
   | { type: 'permit-request', sequence: number, target: TargetId, limit: SharedLimit }
   /** Answers the request with the same sequence number. */
   | { type: 'permit-response', sequence: number, target: TargetId, answer: PermitAnswer, limit: SharedLimit }
-  /** Tells all entries that a target has begun or ceased to name a limit. */
+  /** Tells all entries that a target has begun or ceased to advertise a limit. */
   | { type: 'target-limit', target: TargetId, limit: SharedLimit }
--- a/src/process/target-limits/permit-issuer.ts
+++ b/src/process/target-limits/permit-issuer.ts
@@ -1,5 +1,5 @@
 /**
- * Issues the permits of targets that name a rate limit: a token bucket for each target, which starts empty.
+ * Issues the permits of targets that advertise a rate limit: a token bucket for each target, which starts empty.
  */
 import type { Clock } from '../../clock.ts'
 import { tryAcquireToken } from '../../request/balancing/token-bucket.ts'
--- a/src/process/target-limits/target-limiter.ts
+++ b/src/process/target-limits/target-limiter.ts
@@ -1,23 +1,23 @@
 /**
- * Keeps the requests of all entries to a target within the rate limit that the target names.
+ * Keeps the requests of all entries to a target within the rate limit that the target advertises.
  *
  * One entry issues the permits of a target; which one follows from the live entries. Any entry that wants to send a request
  * to the target requests a permit there. A permit that was not used stays valid for a short time.
  */
 import type { Clock } from '../../clock.ts'
-import type { NamedLimit } from '../../request/selection/named-limit.ts'
+import type { AdvertisedLimit } from '../../request/selection/advertised-limit.ts'
 import type { Cancel, EntryId, TargetId } from '../../types.ts'
 import type { PartLogger } from '../logger.ts'
 import { createIssuerView } from './issuer-view.ts'
 import type { IssuerCandidate } from './issuer-view.ts'
 import type { LimitMessage, SharedLimit } from './limit-messages.ts'
-import { createNamedLimits } from './named-limits.ts'
-import type { LimitObservation } from './named-limits.ts'
+import { createAdvertisedLimits } from './advertised-limits.ts'
+import type { LimitObservation } from './advertised-limits.ts'
 import { createPermitIssuer } from './permit-issuer.ts'
 import type { PermitAnswer } from './permit-issuer.ts'
 import { createUnusedPermits } from './unused-permits.ts'
 
-/** Totals since the start, and the targets that name a limit at present. */
+/** Totals since the start, and the targets that advertise a limit at present. */
 export interface LimiterCounts {
   limitedTargets: number
   /** Permits that this entry received, and requests for one that were denied or not answered in time. */
@@ -31,7 +31,7 @@
 /** Keeps requests within the limits of targets. */
 export interface TargetLimiter {
   /** Records what a response said whose request was sent at `sentAtMs` by the monotonic clock. */
-  record(target: TargetId, limit: NamedLimit, sentAtMs: number): void
+  record(target: TargetId, limit: AdvertisedLimit, sentAtMs: number): void
   /** Returns the limit of a target in requests per second over all entries; undefined without one. */
   getPerSecond(target: TargetId): number | undefined
   /** Returns the earliest instant at which a permit may be available, by the monotonic clock in ms; `-Infinity` if one may be available now. */
@@ -77,7 +77,7 @@
 /** Creates a limiter that knows no limits and no other entries. */
 export function createTargetLimiter (options: TargetLimiterOptions): TargetLimiter {
   const { self, clock, random, logger } = options
-  const limits = createNamedLimits({ clock, logger })
+  const limits = createAdvertisedLimits({ clock, logger })
   const issuers = createIssuerView({ self, clock })
   const issuer = createPermitIssuer({ clock, getStartMs: () => issuers.getSettledAtMs() })
   const unused = createUnusedPermits(clock)
--- a/src/request/gateway/gateway-call.ts
+++ b/src/request/gateway/gateway-call.ts
@@ -7,7 +7,7 @@
 import type { ServiceSelector } from '../../process/selection/service-selector.ts'
 import type { WorkMeter } from '../../process/selection/work-meter.ts'
 import type { TargetState } from '../../process/selection/target-states.ts'
-import type { NamedLimit } from '../selection/named-limit.ts'
+import type { AdvertisedLimit } from '../selection/advertised-limit.ts'
 import type { RequestRecord } from './request-record.ts'
 import type { RequestId, ServiceId, TargetId } from '../../types.ts'
 import type { ConfigurationVersion, Route } from '../../version/configuration.ts'
@@ -20,7 +20,7 @@
   /** Called when a response or a load probe shows that a target has been replaced. */
   handleLeaving(state: TargetState, evidence: string): void
   /** Called with what the response to a request sent at `sentAtMs` says about the rate limit of its target. */
-  recordLimit(target: TargetId, limit: NamedLimit, sentAtMs: number): void
+  recordLimit(target: TargetId, limit: AdvertisedLimit, sentAtMs: number): void
 }
 
 /** One request. Instants by the monotonic clock in ms. */
--- a/src/request/gateway/request-record.ts
+++ b/src/request/gateway/request-record.ts
@@ -16,7 +16,7 @@
   load: LoadReport | undefined
   /** Age of that report; `Infinity` without one. */
   loadAgeMs: number
-  /** Rate limit that the target names, in requests per second; undefined without one. */
+  /** Rate limit that the target advertises, in requests per second; undefined without one. */
   limitPerSecond: number | undefined
   /** Time from the start of the request to the start of the attempt. */
   startedMs: number
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -1,7 +1,7 @@
 /**
  * One attempt of a request at the target selected for it.
  */
-import { decodeLoadReport, decodeNamedLimit, getAttemptId, isMisdirected, isNotExecuted } from '../../platform/wire-names.ts'
+import { decodeLoadReport, decodeAdvertisedLimit, getAttemptId, isMisdirected, isNotExecuted } from '../../platform/wire-names.ts'
 import type { TargetSelection } from '../../process/selection/target-search.ts'
 import { createError } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
@@ -97,7 +97,7 @@
 
   const handleHead = (head: ResponseHead): AttemptOutcome => {
     release(head)
-    service.recordLimit(id, decodeNamedLimit(head.headers), startedAtMs)
+    service.recordLimit(id, decodeAdvertisedLimit(head.headers), startedAtMs)
     const outcome = toOutcome(head)
     record.end = outcome.kind
     record.status = head.status
--- a/src/request/selection/named-limit.ts
+++ b/src/request/selection/advertised-limit.ts
@@ -1,9 +1,9 @@
 /**
- * The rate limit that a target names on a response.
+ * The rate limit that a target advertises on a response.
  */
 
 /** What a response says about the rate limit of its target. */
-export type NamedLimit =
+export type AdvertisedLimit =
   | { kind: 'unlimited' }
   /** The target accepts this number of requests per second from all entries together. */
   | { kind: 'limited', perSecond: number }
--- a/src/request/selection/candidate-penalty.ts
+++ b/src/request/selection/candidate-penalty.ts
@@ -13,7 +13,7 @@
   hasIdleConnection: boolean
   /** Whether it is warming up. */
   isWarming: boolean
-  /** Whether it names a rate limit. */
+  /** Whether it advertises a rate limit. */
   isLimited: boolean
   /** Age of the latest load report in ms if the latest probe found the target unsuitable; undefined otherwise. */
   unsuitableReportAgeMs: number | undefined
@@ -28,7 +28,7 @@
 /** Penalties in the same unit: 1 is a target whose slots are all taken. */
 const NEW_CONNECTION_PENALTY = 0.3
 const WARMING_PENALTY = 0.5
-/** More than the penalty of another zone: a target that names a limit is in need, so others are tried first. */
+/** More than the penalty of another zone: a target that advertises a limit is overloaded, so others are tried first. */
 const LIMITED_PENALTY = 0.4
 const UNSUITABLE_PENALTY = 1
 /** Largest random penalty: candidates closer than this may swap order, so that entries do not all probe the same one. */
--- a/src/types.ts
+++ b/src/types.ts
@@ -24,10 +24,10 @@
 /** The version of a contract: 1 for the first, then increased by one for each change. */
 export type ContractVersion = Brand<number, 'ContractVersion'>
 /**
- * The era of the store's content: it rises by one each time the store is restored from an earlier copy. Offsets of different
- * eras have nothing to do with each other, and records of an earlier era may be gone. 0 for a store that states none.
+ * The epoch of the store's content: it rises by one each time the store is restored from an earlier copy. Offsets of different
+ * epochs have nothing to do with each other, and records of an earlier epoch may be gone. 0 for a store that states none.
  */
-export type StoreEra = Brand<number, 'StoreEra'>
+export type StoreEpoch = Brand<number, 'StoreEpoch'>
 /** A globally unique value that identifies one attempt to write. */
 export type Nonce = Brand<string, 'Nonce'>
 /** A hash of customer, service, operation and the caller's idempotency key, in hexadecimal digits. */
--- a/stand-ins/platform-store.ts
+++ b/stand-ins/platform-store.ts
@@ -29,7 +29,7 @@
   getTopic(name: string): PlatformTopic
   /** Takes a copy of all topics. */
   takeCopy(): StoreCopy
-  /** Goes back to a copy and begins a new era: offsets are given out again, and what was appended since the copy is gone. */
+  /** Goes back to a copy and begins a new epoch: offsets are given out again, and what was appended since the copy is gone. */
   restore(copy: StoreCopy): void
   getGroup(name: string): PlatformGroup
   setFault(fault: StoreFault): void
@@ -70,12 +70,12 @@
   }
 }
 
-async function handleRead (getTopic: () => PlatformTopic, query: URLSearchParams, outgoing: ServerResponse, setEra: () => void): Promise<void> {
+async function handleRead (getTopic: () => PlatformTopic, query: URLSearchParams, outgoing: ServerResponse, setEpoch: () => void): Promise<void> {
   const from = Number(query.get('from'))
   const deadlineMs = performance.now() + Number(query.get('waitMs') ?? 0)
   while (getTopic().getEnd() === from && performance.now() < deadlineMs) await wait(READ_POLL_MS)
   const topic = getTopic()
-  setEra()
+  setEpoch()
   const records = topic.listFrom(from)
   if (records) outgoing.writeHead(200).end(encodePage(topic, records))
   else sendJson(outgoing, 410, { first: topic.getFirst() })
@@ -148,7 +148,7 @@
 /** Starts the stand-in on a free port of an address; resolves when it listens. */
 export function startPlatformStore (address = '127.0.0.1'): Promise<PlatformStore> {
   let topics = new Map<string, PlatformTopic>()
-  let era = 1
+  let epoch = 1
   const groups = new Map<string, PlatformGroup>()
   let fault: StoreFault = 'none'
   let callCount = 0
@@ -162,7 +162,7 @@
     groups.set(name, known)
     return known
   }
-  const setEra = (outgoing: ServerResponse): void => { outgoing.setHeader('store-era', String(era)) }
+  const setEpoch = (outgoing: ServerResponse): void => { outgoing.setHeader('store-era', String(epoch)) }
   const handleRequest = async (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> => {
     const url = new URL(incoming.url ?? '/', 'http://store')
     const topic = getTopic(url.searchParams.get('topic') ?? '')
@@ -172,7 +172,7 @@
         if (fault !== 'lost') sendAppendResult(outgoing, result)
         return
       }
-      case 'GET /log-read': return handleRead(() => getTopic(url.searchParams.get('topic') ?? ''), url.searchParams, outgoing, () => setEra(outgoing))
+      case 'GET /log-read': return handleRead(() => getTopic(url.searchParams.get('topic') ?? ''), url.searchParams, outgoing, () => setEpoch(outgoing))
       case 'GET /log-newest': return handleNewest(topic, url.searchParams, outgoing)
       case 'POST /log-trim':
         topic.trim(Number(url.searchParams.get('before')))
@@ -186,7 +186,7 @@
   }
   const server = createServer((incoming, outgoing) => {
     callCount += 1
-    setEra(outgoing)
+    setEpoch(outgoing)
     if (fault === 'busy') sendJson(outgoing, 503, {})
     else if (fault === 'reset') incoming.socket.resetAndDestroy()
     else if (fault !== 'silent') handleRequest(incoming, outgoing).catch(() => outgoing.destroy())
@@ -201,7 +201,7 @@
         takeCopy: () => new Map([...topics].map(([name, topic]) => [name, topic.copy()])),
         restore (copy) {
           topics = new Map([...copy].map(([name, topic]) => [name, topic.copy()]))
-          era += 1
+          epoch += 1
         },
         getGroup,
         setFault (next) { fault = next },
