Log and count crashes of targets, and tell requests apart by a fingerprint

The logs could not distinguish a target that crashed from one that closed a connection, nor relate a request to an earlier one. When a connection ends without a response, the entry opens another: refused means crashed. The finding and the fingerprint of the request are in the request's line; medlarcove_target_crashes_total counts crashes. What is sent does not change.

--- a/src/process/gateway/gateway-metrics.ts
+++ b/src/process/gateway/gateway-metrics.ts
@@ -21,6 +21,8 @@
   version: number
   isReady: boolean
   limiter: LimiterCounts
+  /** Crashes of targets found since the start. */
+  targetCrashes: number
   liveEntries: number
   /** Datagrams between entries since the start. */
   datagrams: Pick<DatagramCounts, 'sent' | 'received' | 'refused' | 'failed'>
@@ -52,6 +54,7 @@
     ready: new Gauge({ name: 'medlarcove_ready', help: '1 while the entry is ready.', registers }),
     limitedTargets: new Gauge({ name: 'medlarcove_limited_targets', help: 'Targets that advertise a rate limit, as far as this entry knows.', registers }),
     permits: new Gauge({ name: 'medlarcove_target_permits_total', help: 'Permits for requests to targets that advertise a rate limit; issued: by this entry to any entry, the others: requests of this entry for one.', labelNames: ['outcome'], registers }),
+    targetCrashes: new Gauge({ name: 'medlarcove_target_crashes_total', help: 'Crashes of targets: a connection closed without a response, and new connections were refused.', registers }),
     entries: new Gauge({ name: 'medlarcove_live_entries', help: 'Entries that are known to live.', registers }),
     datagrams: new Gauge({ name: 'medlarcove_datagrams_total', help: 'Datagrams between entries; refused: wrong key or malformed, failed: not sent.', labelNames: ['kind'], registers }),
     dropped: new Gauge({ name: 'medlarcove_log_lines_dropped_total', help: 'Log lines dropped because the reader was slow.', registers }),
@@ -75,6 +78,7 @@
   metrics.ready.set(Number(values.isReady))
   metrics.limitedTargets.set(values.limiter.limitedTargets)
   for (const outcome of ['granted', 'denied', 'unanswered', 'issued'] as const) metrics.permits.set({ outcome }, values.limiter[outcome])
+  metrics.targetCrashes.set(values.targetCrashes)
   metrics.entries.set(values.liveEntries)
   for (const kind of ['sent', 'received', 'refused', 'failed'] as const) metrics.datagrams.set({ kind }, values.datagrams[kind])
   metrics.dropped.set(values.droppedLogLines)
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -66,6 +66,7 @@
       version: state.getInEffect()?.configuration.version ?? 0,
       isReady: isReady(parts),
       limiter: parts.limiter.report(),
+      targetCrashes: state.countCrashes(),
       liveEntries: parts.membership.listMembers().filter((member) => member.state === 'live').length,
       datagrams: parts.membership.report(),
       droppedLogLines: options.countDroppedLines?.() ?? 0,
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -1,7 +1,7 @@
 /**
  * Handles the requests of callers at a gateway: finds the route, runs the attempts and relays the response.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock } from '../../clock.ts'
 import { createError, getErrorResponse } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
@@ -13,6 +13,7 @@
 import { relayResponse } from '../../request/gateway/relay-response.ts'
 import { runAttempts } from '../../request/gateway/run-attempts.ts'
 import { readBody } from '../../request/read-body.ts'
+import { createFingerprintReader } from '../../request/request-fingerprint.ts'
 import type { RequestId } from '../../types.ts'
 import type { Route } from '../../version/configuration.ts'
 import type { PartLogger } from '../logger.ts'
@@ -43,6 +44,14 @@
 const RESPONSE_MARGIN_MS = 5
 const MAX_BODY_PAUSE_MS = 5_000
 
+/** A request whose body has not been read yet. */
+type UnreadCall = Omit<GatewayCall, 'body' | 'getFingerprint'>
+
+function addBody (call: UnreadCall, { host = '', authorization = '' }: IncomingHttpHeaders, body: Uint8Array | undefined): GatewayCall {
+  const { method, path } = call
+  return { ...call, body, getFingerprint: createFingerprintReader({ method, host, path, authorization, body }) }
+}
+
 /** Creates the request handling. */
 export function createGatewayRequests (options: GatewayRequestsOptions): GatewayRequests {
   const { state, clock, logger, metrics } = options
@@ -57,7 +66,7 @@
     log.write({ id: id ?? 'none', route: 'none', service: 'none', version, leftMs: 0, attempts: [], error: error.kind, detail: error.message, status, end: 'whole', tookMs: 0 })
     sendError(outgoing, error)
   }
-  const reject = (call: GatewayCall, outgoing: ServerResponse, error: AppError): void => {
+  const reject = (call: UnreadCall, outgoing: ServerResponse, error: AppError): void => {
     const { record } = call
     record.error = error.kind
     record.detail = error.message
@@ -69,7 +78,7 @@
     record.end = 'whole'
     sendError(outgoing, error)
   }
-  const createCall = (incoming: IncomingMessage, outgoing: ServerResponse, id: RequestId, route: Route, inEffect: ConfigurationInEffect, startedAtMs: number): GatewayCall => {
+  const createCall = (incoming: IncomingMessage, outgoing: ServerResponse, id: RequestId, route: Route, inEffect: ConfigurationInEffect, startedAtMs: number): UnreadCall => {
     const deadlineMs = getDeadlineMs(incoming.headers) ?? route.timeoutMs
     const leftMs = Math.min(route.timeoutMs, Math.max(1, deadlineMs - RESPONSE_MARGIN_MS))
     const service = state.getService(inEffect.selectService(route))
@@ -82,7 +91,6 @@
       method: incoming.method ?? 'GET',
       path: incoming.url ?? '/',
       headers: filterRequestHeaders(incoming.headers),
-      body: undefined,
       startedAtMs,
       deadlineAtMs: startedAtMs + leftMs,
       caller: watchCaller(outgoing),
@@ -104,11 +112,11 @@
     if (end.kind === 'broken') call.record.detail = end.error.message
   }
   /** Whether the request can meet its latency target, or a shorter timeout, before the process ends. */
-  const canFinish = ({ route }: GatewayCall): boolean => {
+  const canFinish = ({ route }: UnreadCall): boolean => {
     const endAtMs = options.getEndAtMs()
     return endAtMs === undefined || clock.monotonicMs() + Math.min(route.targetLatencyMs, route.timeoutMs) <= endAtMs
   }
-  const recordEnd = (call: GatewayCall): void => {
+  const recordEnd = (call: UnreadCall): void => {
     call.record.tookMs = clock.monotonicMs() - call.startedAtMs
     log.write(call.record)
     metrics.recordRequest(call.record)
@@ -135,7 +143,7 @@
     const body = await readBody(incoming, limits, clock)
     if (body.isErr()) reject(call, outgoing, body.error)
     else if (!canFinish(call)) reject(call, outgoing, createError('entry-stopping', 'This entry is shutting down and would end before the request completes.'))
-    else await serve({ ...call, body: body.value }, outgoing)
+    else await serve(addBody(call, incoming.headers, body.value), outgoing)
     recordEnd(call)
   }
   return {
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -18,6 +18,7 @@
 import { createTargetRegistry } from '../discovery/target-registry.ts'
 import type { TargetChange, TargetReport } from '../discovery/target-registry.ts'
 import type { PartLogger } from '../logger.ts'
+import { createCrashChecks } from '../selection/crash-checks.ts'
 import { createServiceSelector } from '../selection/service-selector.ts'
 import type { TargetLimiter } from '../target-limits/target-limiter.ts'
 import { createTargetStates } from '../selection/target-states.ts'
@@ -66,6 +67,8 @@
   removeExpired(isStoreUnavailable: boolean): void
   /** Whether the targets topic has been read. */
   hasReadTargets(): boolean
+  /** Returns the number of crashes of targets that this process has found. */
+  countCrashes(): number
   /** Returns the metric values of all services that have been used. */
   listMetrics(): ServiceMetrics[]
   /** Closes the connections to all targets. */
@@ -113,6 +116,7 @@
   const registry = createTargetRegistry()
   const states = createTargetStates({ clock, maxConnections: options.maxConnections })
   const services = new Map<ServiceId, GatewayService>()
+  const crashChecks = createCrashChecks({ clock, logger })
   let inEffect: ConfigurationInEffect | undefined
   let hasReadTargets = false
   let maxRetryTokens = options.retryBudget.maxTokens
@@ -130,6 +134,7 @@
       retryBudget: createRatioBudget({ share: options.retryBudget.share, maxTokens: maxRetryTokens }),
       handleLeaving: handleOwnLeaving,
       recordLimit: limiter.record,
+      checkCrash: crashChecks.check,
       selector: createServiceSelector({
         service: name,
         zone,
@@ -210,6 +215,7 @@
       for (const target of registry.removeExpired(nowMs)) logger.info('Removed a target.', { target, because: 'its registration expired and was not renewed' })
     },
     hasReadTargets: () => hasReadTargets,
+    countCrashes: crashChecks.countCrashes,
     listMetrics: () => [...services.values()].map(({ name, selector, retryBudget }) => ({
       service: name,
       waiting: selector.countWaiting(),
--- a/src/process/gateway/request-log.ts
+++ b/src/process/gateway/request-log.ts
@@ -47,6 +47,7 @@
     limitPerSecond: attempt.limitPerSecond,
     atMs: Math.round(attempt.startedMs),
     end: attempt.end,
+    finding: attempt.finding,
     status: attempt.status
   }
 }
--- a/src/request/gateway/gateway-call.ts
+++ b/src/request/gateway/gateway-call.ts
@@ -7,8 +7,10 @@
 import type { ServiceSelector } from '../../process/selection/service-selector.ts'
 import type { WorkMeter } from '../../process/selection/work-meter.ts'
 import type { TargetState } from '../../process/selection/target-states.ts'
+import type { CrashFinding } from '../../connection/check-for-crash.ts'
 import type { AdvertisedLimit } from '../selection/advertised-limit.ts'
 import type { RequestRecord } from './request-record.ts'
+import type { RequestFingerprint } from '../request-fingerprint.ts'
 import type { RequestId, ServiceId, TargetId } from '../../types.ts'
 import type { ConfigurationVersion, Route } from '../../version/configuration.ts'
 
@@ -21,6 +23,8 @@
   handleLeaving(state: TargetState, evidence: string): void
   /** Called with what the response to a request sent at `sentAtMs` says about the rate limit of its target. */
   recordLimit(target: TargetId, limit: AdvertisedLimit, sentAtMs: number): void
+  /** Finds out why a target closed a connection without a response. */
+  checkCrash(state: TargetState): Promise<CrashFinding>
 }
 
 /** One request. Instants by the monotonic clock in ms. */
@@ -42,6 +46,8 @@
   /** Work times of all routes. */
   workMeter: WorkMeter
   clock: Clock
+  /** Returns the fingerprint of the request; it is computed with the first call. */
+  getFingerprint(): RequestFingerprint
   /** Collects the data of the request's log line. */
   record: RequestRecord
 }
--- a/src/request/gateway/request-record.ts
+++ b/src/request/gateway/request-record.ts
@@ -1,6 +1,7 @@
 /**
  * The data of a request's log line: the inputs of each target selection, and the outcome.
  */
+import type { CrashFinding } from '../../connection/check-for-crash.ts'
 import type { LoadReport } from '../selection/load-report.ts'
 
 /** One attempt at a target. Times in ms. */
@@ -20,6 +21,8 @@
   limitPerSecond: number | undefined
   /** Time from the start of the request to the start of the attempt. */
   startedMs: number
+  /** Why the target closed the connection, if it did so without a response. */
+  finding?: CrashFinding
   /** Outcome of the attempt; `pending` until it ends. */
   end: string
   /** HTTP status of the target's response, if any. */
@@ -36,6 +39,8 @@
   /** Time until the deadline when the request arrived. */
   leftMs: number
   attempts: AttemptRecord[]
+  /** Fingerprint of the request; only set when a connection broke while a target had the request. */
+  fingerprint?: string
   /** Kind of the error, if the gateway could not relay a response. */
   error?: string
   /** Message of the error, or why the response was truncated. */
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -109,13 +109,19 @@
     if (outcome.kind === 'not-executed') drainResponse(exchange, clock).catch(() => exchange.cancel())
     return outcome
   }
+  const recordFinding = async (): Promise<void> => {
+    record.finding = await service.checkCrash(state)
+    call.record.fingerprint = call.getFingerprint()
+  }
   const readOutcome = async (): Promise<AttemptOutcome> => {
     const head = await exchange.head
     if (head.isOk()) return handleHead(head.value)
     release()
-    if (!isCancelled && !call.caller.isDisconnected()) service.selector.recordOutcome(state, exchange.wasSent() ? 'broken' : 'unreachable')
+    const isOwnEnd = isCancelled || call.caller.isDisconnected()
+    if (!isOwnEnd) service.selector.recordOutcome(state, exchange.wasSent() ? 'broken' : 'unreachable')
     const kind = exchange.wasSent() ? 'broken' : 'unsent'
     record.end = isCancelled ? 'cancelled' : `${kind}: ${head.error.message}`
+    if (!isOwnEnd && kind === 'broken' && head.error.kind === 'target-broken') await recordFinding()
     return { kind, error: head.error }
   }
   return {
