Split requests by messages that may be lost from the limiter of targets

A second part needs the same sequence numbers, timeouts and late responses. No behaviour changes, but that the target of a permit response is no longer compared: the sequence number, which begins at random, identifies the request. target-limiter: 16 passed before and after.

--- a/src/process/target-limits/target-limiter.ts
+++ b/src/process/target-limits/target-limiter.ts
@@ -6,8 +6,9 @@
  */
 import type { Clock } from '../../clock.ts'
 import type { AdvertisedLimit } from '../../request/selection/advertised-limit.ts'
-import type { Cancel, EntryId, TargetId } from '../../types.ts'
+import type { EntryId, TargetId } from '../../types.ts'
 import type { PartLogger } from '../logger.ts'
+import { createPendingResponses } from '../pending-responses.ts'
 import { createIssuerView } from './issuer-view.ts'
 import type { IssuerCandidate } from './issuer-view.ts'
 import type { LimitMessage, SharedLimit } from './limit-messages.ts'
@@ -67,9 +68,6 @@
 const RESPONSE_TIMEOUT_MS = 30
 /** Time after which a permit is requested again from an entry that did not respond or does not issue it, in ms. */
 const NO_ISSUER_RETRY_MS = 100
-const MAX_SEQUENCE = 0x7fff_ffff
-
-interface PendingRequest { target: TargetId, settle(answer: PermitAnswer | undefined): void, cancelTimer: Cancel }
 
 /** When a permit may be available, and when this entry requests one again; later, so that the entries do not all ask at once. */
 interface Denial { availableAtMs: number, retryAtMs: number }
@@ -81,10 +79,9 @@
   const issuers = createIssuerView({ self, clock })
   const issuer = createPermitIssuer({ clock, getStartMs: () => issuers.getSettledAtMs() })
   const unused = createUnusedPermits(clock)
-  const pending = new Map<number, PendingRequest>()
+  const pending = createPendingResponses<PermitAnswer>({ clock, random, timeoutMs: RESPONSE_TIMEOUT_MS })
   const denials = new Map<TargetId, Denial>()
   const counts = { granted: 0, denied: 0, unanswered: 0, issued: 0 }
-  let sequence = Math.floor(random() * MAX_SEQUENCE)
 
   const toShared = ({ perSecond, sentAtMs, receivedAtMs }: LimitObservation): SharedLimit => {
     const nowMs = clock.monotonicMs()
@@ -116,14 +113,7 @@
     return answer.isGranted
   }
   const requestPermit = async (to: EntryId, target: TargetId): Promise<boolean> => {
-    sequence = sequence === MAX_SEQUENCE ? 0 : sequence + 1
-    const own = sequence
-    const answer = await new Promise<PermitAnswer | undefined>((resolve) => {
-      const cancelTimer = clock.startTimer(RESPONSE_TIMEOUT_MS, () => resolve(undefined))
-      pending.set(own, { target, settle: resolve, cancelTimer })
-      options.send(to, { type: 'permit-request', sequence: own, target, limit: describeLimit(target) })
-    })
-    pending.delete(own)
+    const answer = await pending.request((sequence) => options.send(to, { type: 'permit-request', sequence, target, limit: describeLimit(target) }))
     if (answer) return handleAnswer(target, answer)
     counts.unanswered += 1
     recordDenial(target, NO_ISSUER_RETRY_MS)
@@ -137,12 +127,7 @@
   }
   const handleResponse = ({ sequence, target, answer, limit }: LimitMessage & { type: 'permit-response' }): void => {
     applyShared(target, limit)
-    const request = pending.get(sequence)
-    if (request?.target === target) {
-      request.cancelTimer()
-      request.settle(answer)
-      return
-    }
+    if (pending.settle(sequence, answer)) return
     // The response came after the timeout: the permit serves the next request.
     if (answer.isGranted && handleAnswer(target, answer)) unused.add(target)
   }
