Put requests that crash the targets that run them in quarantine, over all entries

Cause: a request whose target crashed was retried at the next one, and nothing related a later attempt to the earlier ones, neither in an entry nor between entries. The class: an input that ends process after process, each failure judged by itself (a query of death). Ruled out: a common cause of the crashes, and slow ejection (postmortem).

A request that was running at a target when it crashed is suspected. Suspected, it runs in trials: one at a time over all entries, by a lease of the entry that rendezvous hashing names, at a target that has answered others and runs no other trial. Entries tell each other the crashes by broadcast and repeat them once a second to a random entry. Crashes of requests that were not in a trial never lead to a quarantine, since a rack that fails ends many targets that run the same popular request.

--- a/src/process/gateway/gateway-messages.ts
+++ b/src/process/gateway/gateway-messages.ts
@@ -10,6 +10,8 @@
 import type { StoreEpoch, TargetId } from '../../types.ts'
 import type { SharedRecordRange } from '../discovery/shared-range.ts'
 import type { TopicProgress } from '../discovery/read-position.ts'
+import type { RequestFingerprint } from '../../request/request-fingerprint.ts'
+import type { QuarantineMessage } from '../quarantine/quarantine-messages.ts'
 import type { LimitMessage } from '../target-limits/limit-messages.ts'
 
 /** A message to other gateways. */
@@ -20,6 +22,8 @@
   | { type: 'topic-range', range: SharedRecordRange }
   /** Messages that share the rate limits of targets. */
   | LimitMessage
+  /** Messages that share the crashes of targets and the trials of suspected requests. */
+  | QuarantineMessage
 
 /** How far the sender has read each topic; rides on each probe. */
 export type ReadProgress = { topic: string, progress: TopicProgress }[]
@@ -27,6 +31,8 @@
 const MAX_TEXT_LENGTH = 128
 const MAX_RECORDS = 10_000
 const MAX_TOPICS = 8
+const MAX_CRASHES = 64
+const MAX_RUNS = 256
 
 const text = z.string().min(1).max(MAX_TEXT_LENGTH)
 const counter = z.number().int().nonnegative()
@@ -34,12 +40,19 @@
 const target = text.transform((id) => toBrand<TargetId>(id))
 const limit = z.object({ perSecond: duration.optional(), sentAgoMs: duration, receivedAgoMs: duration })
 const answer = z.object({ isGranted: z.boolean(), waitMs: duration })
+const request = text.transform((fingerprint) => toBrand<RequestFingerprint>(fingerprint))
+const runs = z.array(z.object({ request, kind: z.enum(['ordinary', 'trial', 'isolated']) })).max(MAX_RUNS)
 const epoch = counter.transform((value) => toBrand<StoreEpoch>(value))
 const messageSchema = z.discriminatedUnion('type', [
   z.object({ type: z.literal('target-leaving'), target }),
   z.object({ type: z.literal('target-limit'), target, limit }),
   z.object({ type: z.literal('permit-request'), sequence: counter, target, limit }),
   z.object({ type: z.literal('permit-response'), sequence: counter, target, answer, limit }),
+  z.object({ type: z.literal('target-crashes'), crashes: z.array(z.object({ target, agoMs: duration, runs })).max(MAX_CRASHES) }),
+  z.object({ type: z.literal('request-completed'), request, agoMs: duration }),
+  z.object({ type: z.literal('trial-request'), sequence: counter, request, forMs: duration }),
+  z.object({ type: z.literal('trial-response'), sequence: counter, isGranted: z.boolean() }),
+  z.object({ type: z.literal('trial-end'), request }),
   z.object({
     type: z.literal('topic-range'),
     range: z.object({
--- a/src/process/gateway/gateway-metrics.ts
+++ b/src/process/gateway/gateway-metrics.ts
@@ -4,6 +4,7 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 import type { DatagramCounts } from '../../connection/datagram-socket.ts'
 import type { RequestRecord } from '../../request/gateway/request-record.ts'
+import type { QuarantineCounts } from '../quarantine/request-quarantine.ts'
 import type { LimiterCounts } from '../target-limits/target-limiter.ts'
 import type { ServiceMetrics } from './gateway-state.ts'
 
@@ -21,6 +22,7 @@
   version: number
   isReady: boolean
   limiter: LimiterCounts
+  quarantine: QuarantineCounts
   /** Crashes of targets found since the start. */
   targetCrashes: number
   liveEntries: number
@@ -54,6 +56,8 @@
     ready: new Gauge({ name: 'medlarcove_ready', help: '1 while the entry is ready.', registers }),
     limitedTargets: new Gauge({ name: 'medlarcove_limited_targets', help: 'Targets that advertise a rate limit, as far as this entry knows.', registers }),
     permits: new Gauge({ name: 'medlarcove_target_permits_total', help: 'Permits for requests to targets that advertise a rate limit; issued: by this entry to any entry, the others: requests of this entry for one.', labelNames: ['outcome'], registers }),
+    suspects: new Gauge({ name: 'medlarcove_suspected_requests', help: 'Requests that were running at a target that crashed and have not completed since, by state: suspected, or quarantined and rejected.', labelNames: ['state'], registers }),
+    trials: new Gauge({ name: 'medlarcove_request_trials_total', help: 'Suspected requests, by outcome: trial (run alone), unleased (a trial although the entry that grants it did not respond), rejected (in quarantine).', labelNames: ['outcome'], registers }),
     targetCrashes: new Gauge({ name: 'medlarcove_target_crashes_total', help: 'Crashes of targets: a connection closed without a response, and new connections were refused.', registers }),
     entries: new Gauge({ name: 'medlarcove_live_entries', help: 'Entries that are known to live.', registers }),
     datagrams: new Gauge({ name: 'medlarcove_datagrams_total', help: 'Datagrams between entries; refused: wrong key or malformed, failed: not sent.', labelNames: ['kind'], registers }),
@@ -78,6 +82,12 @@
   metrics.ready.set(Number(values.isReady))
   metrics.limitedTargets.set(values.limiter.limitedTargets)
   for (const outcome of ['granted', 'denied', 'unanswered', 'issued'] as const) metrics.permits.set({ outcome }, values.limiter[outcome])
+  const { suspected, quarantined, trials, unleasedTrials, rejected } = values.quarantine
+  metrics.suspects.set({ state: 'suspected' }, suspected)
+  metrics.suspects.set({ state: 'quarantined' }, quarantined)
+  metrics.trials.set({ outcome: 'trial' }, trials)
+  metrics.trials.set({ outcome: 'unleased' }, unleasedTrials)
+  metrics.trials.set({ outcome: 'rejected' }, rejected)
   metrics.targetCrashes.set(values.targetCrashes)
   metrics.entries.set(values.liveEntries)
   for (const kind of ['sent', 'received', 'refused', 'failed'] as const) metrics.datagrams.set({ kind }, values.datagrams[kind])
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -8,7 +8,7 @@
 import type { Incarnation, ZoneId } from '../../types.ts'
 import { createDeferredMetrics } from './deferred-metrics.ts'
 import { createGatewayFollowers } from './gateway-followers.ts'
-import { computeMaxRetryTokens, createContacts, createLimiter, createMembership, createSharing, isReady, publishStatus, USED_SHARE } from './gateway-peers.ts'
+import { computeMaxRetryTokens, createContacts, createLimiter, createMembership, createQuarantine, createSharing, isReady, publishStatus, USED_SHARE } from './gateway-peers.ts'
 import { createGatewayRequests } from './gateway-requests.ts'
 import { createGatewayServers, METRICS_PORT } from './gateway-servers.ts'
 import type { GatewayServers } from './gateway-servers.ts'
@@ -66,6 +66,7 @@
       version: state.getInEffect()?.configuration.version ?? 0,
       isReady: isReady(parts),
       limiter: parts.limiter.report(),
+      quarantine: parts.quarantine.report(),
       targetCrashes: state.countCrashes(),
       liveEntries: parts.membership.listMembers().filter((member) => member.state === 'live').length,
       datagrams: parts.membership.report(),
@@ -100,6 +101,7 @@
   const parts = { ...base } as GatewayParts
   parts.store = createStore(parts)
   parts.limiter = createLimiter(parts)
+  parts.quarantine = createQuarantine(parts)
   parts.membership = createMembership(parts, run)
   parts.state = createState(parts)
   parts.followers = createGatewayFollowers({ ...parts, logger: logger.forPart('store'), sharing: createSharing(parts) })
@@ -109,7 +111,7 @@
     clock,
     logger: logger.forPart('metrics')
   })
-  parts.requests = createGatewayRequests({ state: parts.state, clock, logger: logger.forPart('request'), metrics: parts.metrics, getEndAtMs: () => parts.endAtMs })
+  parts.requests = createGatewayRequests({ state: parts.state, quarantine: parts.quarantine, clock, logger: logger.forPart('request'), metrics: parts.metrics, getEndAtMs: () => parts.endAtMs })
   parts.servers = createServers(parts, options)
   return parts
 }
--- a/src/process/gateway/gateway-peers.ts
+++ b/src/process/gateway/gateway-peers.ts
@@ -6,6 +6,8 @@
 import type { EntryId } from '../../types.ts'
 import type { SharedReading } from '../discovery/shared-reading.ts'
 import type { MemberRecord } from '../gossip/member-record.ts'
+import { createRequestQuarantine } from '../quarantine/request-quarantine.ts'
+import type { RequestQuarantine } from '../quarantine/request-quarantine.ts'
 import { createTargetLimiter } from '../target-limits/target-limiter.ts'
 import type { TargetLimiter } from '../target-limits/target-limiter.ts'
 import { createEntryContacts } from './entry-contacts.ts'
@@ -65,20 +67,34 @@
     case 'target-limit':
     case 'permit-request':
     case 'permit-response': return parts.limiter.handleMessage(from, message)
+    case 'target-crashes':
+    case 'request-completed':
+    case 'trial-request':
+    case 'trial-response':
+    case 'trial-end': return parts.quarantine.handleMessage(from, message)
   }
 }
 
-/** Creates the limiter that shares the rate limits of targets. */
-export function createLimiter (parts: GatewayParts): TargetLimiter {
-  const { settings, clock, random, log } = parts
-  return createTargetLimiter({
+/** Returns what a part needs to exchange messages with the same part of the other entries. */
+function createMessaging (parts: GatewayParts) {
+  const { settings, clock, random } = parts
+  return {
     self: settings.entry,
     clock,
     random,
-    logger: log,
-    send: (to, message) => parts.membership.sendTo(to, message),
-    broadcast: (message) => parts.membership.broadcast(message)
-  })
+    send: (to: EntryId, message: GatewayMessage) => parts.membership.sendTo(to, message),
+    broadcast: (message: GatewayMessage) => parts.membership.broadcast(message)
+  }
+}
+
+/** Creates the limiter that shares the rate limits of targets. */
+export function createLimiter (parts: GatewayParts): TargetLimiter {
+  return createTargetLimiter({ ...createMessaging(parts), logger: parts.log })
+}
+
+/** Creates the quarantine of requests that crash targets. */
+export function createQuarantine (parts: GatewayParts): RequestQuarantine {
+  return createRequestQuarantine({ ...createMessaging(parts), logger: parts.logger.forPart('quarantine') })
 }
 
 /** Creates the membership; it does nothing before its start. */
@@ -101,9 +117,10 @@
 export function applyMembershipChanges (parts: GatewayParts): void {
   if (!parts.hasMembershipChanged) return
   parts.hasMembershipChanged = false
-  const { settings, membership, state, limiter } = parts
+  const { settings, membership, state, limiter, quarantine } = parts
   state.updateMaxRetryTokens(computeMaxRetryTokens(settings, membership.countMembers()))
   limiter.updateEntries(membership.listMembers())
+  quarantine.updateEntries(membership.listMembers())
 }
 
 /** Whether this entry serves callers. */
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -10,6 +10,7 @@
 import { sendError } from '../../request/error-response.ts'
 import type { GatewayCall } from '../../request/gateway/gateway-call.ts'
 import { filterRequestHeaders } from '../../request/gateway/gateway-headers.ts'
+import { createRequestAdmission } from '../../request/gateway/request-admission.ts'
 import { relayResponse } from '../../request/gateway/relay-response.ts'
 import { runAttempts } from '../../request/gateway/run-attempts.ts'
 import { readBody } from '../../request/read-body.ts'
@@ -17,6 +18,7 @@
 import type { RequestId } from '../../types.ts'
 import type { Route } from '../../version/configuration.ts'
 import type { PartLogger } from '../logger.ts'
+import type { RequestQuarantine } from '../quarantine/request-quarantine.ts'
 import { createWorkMeter } from '../selection/work-meter.ts'
 import type { GatewayMetrics } from './gateway-metrics.ts'
 import type { GatewayState, ConfigurationInEffect } from './gateway-state.ts'
@@ -33,6 +35,7 @@
 /** Options of `createGatewayRequests`. */
 export interface GatewayRequestsOptions {
   state: GatewayState
+  quarantine: RequestQuarantine
   clock: Clock
   logger: PartLogger
   metrics: GatewayMetrics
@@ -45,11 +48,12 @@
 const MAX_BODY_PAUSE_MS = 5_000
 
 /** A request whose body has not been read yet. */
-type UnreadCall = Omit<GatewayCall, 'body' | 'getFingerprint'>
+type UnreadCall = Omit<GatewayCall, 'body' | 'getFingerprint' | 'admission'>
 
-function addBody (call: UnreadCall, { host = '', authorization = '' }: IncomingHttpHeaders, body: Uint8Array | undefined): GatewayCall {
+function addBody (call: UnreadCall, { host = '', authorization = '' }: IncomingHttpHeaders, body: Uint8Array | undefined, quarantine: RequestQuarantine): GatewayCall {
   const { method, path } = call
-  return { ...call, body, getFingerprint: createFingerprintReader({ method, host, path, authorization, body }) }
+  const getFingerprint = createFingerprintReader({ method, host, path, authorization, body })
+  return { ...call, body, getFingerprint, admission: createRequestAdmission({ ...call, quarantine, getFingerprint }) }
 }
 
 /** Creates the request handling. */
@@ -103,13 +107,18 @@
     call.service.retryBudget.addShare()
     const response = await runAttempts(call)
     if (response.isErr()) {
+      call.admission.finish(false)
       reject(call, outgoing, response.error)
       return
     }
     const end = await relayResponse(call, response.value, outgoing)
     call.record.status = response.value.head.status
     call.record.end = end.kind
-    if (end.kind === 'broken') call.record.detail = end.error.message
+    if (end.kind === 'broken') {
+      call.record.detail = end.error.message
+      await response.value.attempt.recordLoss()
+    }
+    call.admission.finish(end.kind === 'whole')
   }
   /** Whether the request can meet its latency target, or a shorter timeout, before the process ends. */
   const canFinish = ({ route }: UnreadCall): boolean => {
@@ -143,7 +152,7 @@
     const body = await readBody(incoming, limits, clock)
     if (body.isErr()) reject(call, outgoing, body.error)
     else if (!canFinish(call)) reject(call, outgoing, createError('entry-stopping', 'This entry is shutting down and would end before the request completes.'))
-    else await serve(addBody(call, incoming.headers, body.value), outgoing)
+    else await serve(addBody(call, incoming.headers, body.value, options.quarantine), outgoing)
     recordEnd(call)
   }
   return {
--- a/src/process/gateway/gateway-types.ts
+++ b/src/process/gateway/gateway-types.ts
@@ -6,6 +6,7 @@
 import type { StoreClient } from '../../platform/store-client.ts'
 import type { Incarnation } from '../../types.ts'
 import type { Logger, PartLogger } from '../logger.ts'
+import type { RequestQuarantine } from '../quarantine/request-quarantine.ts'
 import type { TargetLimiter } from '../target-limits/target-limiter.ts'
 import type { DeferredMetrics } from './deferred-metrics.ts'
 import type { EntryContacts } from './entry-contacts.ts'
@@ -39,6 +40,7 @@
   contacts: EntryContacts
   membership: GatewayMembership
   limiter: TargetLimiter
+  quarantine: RequestQuarantine
   state: GatewayState
   requests: GatewayRequests
   metrics: DeferredMetrics
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -83,6 +83,7 @@
     applyMembershipChanges(parts)
     state.removeExpired(followers.hasLostTargets())
     publishStatus(parts)
+    parts.quarantine.runMaintenance()
   }, MAINTENANCE_INTERVAL_MS)
   const stopWatching = startLatenessWatch({
     clock,
--- a/src/process/selection/service-selector.ts
+++ b/src/process/selection/service-selector.ts
@@ -13,6 +13,7 @@
 import type { EstimatedTarget, RequestOutcome } from './load-prober.ts'
 import { createTargetSearch } from './target-search.ts'
 import type { SelectionRequest, TargetSearchOptions, TargetSelection } from './target-search.ts'
+import { isProven } from './target-states.ts'
 import type { TargetState } from './target-states.ts'
 
 /** Totals since the start: load probes sent, requests queued, requests rejected. */
@@ -160,6 +161,7 @@
     const nowMs = clock.monotonicMs()
     const head = queue.peek(nowMs)
     if (!head || state.registered.isLeaving || state.ejectedUntilMs > nowMs || head.request.excluded.has(state.registered.report.id)) return
+    if (head.request.isTrial && !isProven(state)) return
     const estimate = prober.estimate(state, head.request.workMs, state.sentCountAtReport)
     if (estimate.isSuitable) offerTarget({ state, estimate }, head).catch((cause: unknown) => logger.error('Offering a target failed.', { service, err: cause }))
   }
--- a/src/process/selection/target-search.ts
+++ b/src/process/selection/target-search.ts
@@ -10,6 +10,7 @@
 import type { TargetLimiter } from '../target-limits/target-limiter.ts'
 import { getFaster } from './load-prober.ts'
 import type { EstimatedTarget, LoadProber, LoadProberOptions } from './load-prober.ts'
+import { isProven } from './target-states.ts'
 import type { TargetState, TargetStates } from './target-states.ts'
 
 /** A request that needs a target. */
@@ -18,6 +19,8 @@
   crossZonePenalty: number
   /** Targets that earlier attempts of the request used. */
   excluded: ReadonlySet<TargetId>
+  /** Whether it is a trial of a suspected request, which runs apart from other trials if it can. */
+  isTrial: boolean
 }
 
 /**
@@ -78,11 +81,13 @@
 export function createTargetSearch (options: TargetSearchOptions, prober: LoadProber): TargetSearch {
   const { service, zone, registry, states, limiter, clock, random } = options
 
-  const listUsable = ({ excluded }: SelectionRequest): TargetState[] => {
+  const listUsable = ({ excluded, isTrial }: SelectionRequest): TargetState[] => {
     const nowMs = clock.monotonicMs()
     const all = registry.list(service).filter((target) => !target.isLeaving && !excluded.has(target.report.id)).map((target) => states.get(target))
     const notEjected = all.filter((state) => state.ejectedUntilMs <= nowMs)
-    return notEjected.length > all.length * (1 - MAX_EJECTED_SHARE) ? notEjected : all
+    const usable = notEjected.length > all.length * (1 - MAX_EJECTED_SHARE) ? notEjected : all
+    const proven = isTrial ? usable.filter(isProven) : []
+    return proven.length > 0 ? proven : usable
   }
   const orderCandidates = (request: SelectionRequest, probed: ReadonlySet<TargetState>): TargetState[] => {
     const nowMs = clock.monotonicMs()
--- a/src/process/selection/target-states.ts
+++ b/src/process/selection/target-states.ts
@@ -17,6 +17,10 @@
   inFlight: number
   /** Load probes of this process in flight. */
   probesInFlight: number
+  /** Trials of suspected requests of this process in flight at the target. */
+  trialCount: number
+  /** Requests of this process that the target has answered. */
+  answeredCount: number
   /** Requests sent since the start. */
   sentCount: number
   /** Value of that count when the latest load report was requested by a probe, or received with a response. */
@@ -35,6 +39,11 @@
   probeBucket: TokenBucket
 }
 
+/** Whether a target has answered requests and runs no trial, so that a crash during a trial is hardly a coincidence. */
+export function isProven ({ answeredCount, trialCount }: TargetState): boolean {
+  return answeredCount > 0 && trialCount === 0
+}
+
 /** The local views of all registered targets. */
 export interface TargetStates {
   /** Returns the state of a target; creates it for a new registration. */
@@ -63,6 +72,8 @@
     pool: createPool({ target: registered.report, maxConnections, clock }),
     inFlight: 0,
     probesInFlight: 0,
+    trialCount: 0,
+    answeredCount: 0,
     sentCount: 0,
     sentCountAtReport: 0,
     report: undefined,
--- a/src/request/gateway/gateway-call.ts
+++ b/src/request/gateway/gateway-call.ts
@@ -10,6 +10,7 @@
 import type { CrashFinding } from '../../connection/check-for-crash.ts'
 import type { AdvertisedLimit } from '../selection/advertised-limit.ts'
 import type { RequestRecord } from './request-record.ts'
+import type { RequestAdmission } from './request-admission.ts'
 import type { RequestFingerprint } from '../request-fingerprint.ts'
 import type { RequestId, ServiceId, TargetId } from '../../types.ts'
 import type { ConfigurationVersion, Route } from '../../version/configuration.ts'
@@ -48,6 +49,8 @@
   clock: Clock
   /** Returns the fingerprint of the request; it is computed with the first call. */
   getFingerprint(): RequestFingerprint
+  /** Decides whether attempts may be sent, when targets crashed while they ran this request. */
+  admission: RequestAdmission
   /** Collects the data of the request's log line. */
   record: RequestRecord
 }
--- a/src/request/gateway/run-attempts.ts
+++ b/src/request/gateway/run-attempts.ts
@@ -57,6 +57,7 @@
     deadlineAtMs: call.deadlineAtMs,
     crossZonePenalty: CROSS_ZONE_PENALTY[route.kind],
     excluded,
+    isTrial: call.admission.isTrial(),
     isCallerGone: () => call.caller.isDisconnected()
   }
 }
@@ -108,9 +109,13 @@
     cancelHedge()
     if (isIdempotentRequest) cancelHedge = clock.startTimer(selection.expectedMs * HEDGE_FACTOR + HEDGE_SLACK_MS, () => events.add({ type: 'late' }))
   }
+  const selectTarget = async (): Promise<Result<TargetSelection, AppError>> => {
+    const admitted = await call.admission.acquire()
+    return admitted.isErr() ? err(admitted.error) : await service.selector.select(createSelectionRequest(call, triedTargets))
+  }
   const startNextAttempt = async (): Promise<void> => {
     pendingSelections += 1
-    const selection = await service.selector.select(createSelectionRequest(call, triedTargets))
+    const selection = await selectTarget()
     pendingSelections -= 1
     if (selection.isErr()) events.add({ type: 'selection-failed', error: selection.error })
     else if (isFinished || call.caller.isDisconnected()) service.selector.cancel(selection.value)
@@ -164,7 +169,7 @@
   }
   const handleLate = (): void => {
     const isOnlyAttempt = running.size === 1 && pendingSelections === 0
-    if (isOnlyAttempt && service.selector.countWaiting() === 0 && takeRetry()) startInBackground()
+    if (isOnlyAttempt && !call.admission.isSuspected() && service.selector.countWaiting() === 0 && takeRetry()) startInBackground()
   }
   /** Handles an event; returns the result of the request once it is settled. */
   const handleEvent = (event: AttemptEvent): Result<StartedResponse, AppError> | undefined => {
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -3,6 +3,9 @@
  */
 import { decodeLoadReport, decodeAdvertisedLimit, getAttemptId, isMisdirected, isNotExecuted } from '../../platform/wire-names.ts'
 import type { TargetSelection } from '../../process/selection/target-search.ts'
+import type { RunKind } from '../../process/quarantine/crash-history.ts'
+import { isProven } from '../../process/selection/target-states.ts'
+import type { TargetState } from '../../process/selection/target-states.ts'
 import { createError } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
 import { isIdempotent } from '../../version/configuration.ts'
@@ -34,6 +37,8 @@
   readonly outcome: Promise<AttemptOutcome>
   /** The exchange with the target; undefined when no connection was available. */
   exchange: Exchange | undefined
+  /** Finds out why the connection ended early, and records it if the target has crashed. */
+  recordLoss(): Promise<void>
   /** Cancels the attempt, and with it the work at the target. */
   cancel(): void
 }
@@ -50,6 +55,11 @@
   return isServerError(status) ? { kind: 'failed', head } : { kind: 'answered', head }
 }
 
+function describeRun (state: TargetState, isTrial: boolean): RunKind {
+  if (!isTrial) return 'ordinary'
+  return isProven(state) ? 'isolated' : 'trial'
+}
+
 /** Starts an attempt: sends the request to the selected target. */
 export function startAttempt (call: GatewayCall, selection: TargetSelection): TargetAttempt {
   const { clock, service, route } = call
@@ -70,11 +80,14 @@
     status: undefined
   }
   call.record.attempts.push(record)
+  const runKind = describeRun(state, call.admission.isTrial())
+  if (runKind !== 'ordinary') state.trialCount += 1
   let isReleased = false
   let isCancelled = false
   const release = (head?: ResponseHead): void => {
     if (isReleased) return
     isReleased = true
+    if (runKind !== 'ordinary') state.trialCount -= 1
     service.selector.release(state, head ? decodeLoadReport(head.headers) : undefined)
   }
   const connection = state.pool.acquireConnection({ requiresLiveness: !isIdempotent(route.kind) })
@@ -82,7 +95,7 @@
     release()
     record.end = 'no connection left'
     const error = createError('target-unreachable', 'All connections to the target are in use.')
-    return { selection, outcome: Promise.resolve({ kind: 'unsent', error }), exchange: undefined, cancel: () => undefined }
+    return { selection, outcome: Promise.resolve({ kind: 'unsent', error }), exchange: undefined, recordLoss: () => Promise.resolve(), cancel: () => undefined }
   }
   const exchange = startExchange(connection, {
     id: call.id,
@@ -104,14 +117,18 @@
     if (isMisdirected(head.status, head.headers)) service.handleLeaving(state, 'another target at its address rejected the request as misdirected')
     service.selector.recordOutcome(state, outcome.kind === 'answered' ? 'answered' : 'failed')
     if (outcome.kind === 'answered') {
+      state.answeredCount += 1
       call.workMeter.record(route.name, clock.monotonicMs() - startedAtMs, slowdown)
     }
     if (outcome.kind === 'not-executed') drainResponse(exchange, clock).catch(() => exchange.cancel())
     return outcome
   }
-  const recordFinding = async (): Promise<void> => {
+  const recordLoss = async (): Promise<void> => {
     record.finding = await service.checkCrash(state)
     call.record.fingerprint = call.getFingerprint()
+    if (record.finding !== 'crashed') return
+    service.selector.recordOutcome(state, 'unreachable')
+    call.admission.recordCrash(id, runKind)
   }
   const readOutcome = async (): Promise<AttemptOutcome> => {
     const head = await exchange.head
@@ -121,13 +138,14 @@
     if (!isOwnEnd) service.selector.recordOutcome(state, exchange.wasSent() ? 'broken' : 'unreachable')
     const kind = exchange.wasSent() ? 'broken' : 'unsent'
     record.end = isCancelled ? 'cancelled' : `${kind}: ${head.error.message}`
-    if (!isOwnEnd && kind === 'broken' && head.error.kind === 'target-broken') await recordFinding()
+    if (!isOwnEnd && kind === 'broken' && head.error.kind === 'target-broken') await recordLoss()
     return { kind, error: head.error }
   }
   return {
     selection,
     outcome: readOutcome(),
     exchange,
+    recordLoss,
     cancel () {
       isCancelled = true
       exchange.cancel()
--- a/test/deadly-request.test.ts
+++ b/test/deadly-request.test.ts
@@ -44,11 +44,60 @@
   test(`a request that crashes each target that runs it ends at most four of them, over all entries (${kind})`, async () => {
     const targets = await startFragileTargets(12)
     const { entries } = await startFleet(targets, 3)
-    const statuses: number[] = []
+    const responses: { status: number, text: string }[] = []
     for (let index = 0; index < 12; index++) {
-      statuses.push((await sendTo(select(entries, index), { path: `/${kind}/deadly`, method: kind === 'safe' ? 'GET' : 'POST' })).status)
+      responses.push(await sendTo(select(entries, index), { path: `/${kind}/deadly`, method: kind === 'safe' ? 'GET' : 'POST' }))
     }
     expect(countCrashed(targets)).toBeLessThanOrEqual(4)
-    expect(statuses.at(-1)).toBe(503)
+    expect(responses.at(-1)).toMatchObject({ status: 503, text: expect.stringContaining('request-quarantined') })
+    expect(responses.at(-1)?.text).toMatch(/retry-after: [1-9]/)
   })
 }
+
+/** Sends safe requests to all entries in turn, `gapMs` apart, and resolves with the responses. */
+async function sendMany (entries: readonly FleetEntry[], paths: readonly string[], gapMs: number): Promise<{ status: number, text: string }[]> {
+  const responses = paths.map(async (path, index) => {
+    await new Promise((resolve) => setTimeout(resolve, index * gapMs))
+    return await sendTo(select(entries, index), { path })
+  })
+  return await Promise.all(responses)
+}
+
+/** Counts the requests that were rejected for what they may do to targets. */
+function countSuspects (responses: readonly { text: string }[]): number {
+  return responses.filter(({ text }) => /request-quarantined|request-on-trial/.test(text)).length
+}
+
+test('requests in flight at the same targets as a deadly one are not rejected, and neither is a popular one', async () => {
+  const targets = await startFragileTargets(12)
+  const { entries } = await startFleet(targets, 3)
+  await sendMany(entries, Array.from({ length: 60 }, (_, index) => `/safe/first-${index}`), 5)
+  const paths = Array.from({ length: 120 }, (_, index) => index % 20 === 3 ? '/safe/deadly' : index % 2 === 0 ? '/safe/popular' : `/safe/own-${index}`)
+  const responses = await sendMany(entries, paths, 10)
+  const innocent = responses.filter((_, index) => paths[index] !== '/safe/deadly')
+  expect(countSuspects(innocent)).toBe(0)
+  expect(innocent.filter(({ status }) => status === 200).length).toBeGreaterThan(innocent.length * 0.9)
+  expect(countCrashed(targets)).toBeLessThanOrEqual(4)
+})
+
+test('a popular request is not rejected while targets crash for another cause', async () => {
+  const targets = await startFragileTargets(12)
+  const { entries } = await startFleet(targets, 3)
+  await sendMany(entries, Array.from({ length: 60 }, (_, index) => `/safe/first-${index}`), 5)
+  const responses = sendMany(entries, Array.from({ length: 120 }, () => '/safe/popular'), 10)
+  for (const target of targets.slice(0, 4)) {
+    await new Promise((resolve) => setTimeout(resolve, 250))
+    destroyTarget(target)
+  }
+  expect(countSuspects(await responses)).toBe(0)
+})
+
+test('one of two gateways learns from the other that a request has been put in quarantine', async () => {
+  const targets = await startFragileTargets(6)
+  const { entries } = await startFleet(targets, 2)
+  await sendMany(entries, Array.from({ length: 40 }, (_, index) => `/safe/first-${index}`), 5)
+  await sendTo(entries[0]!, { path: '/safe/deadly' })
+  const crashedBefore = countCrashed(targets)
+  expect((await sendTo(entries[1]!, { path: '/safe/deadly' })).status).toBe(503)
+  expect(countCrashed(targets)).toBe(crashedBefore)
+})
