Do not take a rejection without an id for the answer to a request

An operator's report: a faulty target wrote an earlier rejection once more on a kept connection, and callers were told 'not run' (503) for requests that it was running. Here too, when the rejection names no attempt id: it was taken as an answer to whatever request the connection carried. With the earlier id it was mismatched, as it should be. Now every response must echo the id, as the platform's targets do; only a 421 need not, whose sender never had the request. Ruled out: trusting it on new connections, since a target may write it there too (the test did).

A test in gateway.test had a target that rejects without the id, which no target of the platform does: it echoes the id now, the assertion is unchanged.

--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -43,10 +43,13 @@
   cancel(): void
 }
 
-/** Returns whether a response belongs to the request: it must echo the request's id; failures may leave it out. */
+/**
+ * Returns whether a response belongs to the request: it must echo the request's id, since a response without one may be
+ * a repeated response to an earlier request. Another target at the address, which never had the request, need not.
+ */
 function isResponseOf (call: GatewayCall, status: number, headers: ResponseHead['headers']): boolean {
   const echoedId = getAttemptId(headers)
-  return echoedId === undefined ? isServerError(status) || isNotExecuted(status, headers) : echoedId === call.id
+  return echoedId === undefined ? isMisdirected(status, headers) : echoedId === call.id
 }
 
 function toOutcome (head: ResponseHead): AttemptOutcome {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
@@ -74,8 +75,8 @@
 })
 
 test('an unsafe request that all targets reject before running it gets 503 with a short Retry-After', async () => {
-  const rejectUnrun = (_: PlatformTarget, __: unknown, outgoing: { writeHead(status: number, headers: Record<string, string>): { end(): void } }): void => {
-    outgoing.writeHead(503, { 'medlarcove-not-executed': '1' }).end()
+  const rejectUnrun = (_: PlatformTarget, incoming: IncomingMessage, outgoing: ServerResponse): void => {
+    outgoing.writeHead(503, { 'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'], 'medlarcove-not-executed': '1' }).end()
   }
   const system = await setup([await startPlatformTarget('i-1', rejectUnrun), await startPlatformTarget('i-2', rejectUnrun)])
   const response = await send(system, '/unsafe/a', { method: 'POST' })
