--- a/test/faulty-targets.test.ts
+++ b/test/faulty-targets.test.ts
@@ -44,3 +44,25 @@
   const entry = await startEntry([target])
   for (let index = 0; index < 3; index++) expect((await sendTo(entry, { path: '/unsafe/a', method: 'POST' })).status).toBe(503)
 })
+
+const HEAD = 'HTTP/1.1 200 OK\r\nMedlarcove-Attempt-Id: ID\r\nMedlarcove-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwhole'
+const CUTS = [1, 9, 12, 16, 17, 40, HEAD.indexOf('Content-Length') + 8, HEAD.indexOf('\r\n\r\n'), HEAD.indexOf('\r\n\r\n') + 2]
+
+for (const ending of ['end', 'destroy', 'resetAndDestroy'] as const) {
+  test(`a response that ends in the middle of its head never looks complete (${ending})`, async () => {
+    for (const isAfterComplete of [false, true]) {
+      for (const cut of CUTS) {
+        const target = await startRawTarget('i-1', ({ socket, attemptId, count }) => {
+          const whole = HEAD.replace('ID', attemptId)
+          if (isAfterComplete && count === 1) socket.write(whole)
+          else socket.write(whole.slice(0, cut), () => socket[ending]())
+        })
+        const entry = await startEntry([target])
+        const statuses = []
+        for (let index = 0; index < 2; index++) statuses.push((await sendTo(entry, { path: '/unsafe/a', method: 'POST' })).status)
+        expect(statuses).toEqual(isAfterComplete ? [200, 502] : [502, 502])
+        for (const fleet of fleets.splice(0)) await fleet.close()
+      }
+    }
+  }, 60_000)
+}
