Reject requests that a stopping gateway could not complete by its end

An operator's report: in a planned stop in calm, late requests were passed on and cut at the end of the grace, among them ones that may not be repeated. Here too: grace 6 s, a target that works 1.3 s, timeout 1.5 s, latency target 0.6 s: the POSTs of 4.1 to 4.9 s were cut at 5.5 s. Cause: canFinish reckoned with the latency target, not with the time that the request may take. Now a request is taken only if its deadline is 0.1 s before the end, and rejected as not run otherwise. Ruled out: a longer grace (it is the platform's), and shorter deadlines for late requests (they would fail some that other entries serve in time). gateway-stop failed before, passes now.

--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -45,6 +45,8 @@
 
 /** Subtracted from the caller's deadline, for the transfer of the response to the caller, in ms. */
 const RESPONSE_MARGIN_MS = 5
+/** Time to send the last responses before the process ends, in ms. */
+const END_MARGIN_MS = 100
 const MAX_BODY_PAUSE_MS = 5_000
 
 /** A request whose body has not been read yet. */
@@ -120,10 +122,10 @@
     }
     call.admission.finish(end.kind === 'whole')
   }
-  /** Whether the request can meet its latency target, or a shorter timeout, before the process ends. */
-  const canFinish = ({ route }: UnreadCall): boolean => {
+  /** Whether the request gets its response before the process ends, even if it takes until its deadline. */
+  const canFinish = ({ deadlineAtMs }: UnreadCall): boolean => {
     const endAtMs = options.getEndAtMs()
-    return endAtMs === undefined || clock.monotonicMs() + Math.min(route.targetLatencyMs, route.timeoutMs) <= endAtMs
+    return endAtMs === undefined || deadlineAtMs + END_MARGIN_MS <= endAtMs
   }
   const recordEnd = (call: UnreadCall): void => {
     call.record.tookMs = clock.monotonicMs() - call.startedAtMs
