Send no new requests to a target whose responses say that it is leaving

Now a response to a request or to a load probe marks the run as leaving, here and at the other entries, and it stays so when its record expires and comes back: before, a run that came back from an expired record was taken for new. The notices of a response besides its load are one type. Two cases of gateway.test (by a request, by a load probe) fail without the change; the stand-in of a target sends the header.

--- a/src/connection/send-load-probe.ts
+++ b/src/connection/send-load-probe.ts
@@ -2,12 +2,12 @@
  * Load probe: queries the health endpoint of a target for its load, on a pooled connection.
  */
 import type { Clock } from '../clock.ts'
-import { decodeLoadReport, decodeAdvertisedLimit, getInstanceId } from '../platform/wire-names.ts'
+import { decodeLoadReport, decodeTargetNotices, getInstanceId } from '../platform/wire-names.ts'
 import { drainResponse } from '../request/drain-response.ts'
 import { startExchange } from '../request/exchange.ts'
 import type { ResponseHead, ExchangeRequest } from '../request/exchange.ts'
 import type { LoadReport } from '../request/selection/load-report.ts'
-import type { AdvertisedLimit } from '../request/selection/advertised-limit.ts'
+import type { TargetNotices } from '../request/selection/target-notices.ts'
 import { toBrand } from '../types.ts'
 import type { RequestId, TargetId } from '../types.ts'
 import type { TargetConnection } from './target-pool.ts'
@@ -18,11 +18,11 @@
 /** Result of a load probe. */
 export type LoadProbeResult =
   /** The target is healthy and reported its load. */
-  | { kind: 'load', report: LoadReport, limit: AdvertisedLimit }
+  | { kind: 'load', report: LoadReport, notices: TargetNotices }
   /** The target is healthy, but its load is unreported. */
-  | { kind: 'healthy', limit: AdvertisedLimit }
+  | { kind: 'healthy', notices: TargetNotices }
   /** The target responded with another status than 200: it is leaving or failing. */
-  | { kind: 'unhealthy', limit: AdvertisedLimit }
+  | { kind: 'unhealthy', notices: TargetNotices }
   /** Another target responded at this address. */
   | { kind: 'replaced' }
   /** Connected, but no complete response came in time. */
@@ -43,10 +43,10 @@
 function toResult (target: TargetId, { status, headers }: ResponseHead): LoadProbeResult {
   const instance = getInstanceId(headers)
   if (instance !== undefined && instance !== target) return { kind: 'replaced' }
-  const limit = decodeAdvertisedLimit(headers)
-  if (status !== STATUS_OK) return { kind: 'unhealthy', limit }
+  const notices = decodeTargetNotices(headers)
+  if (status !== STATUS_OK) return { kind: 'unhealthy', notices }
   const report = decodeLoadReport(headers)
-  return report ? { kind: 'load', report, limit } : { kind: 'healthy', limit }
+  return report ? { kind: 'load', report, notices } : { kind: 'healthy', notices }
 }
 
 /** Sends a load probe. After a complete response the connection has been released and is known to be alive. Never rejects. */
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -4,6 +4,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { LoadReport } from '../request/selection/load-report.ts'
 import type { AdvertisedLimit } from '../request/selection/advertised-limit.ts'
+import type { TargetNotices } from '../request/selection/target-notices.ts'
 import { toBrand } from '../types.ts'
 import type { RequestId, TargetId, ZoneId } from '../types.ts'
 import { formatDuration } from './durations.ts'
@@ -22,6 +23,8 @@
 const LOAD_HEADER = 'medlarcove-upstream-load'
 /** On a response: the requests per second that the target accepts from all entries together, as a decimal number. */
 const LIMIT_HEADER = 'server-limit'
+/** On a response: `1` when the target is leaving. */
+const LEAVING_HEADER = 'server-leaving'
 /** Set on responses of the target that handled the request; absent when a target rejects a misdirected request. */
 const SIGNATURE_HEADER = 'medlarcove-response-signature'
 
@@ -75,12 +78,17 @@
 }
 
 /** Decodes the rate limit that a target advertises on a response. */
-export function decodeAdvertisedLimit (headers: IncomingHttpHeaders): AdvertisedLimit {
+function decodeAdvertisedLimit (headers: IncomingHttpHeaders): AdvertisedLimit {
   const text = getText(headers, LIMIT_HEADER)?.trim()
   if (text === undefined) return { kind: 'unlimited' }
   return DECIMAL_PATTERN.test(text) ? { kind: 'limited', perSecond: Number(text) } : { kind: 'malformed', text }
 }
 
+/** Decodes what a target says about itself on a response, besides its load. */
+export function decodeTargetNotices (headers: IncomingHttpHeaders): TargetNotices {
+  return { limit: decodeAdvertisedLimit(headers), isLeaving: getText(headers, LEAVING_HEADER)?.trim() === '1' }
+}
+
 /** Returns the zone that a caller states when it asks which entries to use; undefined when it states none. */
 export function getCallerZone (query: string): ZoneId | undefined {
   const zone = new URLSearchParams(query).get('zone')
--- a/src/process/discovery/target-registry.ts
+++ b/src/process/discovery/target-registry.ts
@@ -72,7 +72,8 @@
 /** After the store recovers, the record of a live target is back within this time, in ms. */
 export const EXPIRY_GRACE_MS = 2_200
 
-interface Watermark { bornMs: number, sequence: number, isRemoved: boolean }
+/** What is known of the latest run of a target, also after its removal. */
+interface Watermark { bornMs: number, sequence: number, isRemoved: boolean, isLeaving: boolean }
 
 function isStale (mark: Watermark | undefined, report: TargetReport): boolean {
   if (!mark) return false
@@ -100,9 +101,9 @@
     const list = listService(target.report.service)
     list.splice(list.indexOf(target), 1)
   }
-  const add = (report: TargetReport, nowMs: number): void => {
+  const add = (report: TargetReport, isLeaving: boolean, nowMs: number): void => {
     remove(report.id)
-    const target: RegisteredTarget = { report, isLeaving: report.isDraining, warmupEndsAtMs: nowMs + report.warmupLeftMs, expiresAtMs: undefined }
+    const target: RegisteredTarget = { report, isLeaving, warmupEndsAtMs: nowMs + report.warmupLeftMs, expiresAtMs: undefined }
     targets.set(report.id, target)
     listService(report.service).push(target)
   }
@@ -112,10 +113,13 @@
 
   const applyReport = (report: TargetReport, nowMs: number): ChangeOutcome => {
     if (isStale(marks.get(report.id), report)) return 'stale'
-    marks.set(report.id, { bornMs: report.bornMs, sequence: report.sequence, isRemoved: false })
+    const { id, bornMs, sequence } = report
+    const mark = marks.get(id)
+    const isLeaving = report.isDraining || (mark?.bornMs === bornMs && mark.isLeaving)
+    marks.set(id, { bornMs, sequence, isRemoved: false, isLeaving })
     const known = targets.get(report.id)
     if (!known || !isSameRun(known, report)) {
-      add(report, nowMs)
+      add(report, isLeaving, nowMs)
       return 'added'
     }
     known.report = report
@@ -151,6 +155,8 @@
       const known = targets.get(id)
       if (!known || known.isLeaving) return false
       known.isLeaving = true
+      const mark = marks.get(id)
+      if (mark) mark.isLeaving = true
       return true
     },
     removeExpired (nowMs) {
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -7,6 +7,7 @@
 import type { KeyedRecord } from '../../platform/store-frames.ts'
 import { decodeTargetReport } from '../../platform/target-record.ts'
 import { createRatioBudget } from '../../request/balancing/ratio-budget.ts'
+import type { TargetNotices } from '../../request/selection/target-notices.ts'
 import type { GatewayService } from '../../request/gateway/gateway-call.ts'
 import { toBrand } from '../../types.ts'
 import type { ServiceId, TargetId, ZoneId } from '../../types.ts'
@@ -129,11 +130,15 @@
   }
   const createService = (name: ServiceId): GatewayService => {
     const handleOwnLeaving = (state: TargetState, evidence: string): void => handleLeaving(name, state, evidence)
+    const recordNotices = (state: TargetState, { limit, isLeaving }: TargetNotices, sentAtMs: number): void => {
+      limiter.record(state.registered.report.id, limit, sentAtMs)
+      if (isLeaving) handleOwnLeaving(state, 'a response of it says so')
+    }
     return {
       name,
       retryBudget: createRatioBudget({ share: options.retryBudget.share, maxTokens: maxRetryTokens }),
       handleLeaving: handleOwnLeaving,
-      recordLimit: limiter.record,
+      recordNotices,
       checkCrash: crashChecks.check,
       selector: createServiceSelector({
         service: name,
@@ -146,7 +151,7 @@
         getLoadProbesPerSecond: options.getLoadProbesPerSecond,
         getHealthPath: () => inEffect?.configuration.services.get(name)?.healthPath,
         handleLeaving: handleOwnLeaving,
-        recordLimit: limiter.record,
+        recordNotices,
         limiter
       })
     }
--- a/src/process/selection/load-prober.ts
+++ b/src/process/selection/load-prober.ts
@@ -8,9 +8,8 @@
 import { tryAcquireToken } from '../../request/balancing/token-bucket.ts'
 import { estimateTarget } from '../../request/selection/estimate-target.ts'
 import type { Estimate } from '../../request/selection/estimate-target.ts'
-import type { AdvertisedLimit } from '../../request/selection/advertised-limit.ts'
+import type { TargetNotices } from '../../request/selection/target-notices.ts'
 import type { LoadReport } from '../../request/selection/load-report.ts'
-import type { TargetId } from '../../types.ts'
 import type { PartLogger } from '../logger.ts'
 import type { TargetState } from './target-states.ts'
 
@@ -33,8 +32,8 @@
   getHealthPath(): string | undefined
   /** Called when a load probe shows that another target has taken over the address. */
   handleLeaving(state: TargetState, evidence: string): void
-  /** Called with what a load probe sent at `sentAtMs` says about the rate limit of the target. */
-  recordLimit(target: TargetId, limit: AdvertisedLimit, sentAtMs: number): void
+  /** Called with what the target says about itself on the response to a load probe that was sent at `sentAtMs`. */
+  recordNotices(state: TargetState, notices: TargetNotices, sentAtMs: number): void
   /** Sends one load probe; tests replace it to need no network. */
   sendLoadProbe?: typeof sendLoadProbe
 }
@@ -158,7 +157,7 @@
     const result = await sendProbe(connection, { target: id, host: `${address}:${port}`, path, timeoutMs: LOAD_PROBE_TIMEOUT_MS, clock })
     state.probesInFlight -= 1
     applyProbeResult(state, result, sentBefore)
-    if ('limit' in result) options.recordLimit(id, result.limit, sentAtMs)
+    if ('notices' in result) options.recordNotices(state, result.notices, sentAtMs)
     if (result.kind !== 'load' && result.kind !== 'healthy') return undefined
     const candidate = { state, estimate: estimate(state, workMs, sentBefore) }
     state.isReportUnsuitable = !candidate.estimate.isSuitable
--- a/src/request/gateway/gateway-call.ts
+++ b/src/request/gateway/gateway-call.ts
@@ -8,11 +8,11 @@
 import type { WorkMeter } from '../../process/selection/work-meter.ts'
 import type { TargetState } from '../../process/selection/target-states.ts'
 import type { CrashFinding } from '../../connection/check-for-crash.ts'
-import type { AdvertisedLimit } from '../selection/advertised-limit.ts'
+import type { TargetNotices } from '../selection/target-notices.ts'
 import type { RequestRecord } from './request-record.ts'
 import type { RequestAdmission } from './request-admission.ts'
 import type { RequestFingerprint } from '../request-fingerprint.ts'
-import type { RequestId, ServiceId, TargetId } from '../../types.ts'
+import type { RequestId, ServiceId } from '../../types.ts'
 import type { ConfigurationVersion, Route } from '../../version/configuration.ts'
 
 /** A service at a gateway, with its target selector and its retry budget. */
@@ -22,8 +22,8 @@
   retryBudget: RatioBudget
   /** Called when a response or a load probe shows that a target has been replaced. */
   handleLeaving(state: TargetState, evidence: string): void
-  /** Called with what the response to a request sent at `sentAtMs` says about the rate limit of its target. */
-  recordLimit(target: TargetId, limit: AdvertisedLimit, sentAtMs: number): void
+  /** Called with what the target says about itself on the response to a request that was sent at `sentAtMs`. */
+  recordNotices(state: TargetState, notices: TargetNotices, sentAtMs: number): void
   /** Finds out why a target closed a connection without a response. */
   checkCrash(state: TargetState): Promise<CrashFinding>
 }
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -1,7 +1,7 @@
 /**
  * One attempt of a request at the target selected for it.
  */
-import { decodeLoadReport, decodeAdvertisedLimit, getAttemptId, isMisdirected, isNotExecuted } from '../../platform/wire-names.ts'
+import { decodeLoadReport, decodeTargetNotices, getAttemptId, isMisdirected, isNotExecuted } from '../../platform/wire-names.ts'
 import type { TargetSelection } from '../../process/selection/target-search.ts'
 import type { RunKind } from '../../process/quarantine/crash-history.ts'
 import { isProven } from '../../process/selection/target-states.ts'
@@ -113,7 +113,7 @@
 
   const handleHead = (head: ResponseHead): AttemptOutcome => {
     release(head)
-    service.recordLimit(id, decodeAdvertisedLimit(head.headers), startedAtMs)
+    service.recordNotices(state, decodeTargetNotices(head.headers), startedAtMs)
     const outcome = toOutcome(head)
     record.end = outcome.kind
     record.status = head.status
--- /dev/null
+++ b/src/request/selection/target-notices.ts
@@ -0,0 +1,12 @@
+/**
+ * What a target says about itself on a response, besides its load.
+ */
+import type { AdvertisedLimit } from './advertised-limit.ts'
+
+/** The notices on one response. */
+export interface TargetNotices {
+  /** The rate limit that the target advertises. */
+  limit: AdvertisedLimit
+  /** Whether the target is leaving: it must get no new requests. */
+  isLeaving: boolean
+}
--- a/stand-ins/platform-target.ts
+++ b/stand-ins/platform-target.ts
@@ -17,8 +17,10 @@
   abortedAttempts: string[]
   /** The value of the load header of each response. */
   load: string
-  /** Further headers of each response, that of a health probe included. */
+  /** Further headers of each response: of all, of those to health probes, and of those to other requests. */
   headers: Record<string, string>
+  probeHeaders: Record<string, string>
+  responseHeaders: Record<string, string>
   /** Responds to a request other than a health probe. */
   handleRequest: RequestListener
   server: Server
@@ -31,17 +33,18 @@
     'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'],
     'medlarcove-response-signature': target.id,
     'medlarcove-upstream-load': target.load,
-    ...target.headers
+    ...target.headers,
+    ...target.responseHeaders
   }).end(text)
 }
 
 /** Starts a target on a free port; `handleRequest` responds to its requests, by default with `sendCompleteResponse`. */
 export async function startPlatformTarget (id: string, handleRequest?: (target: PlatformTarget, incoming: IncomingMessage, outgoing: ServerResponse) => void): Promise<PlatformTarget> {
-  const target: PlatformTarget = { id, receivedAttempts: [], abortedAttempts: [], load: '0,0,4,100', headers: {}, handleRequest: () => undefined, server: createServer(), port: 0 }
+  const target: PlatformTarget = { id, receivedAttempts: [], abortedAttempts: [], load: '0,0,4,100', headers: {}, probeHeaders: {}, responseHeaders: {}, handleRequest: () => undefined, server: createServer(), port: 0 }
   target.handleRequest = (incoming, outgoing) => handleRequest ? handleRequest(target, incoming, outgoing) : sendCompleteResponse(target, incoming, outgoing)
   target.server.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
     if (incoming.url === '/health') {
-      outgoing.writeHead(200, { 'medlarcove-instance-id': id, 'medlarcove-upstream-load': target.load, ...target.headers }).end()
+      outgoing.writeHead(200, { 'medlarcove-instance-id': id, 'medlarcove-upstream-load': target.load, ...target.headers, ...target.probeHeaders }).end()
       return
     }
     const attempt = String(incoming.headers['medlarcove-attempt-id'])
--- a/test/advertised-limits.test.ts
+++ b/test/advertised-limits.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { createTestClock } from '../src/clock.ts'
-import { decodeAdvertisedLimit } from '../src/platform/wire-names.ts'
+import { decodeTargetNotices } from '../src/platform/wire-names.ts'
 import { createAdvertisedLimits } from '../src/process/target-limits/advertised-limits.ts'
 import { toBrand } from '../src/types.ts'
 import type { TargetId } from '../src/types.ts'
@@ -18,8 +18,8 @@
 }
 
 test('a limit is a decimal number; anything else is malformed', () => {
-  const decode = (text: string) => decodeAdvertisedLimit({ 'server-limit': text })
-  expect(decodeAdvertisedLimit({})).toEqual({ kind: 'unlimited' })
+  const decode = (text: string) => decodeTargetNotices({ 'server-limit': text }).limit
+  expect(decodeTargetNotices({}).limit).toEqual({ kind: 'unlimited' })
   expect([decode('1.8'), decode('0'), decode(' 12 ')]).toEqual([1.8, 0, 12].map((perSecond) => ({ kind: 'limited', perSecond })))
   expect(['', '-1', '1,5', '1e3', 'NaN', 'Infinity', 'two', '1.8, 1.9'].map((text) => decode(text).kind)).toEqual(new Array(8).fill('malformed'))
 })
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -147,6 +147,27 @@
   expect(targets.map(({ receivedAttempts }) => receivedAttempts.length)).toEqual([0, 0, 6])
 })
 
+for (const source of ['request', 'load probe'] as const) {
+  test(`a target that says on the response to a ${source} that it is leaving gets no new requests, also after its record expired and came back`, async () => {
+    const targets = [await startPlatformTarget('i-1'), await startPlatformTarget('i-2')]
+    const system = await setup(targets)
+    const [leaving] = targets as [PlatformTarget]
+    if (source === 'load probe') leaving.probeHeaders = { 'server-leaving': '1' }
+    else leaving.responseHeaders = { 'server-leaving': '1' }
+    await waitFor(async () => {
+      await send(system, '/safe/a')
+      return system.log.some(({ message, fields }) => message === 'Marked a target as leaving.' && fields.target === 'i-1')
+    })
+    leaving.receivedAttempts.length = 0
+    system.store.put('keyed.servers', 'i-1')
+    await waitFor(() => system.log.some(({ message }) => message === 'A target is removed.'))
+    system.store.put('keyed.servers', 'i-1', describeTarget(leaving, { sequence: 2 }))
+    await waitFor(() => system.log.filter(({ message }) => message === 'A target is added.').length > 0)
+    for (let round = 0; round < 6; round++) expect((await send(system, '/safe/a')).status).toBe(200)
+    expect(leaving.receivedAttempts).toEqual([])
+  })
+}
+
 test('invalid target records and configurations are skipped, and an older configuration never comes into effect', async () => {
   const system = await setup([await startPlatformTarget('i-1')])
   for (const bad of ['{', { address: 5 }, { ...describeTarget({ port: 1 }), status: { state: 'asleep', sequence: 1, warmupLeft: '0ms' } }]) system.store.put('keyed.servers', 'i-9', bad)
--- a/test/support/modelled-service.ts
+++ b/test/support/modelled-service.ts
@@ -91,12 +91,12 @@
     getLoadProbesPerSecond: () => model.loadProbesPerSecond ?? 48,
     getHealthPath: () => '/health',
     handleLeaving: () => undefined,
-    recordLimit: () => undefined,
+    recordNotices: () => undefined,
     limiter,
     async sendLoadProbe (_, { target, timeoutMs }): Promise<LoadProbeResult> {
       const modelled = targets.get(target)!
       await clock.wait(modelled.isSilent ? timeoutMs : LOAD_PROBE_MS)
-      return modelled.isSilent ? { kind: 'silent' } : { kind: 'load', report: describeLoad(modelled), limit: { kind: 'unlimited' } }
+      return modelled.isSilent ? { kind: 'silent' } : { kind: 'load', report: describeLoad(modelled), notices: { limit: { kind: 'unlimited' }, isLeaving: false } }
     }
   })
   const runOnTarget = async (state: TargetState, workMs: number): Promise<void> => {
