Send nothing to a target for as long as its rejection says by Retry-After

It was read nowhere: the target was probed and selected again after milliseconds. Now it gets neither requests nor load probes until then. When all targets of a service are paused, a request waits for the first of them if that is in time, and is rejected at once otherwise, with that time as its Retry-After.

--- a/src/connection/send-load-probe.ts
+++ b/src/connection/send-load-probe.ts
@@ -43,7 +43,7 @@
 function toResult (target: TargetId, { status, headers }: ResponseHead): LoadProbeResult {
   const instance = getInstanceId(headers)
   if (instance !== undefined && instance !== target) return { kind: 'replaced' }
-  const notices = decodeTargetNotices(headers)
+  const notices = decodeTargetNotices(status, headers)
   if (status !== STATUS_OK) return { kind: 'unhealthy', notices }
   const report = decodeLoadReport(headers)
   return report ? { kind: 'load', report, notices } : { kind: 'healthy', notices }
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -25,12 +25,16 @@
 const LIMIT_HEADER = 'server-limit'
 /** On a response: `1` when the target is leaving. */
 const LEAVING_HEADER = 'server-leaving'
+/** On a rejection with status 503: for how many seconds the target wants no requests of the entry, as a decimal number. */
+const RETRY_AFTER_HEADER = 'retry-after'
 /** Set on responses of the target that handled the request; absent when a target rejects a misdirected request. */
 const SIGNATURE_HEADER = 'medlarcove-response-signature'
 
 const STATUS_MISDIRECTED = 421
 const DECIMAL_PATTERN = /^\d+(\.\d+)?$/
+const STATUS_UNAVAILABLE = 503
 const PERCENT = 100
+const MS_PER_SECOND = 1_000
 
 function getText (headers: IncomingHttpHeaders, name: string): string | undefined {
   const value = headers[name]
@@ -84,9 +88,18 @@
   return DECIMAL_PATTERN.test(text) ? { kind: 'limited', perSecond: Number(text) } : { kind: 'malformed', text }
 }
 
+function decodePauseMs (status: number, headers: IncomingHttpHeaders): number | undefined {
+  const text = getText(headers, RETRY_AFTER_HEADER)?.trim() ?? ''
+  return status === STATUS_UNAVAILABLE && DECIMAL_PATTERN.test(text) ? Number(text) * MS_PER_SECOND : undefined
+}
+
 /** Decodes what a target says about itself on a response, besides its load. */
-export function decodeTargetNotices (headers: IncomingHttpHeaders): TargetNotices {
-  return { limit: decodeAdvertisedLimit(headers), isLeaving: getText(headers, LEAVING_HEADER)?.trim() === '1' }
+export function decodeTargetNotices (status: number, headers: IncomingHttpHeaders): TargetNotices {
+  return {
+    limit: decodeAdvertisedLimit(headers),
+    isLeaving: getText(headers, LEAVING_HEADER)?.trim() === '1',
+    pauseMs: decodePauseMs(status, headers)
+  }
 }
 
 /** Returns the zone that a caller states when it asks which entries to use; undefined when it states none. */
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -128,11 +128,17 @@
     logger.info('Marked a target as leaving.', { target: id, service, because: evidence })
     options.handleLeaving(service, id)
   }
+  const pauseTarget = (state: TargetState, pauseMs: number): void => {
+    const nowMs = clock.monotonicMs()
+    if (state.pausedUntilMs <= nowMs) logger.info('A target rejects requests for a while; it gets none.', { target: state.registered.report.id, forMs: Math.round(pauseMs) })
+    state.pausedUntilMs = Math.max(state.pausedUntilMs, nowMs + pauseMs)
+  }
   const createService = (name: ServiceId): GatewayService => {
     const handleOwnLeaving = (state: TargetState, evidence: string): void => handleLeaving(name, state, evidence)
-    const recordNotices = (state: TargetState, { limit, isLeaving }: TargetNotices, sentAtMs: number): void => {
+    const recordNotices = (state: TargetState, { limit, isLeaving, pauseMs }: TargetNotices, sentAtMs: number): void => {
       limiter.record(state.registered.report.id, limit, sentAtMs)
       if (isLeaving) handleOwnLeaving(state, 'a response of it says so')
+      if (pauseMs !== undefined) pauseTarget(state, pauseMs)
     }
     return {
       name,
--- a/src/process/selection/service-selector.ts
+++ b/src/process/selection/service-selector.ts
@@ -130,10 +130,17 @@
     queue.add({ request, queuedAtMs, isSettled: false, settle: resolve })
     startDispatching()
   })
+  /** Waits for the first target that accepts requests again, or rejects the request at once when that is too late for it. */
+  const waitForPaused = async (request: SelectionRequest, startedAtMs: number): Promise<Result<TargetSelection, AppError>> => {
+    const resumeAtMs = targets.getResumeAtMs(request)
+    if (resumeAtMs === Infinity) return reject('no-target', `No usable target is left for service ${service}.`)
+    if (resumeAtMs + request.workMs <= request.deadlineAtMs) return await waitForTarget(request, startedAtMs)
+    return reject('no-target', `All targets of service ${service} reject requests until after the deadline.`, (resumeAtMs - startedAtMs) / MS_PER_SECOND)
+  }
   const selectTarget = async (request: SelectionRequest): Promise<Result<TargetSelection, AppError>> => {
     const startedAtMs = clock.monotonicMs()
     const usable = targets.listUsable(request)
-    if (usable.length === 0) return reject('no-target', `No usable target is left for service ${service}.`)
+    if (usable.length === 0) return waitForPaused(request, startedAtMs)
     const permitAtMs = targets.getPermitAtMs(usable)
     if (permitAtMs + request.workMs > request.deadlineAtMs) {
       const waitS = (permitAtMs - startedAtMs) / MS_PER_SECOND
@@ -160,7 +167,7 @@
   const offerToQueue = (state: TargetState): void => {
     const nowMs = clock.monotonicMs()
     const head = queue.peek(nowMs)
-    if (!head || state.registered.isLeaving || state.ejectedUntilMs > nowMs || head.request.excluded.has(state.registered.report.id)) return
+    if (!head || state.registered.isLeaving || Math.max(state.ejectedUntilMs, state.pausedUntilMs) > nowMs || head.request.excluded.has(state.registered.report.id)) return
     if (head.request.isTrial && !isProven(state)) return
     const estimate = prober.estimate(state, head.request.workMs, state.sentCountAtReport)
     if (estimate.isSuitable) offerTarget({ state, estimate }, head).catch((cause: unknown) => logger.error('Offering a target failed.', { service, err: cause }))
--- a/src/process/selection/target-search.ts
+++ b/src/process/selection/target-search.ts
@@ -46,6 +46,11 @@
 export interface TargetSearch {
   /** Lists the targets that a request may use, without those that are ejected while enough others are left. */
   listUsable(request: SelectionRequest): TargetState[]
+  /**
+   * Returns the earliest instant at which a target that the request may use accepts requests again, by the monotonic clock in
+   * ms; `Infinity` when there is none.
+   */
+  getResumeAtMs(request: SelectionRequest): number
   /** Returns the earliest instant at which one of these targets may accept a request, by the monotonic clock in ms; `-Infinity` for now. */
   getPermitAtMs(targets: readonly TargetState[]): number
   /** Probes candidates in rounds of these sizes; resolves with the first suitable target, else the fastest if it is on time. */
@@ -81,9 +86,11 @@
 export function createTargetSearch (options: TargetSearchOptions, prober: LoadProber): TargetSearch {
   const { service, zone, registry, states, limiter, clock, random } = options
 
+  const listAllowed = (excluded: ReadonlySet<TargetId>): TargetState[] =>
+    registry.list(service).filter((target) => !target.isLeaving && !excluded.has(target.report.id)).map((target) => states.get(target))
   const listUsable = ({ excluded, isTrial }: SelectionRequest): TargetState[] => {
     const nowMs = clock.monotonicMs()
-    const all = registry.list(service).filter((target) => !target.isLeaving && !excluded.has(target.report.id)).map((target) => states.get(target))
+    const all = listAllowed(excluded).filter((state) => state.pausedUntilMs <= nowMs)
     const notEjected = all.filter((state) => state.ejectedUntilMs <= nowMs)
     const usable = notEjected.length > all.length * (1 - MAX_EJECTED_SHARE) ? notEjected : all
     const proven = isTrial ? usable.filter(isProven) : []
@@ -173,6 +180,7 @@
   }
   return {
     listUsable,
+    getResumeAtMs: ({ excluded }) => Math.min(...listAllowed(excluded).map((state) => state.pausedUntilMs)),
     getPermitAtMs: (targets) => Math.min(...targets.map((state) => limiter.getAvailableAtMs(state.registered.report.id))),
     search,
     acquireUnprobed,
--- a/src/process/selection/target-states.ts
+++ b/src/process/selection/target-states.ts
@@ -35,6 +35,8 @@
   failureRate: number
   /** End of the ejection; the target gets no requests before it. */
   ejectedUntilMs: number
+  /** Until then the target wants no requests of this process, by its own words. */
+  pausedUntilMs: number
   /** Rate limit of the load probes. */
   probeBucket: TokenBucket
 }
@@ -82,6 +84,7 @@
     consecutiveFailures: 0,
     failureRate: 0,
     ejectedUntilMs: -Infinity,
+    pausedUntilMs: -Infinity,
     probeBucket: { tokens: 0, filledAtMs: -Infinity }
   })
   return {
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -113,7 +113,7 @@
 
   const handleHead = (head: ResponseHead): AttemptOutcome => {
     release(head)
-    service.recordNotices(state, decodeTargetNotices(head.headers), startedAtMs)
+    service.recordNotices(state, decodeTargetNotices(head.status, head.headers), startedAtMs)
     const outcome = toOutcome(head)
     record.end = outcome.kind
     record.status = head.status
--- a/src/request/selection/target-notices.ts
+++ b/src/request/selection/target-notices.ts
@@ -9,4 +9,6 @@
   limit: AdvertisedLimit
   /** Whether the target is leaving: it must get no new requests. */
   isLeaving: boolean
+  /** How long it accepts no requests of this entry, in ms; undefined when it does not say so. */
+  pauseMs: number | undefined
 }
--- a/test/advertised-limits.test.ts
+++ b/test/advertised-limits.test.ts
@@ -18,8 +18,8 @@
 }
 
 test('a limit is a decimal number; anything else is malformed', () => {
-  const decode = (text: string) => decodeTargetNotices({ 'server-limit': text }).limit
-  expect(decodeTargetNotices({}).limit).toEqual({ kind: 'unlimited' })
+  const decode = (text: string) => decodeTargetNotices(200, { 'server-limit': text }).limit
+  expect(decodeTargetNotices(200, {}).limit).toEqual({ kind: 'unlimited' })
   expect([decode('1.8'), decode('0'), decode(' 12 ')]).toEqual([1.8, 0, 12].map((perSecond) => ({ kind: 'limited', perSecond })))
   expect(['', '-1', '1,5', '1e3', 'NaN', 'Infinity', 'two', '1.8, 1.9'].map((text) => decode(text).kind)).toEqual(new Array(8).fill('malformed'))
 })
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -168,6 +168,50 @@
   })
 }
 
+test('a target that rejects with Retry-After gets neither requests nor load probes until that time is over', async () => {
+  const targets = [await startPlatformTarget('i-1'), await startPlatformTarget('i-2')]
+  const [paused, other] = targets as [PlatformTarget, PlatformTarget]
+  let isRejecting = true
+  let probeCount = 0
+  paused.server.on('request', (incoming: IncomingMessage) => { probeCount += Number(incoming.url === '/health') })
+  paused.handleRequest = (incoming, outgoing) => {
+    if (!isRejecting) sendCompleteResponse(paused, incoming, outgoing)
+    else outgoing.writeHead(503, { 'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'], 'medlarcove-not-executed': '1', 'retry-after': '1.5' }).end()
+  }
+  const system = await setup(targets)
+  await waitFor(async () => {
+    await send(system, '/safe/a')
+    return paused.receivedAttempts.length > 0
+  })
+  const rejectedAtMs = performance.now()
+  isRejecting = false
+  const [requestsBefore, probesBefore] = [paused.receivedAttempts.length, probeCount]
+  const counts = []
+  while (performance.now() < rejectedAtMs + 1_400) {
+    expect((await send(system, '/safe/a')).status).toBe(200)
+    // What was on its way when the time was over does not count.
+    if (performance.now() < rejectedAtMs + 1_400) counts.push({ requests: paused.receivedAttempts.length, probes: probeCount })
+  }
+  expect(counts.at(-1)).toEqual({ requests: requestsBefore, probes: probesBefore })
+  expect(other.receivedAttempts.length).toBeGreaterThan(0)
+  await waitFor(async () => {
+    await send(system, '/safe/a')
+    return paused.receivedAttempts.length > requestsBefore
+  })
+})
+
+test('when all targets reject with a Retry-After beyond the deadline, a request is rejected at once with that time, and not sent', async () => {
+  const target = await startPlatformTarget('i-1', (_, incoming, outgoing) => {
+    outgoing.writeHead(503, { 'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'], 'medlarcove-not-executed': '1', 'retry-after': '30' }).end()
+  })
+  const system = await setup([target])
+  expect((await send(system, '/unsafe/a', { method: 'POST' })).status).toBe(503)
+  const response = await send(system, '/unsafe/b', { method: 'POST' })
+  expect(response.status).toBe(503)
+  expect(Number(/retry-after: ([\d.]+)/.exec(response.text)?.[1])).toBeGreaterThan(25)
+  expect(target.receivedAttempts.length).toBe(1)
+})
+
 test('invalid target records and configurations are skipped, and an older configuration never comes into effect', async () => {
   const system = await setup([await startPlatformTarget('i-1')])
   for (const bad of ['{', { address: 5 }, { ...describeTarget({ port: 1 }), status: { state: 'asleep', sequence: 1, warmupLeft: '0ms' } }]) system.store.put('keyed.servers', 'i-9', bad)
