Send callers to other entries while this one cannot reach most targets

Now it notes the latest result of each target that it tried in the last 3 s. When three quarters, and four at least, cannot be reached, it leaves the addresses of all entries, as long as a quarter of the entries is not cut off (else the targets have failed), closes the connections of callers that it rejects, and probes until half of the targets respond. When none can be reached, requests are rejected at once, with a Retry-After of 10 ms, since another entry can serve them.

Ruled out: a first form that only knew 'none responds'.

--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -97,7 +97,7 @@
   const { settings, clock, logger, random = Math.random } = options
   const run = clock.wallMs()
   const incarnation = toBrand<Incarnation>(`${run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
-  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, hasMembershipChanged: true, endAtMs: undefined }
+  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, isCutOff: false, hasMembershipChanged: true, endAtMs: undefined }
   const parts = { ...base } as GatewayParts
   parts.store = createStore(parts)
   parts.limiter = createLimiter(parts)
@@ -111,7 +111,7 @@
     clock,
     logger: logger.forPart('metrics')
   })
-  parts.requests = createGatewayRequests({ state: parts.state, quarantine: parts.quarantine, clock, logger: logger.forPart('request'), metrics: parts.metrics, getEndAtMs: () => parts.endAtMs })
+  parts.requests = createGatewayRequests({ state: parts.state, quarantine: parts.quarantine, clock, logger: logger.forPart('request'), metrics: parts.metrics, getEndAtMs: () => parts.endAtMs, isCutOff: () => parts.isCutOff })
   parts.servers = createServers(parts, options)
   return parts
 }
--- a/src/process/gateway/gateway-peers.ts
+++ b/src/process/gateway/gateway-peers.ts
@@ -34,7 +34,7 @@
     peerPort: settings.internalPorts[0],
     run,
     version: 0,
-    status: { isReady: false, isLeaving: false, isBusy: false, canReadStore: true }
+    status: { isReady: false, isLeaving: false, isBusy: false, canReadStore: true, isCutOff: false }
   }
 }
 
@@ -130,8 +130,8 @@
 
 /** Announces the status of this entry if it has changed. */
 export function publishStatus (parts: GatewayParts): void {
-  const { membership, followers, isBusy, isStopping } = parts
-  membership.setStatus({ isReady: isReady(parts), isLeaving: isStopping, isBusy, canReadStore: !followers.hasLostStore() })
+  const { membership, followers, isBusy, isCutOff, isStopping } = parts
+  membership.setStatus({ isReady: isReady(parts), isLeaving: isStopping, isBusy, canReadStore: !followers.hasLostStore(), isCutOff })
 }
 
 /** Creates the search for other entries in the store. */
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -39,6 +39,8 @@
   clock: Clock
   logger: PartLogger
   metrics: GatewayMetrics
+  /** Whether this entry cannot reach most targets, so that callers are better served by others. */
+  isCutOff(): boolean
   /** Returns the latest end of the process, by the monotonic clock in ms; undefined until a shutdown starts. */
   getEndAtMs(): number | undefined
 }
@@ -82,6 +84,7 @@
     }
     record.status = getErrorResponse(error.kind).status
     record.end = 'whole'
+    if (options.isCutOff()) outgoing.shouldKeepAlive = false
     sendError(outgoing, error)
   }
   const createCall = (incoming: IncomingMessage, outgoing: ServerResponse, id: RequestId, route: Route, inEffect: ConfigurationInEffect, startedAtMs: number): UnreadCall => {
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -66,6 +66,8 @@
   updateMaxRetryTokens(maxTokens: number): void
   /** Removes targets whose registration has expired, but none while the store is unavailable. Call it periodically. */
   removeExpired(isStoreUnavailable: boolean): void
+  /** Whether this entry cannot reach most targets of a service; call it periodically, since it probes them again. */
+  checkCutOff(): boolean
   /** Whether the targets topic has been read. */
   hasReadTargets(): boolean
   /** Returns the number of crashes of targets that this process has found. */
@@ -225,6 +227,11 @@
       if (isStoreUnavailable) registry.extendExpiry(nowMs + 1)
       for (const target of registry.removeExpired(nowMs)) logger.info('Removed a target.', { target, because: 'its registration expired and was not renewed' })
     },
+    checkCutOff () {
+      const cutOff = [...services.values()].filter(({ selector }) => selector.isCutOff())
+      for (const { selector } of cutOff) selector.probeTargets()
+      return cutOff.length > 0
+    },
     hasReadTargets: () => hasReadTargets,
     countCrashes: crashChecks.countCrashes,
     listMetrics: () => [...services.values()].map(({ name, selector, retryBudget }) => ({
--- a/src/process/gateway/gateway-types.ts
+++ b/src/process/gateway/gateway-types.ts
@@ -50,6 +50,8 @@
   isStopping: boolean
   /** Whether this process is overloaded, by the lateness of its event loop. */
   isBusy: boolean
+  /** Whether this entry cannot reach most targets of a service. */
+  isCutOff: boolean
   /** Whether a member has appeared, changed or is gone since `applyMembershipChanges` was last called. */
   hasMembershipChanged: boolean
   /** Latest end of the process, by the monotonic clock in ms; undefined until a shutdown starts. */
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -54,6 +54,13 @@
   log.info('Stopped.', { reason, inProgress: requests.countInProgress(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) })
 }
 
+/** Checks whether this entry can reach the targets; callers are sent to other entries while it cannot. */
+function updateCutOff (parts: GatewayParts): void {
+  const isCutOff = parts.state.checkCutOff()
+  if (isCutOff !== parts.isCutOff) parts.log.warn(isCutOff ? 'Cut off from targets: callers are sent to other entries.' : 'No longer cut off from targets.')
+  parts.isCutOff = isCutOff
+}
+
 /** Closes everything that the gateway holds open. */
 async function closeParts (parts: GatewayParts): Promise<void> {
   parts.servers.close()
@@ -82,6 +89,7 @@
   const maintenance = setInterval(() => {
     applyMembershipChanges(parts)
     state.removeExpired(followers.hasLostTargets())
+    updateCutOff(parts)
     publishStatus(parts)
     parts.quarantine.runMaintenance()
   }, MAINTENANCE_INTERVAL_MS)
--- a/src/process/gateway/select-addresses.ts
+++ b/src/process/gateway/select-addresses.ts
@@ -17,9 +17,17 @@
 
 /** If more than this share of the entries is overloaded, the whole fleet is loaded and no entry is left out. */
 const MAX_BUSY_SHARE = 1 / 3
+/** Entries that are cut off from targets are left out as long as the others are at least this share of all; else the targets have failed. */
+const MIN_CONNECTED_SHARE = 1 / 4
 /** An address response names at most this number of entries. */
 const MAX_ADDRESSES = 64
 
+/** Returns the entries without those that are cut off from targets, or all entries if too few are left. */
+function dropCutOff (entries: readonly MemberView[]): readonly MemberView[] {
+  const connected = entries.filter(({ status }) => !status.isCutOff)
+  return connected.length > 0 && connected.length >= entries.length * MIN_CONNECTED_SHARE ? connected : entries
+}
+
 /** Returns the entries without the overloaded ones, or all entries if too many are. */
 function dropBusy (entries: readonly MemberView[]): MemberView[] {
   const notBusy = entries.filter(({ status }) => !status.isBusy)
@@ -28,10 +36,11 @@
 
 /**
  * Selects all entries, so that the load of callers spreads evenly over them; of a fleet that is too large, those of the
- * caller's zone come first, then random others. Entries that are overloaded are left out unless most are.
+ * caller's zone come first, then random others. Entries that are overloaded, or cut off from targets, are left out unless
+ * most are.
  */
 export function selectAddresses ({ entries, callerZone, random }: AddressSelectionOptions): MemberView[] {
-  const usable = shuffle(dropBusy(entries), random)
+  const usable = shuffle(dropBusy(dropCutOff(entries)), random)
   const sameZone = usable.filter(({ zone }) => zone === callerZone)
   const others = usable.filter(({ zone }) => zone !== callerZone)
   return [...sameZone, ...others].slice(0, MAX_ADDRESSES)
--- a/src/process/gossip/member-record.ts
+++ b/src/process/gossip/member-record.ts
@@ -30,6 +30,8 @@
   isBusy: boolean
   /** Whether the member's last read of the store succeeded. */
   canReadStore: boolean
+  /** Whether the member cannot reach most targets of a service. */
+  isCutOff: boolean
 }
 
 /** What the failure detector says about a member. */
--- a/src/process/selection/load-prober.ts
+++ b/src/process/selection/load-prober.ts
@@ -11,6 +11,8 @@
 import type { TargetNotices } from '../../request/selection/target-notices.ts'
 import type { LoadReport } from '../../request/selection/load-report.ts'
 import type { PartLogger } from '../logger.ts'
+import { createReachability } from './reachability.ts'
+import type { Reachability } from './reachability.ts'
 import type { TargetState } from './target-states.ts'
 
 /** A target with the estimate for one more request. */
@@ -55,6 +57,8 @@
   recordOutcome(state: TargetState, outcome: RequestOutcome): void
   /** Whether the targets of this service report their load; undefined until one has been probed. */
   hasLoadReports(): boolean | undefined
+  /** Whether the targets can be reached. */
+  reachability: Pick<Reachability, 'hasLostAll' | 'hasLostMost'>
   /** Returns the number of load probes sent since the start. */
   countProbes(): number
 }
@@ -83,6 +87,7 @@
 export function createLoadProber (options: LoadProberOptions): LoadProber {
   const { clock, logger, sendLoadProbe: sendProbe = sendLoadProbe } = options
   let isReportingLoad: boolean | undefined
+  const reachability = createReachability(clock)
   let probeCount = 0
 
   const acquireProbe = ({ probeBucket: bucket }: TargetState): boolean =>
@@ -100,9 +105,11 @@
   }
   const recordRequestOutcome = (state: TargetState, outcome: RequestOutcome): void => {
     if (outcome === 'unreachable') {
+      reachability.recordUnreached(state.registered.report.id)
       recordFailure(state, 'no connection could be made')
       return
     }
+    if (outcome !== 'broken') reachability.recordReached(state.registered.report.id)
     state.failureRate += FAILURE_RATE_WEIGHT * (Number(outcome !== 'answered') - state.failureRate)
     if (state.failureRate < MAX_FAILURE_RATE) return
     state.failureRate = MAX_FAILURE_RATE / 2
@@ -113,6 +120,8 @@
     state.consecutiveFailures = 0
   }
   const applyProbeResult = (state: TargetState, result: LoadProbeResult, sentBefore: number): void => {
+    if (result.kind === 'silent' || result.kind === 'unreachable') reachability.recordUnreached(state.registered.report.id)
+    else reachability.recordReached(state.registered.report.id)
     switch (result.kind) {
       case 'load':
         isReportingLoad = true
@@ -189,6 +198,7 @@
     recordReport,
     recordOutcome: recordRequestOutcome,
     hasLoadReports: () => isReportingLoad,
+    reachability,
     countProbes: () => probeCount
   }
 }
--- a/src/process/selection/service-selector.ts
+++ b/src/process/selection/service-selector.ts
@@ -29,6 +29,10 @@
   cancel(selection: TargetSelection): void
   /** Records how a request ended at a target, for ejection. */
   recordOutcome(state: TargetState, outcome: RequestOutcome): void
+  /** Whether this entry cannot reach most targets of this service. */
+  isCutOff(): boolean
+  /** Probes some targets, to find out whether they can be reached again. Call it periodically while `isCutOff`. */
+  probeTargets(): void
   /** Returns the number of queued requests. */
   countWaiting(): number
   /** Returns the totals since the start. */
@@ -49,6 +53,8 @@
 const MS_PER_SECOND = 1_000
 /** Shortest `Retry-After` of a rejected request, in s; up to as much again is added at random to spread the retries. */
 const MIN_RETRY_AFTER_S = 0.2
+/** `Retry-After` of a request that another entry can serve at once, in s. */
+const CUT_OFF_RETRY_AFTER_S = 0.01
 
 interface QueueItem {
   request: SelectionRequest
@@ -90,9 +96,12 @@
     for (const item of queue.removeExpired(nowMs)) settle(item, reject('queue-timeout', 'No target became available before the queue timeout.'))
     for (const item of queue.removeLate(nowMs)) settle(item, reject('queue-full', 'The request would miss its latency target while other queued requests can still meet theirs.'))
   }
+  const rejectCutOff = (): Result<TargetSelection, AppError> =>
+    reject('no-target', `This entry cannot reach the targets of service ${service} at present; use another entry.`, CUT_OFF_RETRY_AFTER_S)
   const dispatch = async (): Promise<void> => {
     for (;;) {
       rejectLate()
+      if (prober.reachability.hasLostAll()) for (const item of queue.removeAll()) settle(item, rejectCutOff())
       const head = queue.peek(clock.monotonicMs())
       if (!head) {
         // Reset before the promise resolves: a request queued between resolution and its callback would start no dispatch.
@@ -139,6 +148,7 @@
   }
   const selectTarget = async (request: SelectionRequest): Promise<Result<TargetSelection, AppError>> => {
     const startedAtMs = clock.monotonicMs()
+    if (prober.reachability.hasLostAll()) return rejectCutOff()
     const usable = targets.listUsable(request)
     if (usable.length === 0) return waitForPaused(request, startedAtMs)
     const permitAtMs = targets.getPermitAtMs(usable)
@@ -182,6 +192,11 @@
     },
     cancel: targets.cancel,
     recordOutcome: prober.recordOutcome,
+    isCutOff: prober.reachability.hasLostMost,
+    probeTargets () {
+      const candidates = prober.acquireProbes(targets.listRegistered(), PROBES_PER_QUEUE_ROUND)
+      if (candidates.length > 0) prober.probeCandidates(candidates, 0).catch((cause: unknown) => logger.error('Probing targets failed.', { service, err: cause }))
+    },
     countWaiting: () => queue.count(),
     report: () => ({ ...counts, loadProbes: prober.countProbes() })
   }
--- a/src/process/selection/target-search.ts
+++ b/src/process/selection/target-search.ts
@@ -8,6 +8,7 @@
 import type { ServiceId, TargetId, ZoneId } from '../../types.ts'
 import type { TargetRegistry } from '../discovery/target-registry.ts'
 import type { TargetLimiter } from '../target-limits/target-limiter.ts'
+import { shuffle } from '../gossip/probe-order.ts'
 import { getFaster } from './load-prober.ts'
 import type { EstimatedTarget, LoadProber, LoadProberOptions } from './load-prober.ts'
 import { isProven } from './target-states.ts'
@@ -44,6 +45,8 @@
 
 /** Finds targets. A target that is returned counts the request as in flight. */
 export interface TargetSearch {
+  /** Lists all targets that are not leaving and accept requests, in random order. */
+  listRegistered(): TargetState[]
   /** Lists the targets that a request may use, without those that are ejected while enough others are left. */
   listUsable(request: SelectionRequest): TargetState[]
   /**
@@ -179,6 +182,7 @@
     return best && isOnTime(best, request) ? tryAcquire(best, startedAtMs, 'best-seen') : undefined
   }
   return {
+    listRegistered: () => shuffle(listAllowed(new Set()).filter((state) => state.pausedUntilMs <= clock.monotonicMs()), random),
     listUsable,
     getResumeAtMs: ({ excluded }) => Math.min(...listAllowed(excluded).map((state) => state.pausedUntilMs)),
     getPermitAtMs: (targets) => Math.min(...targets.map((state) => limiter.getAvailableAtMs(state.registered.report.id))),
--- a/src/request/selection/request-queue.ts
+++ b/src/request/selection/request-queue.ts
@@ -27,6 +27,8 @@
   removeExpired(nowMs: number): T[]
   /** Removes and returns the items that can no longer meet their latency target, provided that another item can. */
   removeLate(nowMs: number): T[]
+  /** Removes and returns all items. */
+  removeAll(): T[]
   /** Counts the items ahead of a request. */
   countAhead(order: QueuedRequest, nowMs: number): number
   count(): number
@@ -69,6 +71,7 @@
       if (!items.some(({ request }) => canMeetLatencyTarget(request, nowMs))) return []
       return removeWhere(({ request }) => !canMeetLatencyTarget(request, nowMs))
     },
+    removeAll: () => removeWhere(() => true),
     countAhead: (order, nowMs) => items.filter(({ request }) => compareOrder(request, order, nowMs) < 0).length,
     count: () => items.length
   }
--- /dev/null
+++ b/test/cut-off-entries.test.ts
@@ -0,0 +1,114 @@
+import { Server } from 'node:net'
+import { afterEach, expect, test } from 'vitest'
+import { createTestClock } from '../src/clock.ts'
+import { selectAddresses } from '../src/process/gateway/select-addresses.ts'
+import type { MemberView } from '../src/process/gossip/gossip-membership.ts'
+import { createReachability } from '../src/process/selection/reachability.ts'
+import { toBrand } from '../src/types.ts'
+import type { TargetId } from '../src/types.ts'
+import { startPlatformTarget } from '../stand-ins/platform-target.ts'
+import { createModelledService } from './support/modelled-service.ts'
+import { sendTo, startGatewayFleet } from './support/gateway-fleet.ts'
+import type { GatewayFleet } from './support/gateway-fleet.ts'
+import { waitFor } from './support/gateway-system.ts'
+
+const fleets: GatewayFleet[] = []
+
+afterEach(async () => { for (const fleet of fleets.splice(0)) await fleet.close() })
+
+function toTarget (index: number): TargetId {
+  return toBrand<TargetId>(`i-${index}`)
+}
+
+test('all targets are lost when four cannot be reached and none responds, and no longer when one does', async () => {
+  const clock = createTestClock()
+  const reachability = createReachability(clock)
+  for (let index = 0; index < 3; index++) reachability.recordUnreached(toTarget(index))
+  expect(reachability.hasLostAll()).toBe(false)
+  reachability.recordUnreached(toTarget(3))
+  await clock.advance(100)
+  expect(reachability.hasLostAll()).toBe(true)
+  reachability.recordReached(toTarget(9))
+  expect(reachability.hasLostAll()).toBe(false)
+})
+
+test('most targets are lost when three in four cannot be reached, until half of them respond', async () => {
+  const clock = createTestClock()
+  const reachability = createReachability(clock)
+  const record = async (reachedCount: number): Promise<boolean> => {
+    for (let index = 0; index < 28; index++) {
+      if (index < reachedCount) reachability.recordReached(toTarget(index))
+      else reachability.recordUnreached(toTarget(index))
+    }
+    await clock.advance(100)
+    return reachability.hasLostMost()
+  }
+  const states = []
+  for (const reachedCount of [28, 21, 14, 8, 7, 1, 10, 14, 15, 28]) states.push(await record(reachedCount))
+  expect(states).toEqual([false, false, false, false, true, true, true, true, false, false])
+})
+
+test('results that are old do not count', async () => {
+  const clock = createTestClock()
+  const reachability = createReachability(clock)
+  for (let index = 0; index < 8; index++) reachability.recordUnreached(toTarget(index))
+  await clock.advance(3_100)
+  expect(reachability.hasLostMost()).toBe(false)
+})
+
+test('an entry that is cut off rejects requests at once, also queued ones, and serves again soon after the cut', async () => {
+  const service = createModelledService({ targets: 8, slots: 4, slowShare: 0, slowFactor: 1, shiftMs: 1_000, seed: 1 })
+  for (const target of service.targets.values()) target.isSilent = true
+  const load = service.runLoad({ perSecond: 40, lengthMs: 3_000, workMs: 50, latencyTargetMs: 600, deadlineMs: 1_500 })
+  const ended = await load
+  const late = ended.filter(({ startedMs }) => startedMs > 1_000)
+  expect(late.filter(({ rejectedMs, startedMs }) => rejectedMs !== undefined && rejectedMs - startedMs < 10).length).toBe(late.length)
+  for (const target of service.targets.values()) target.isSilent = false
+  service.selector.probeTargets()
+  await service.clock.advance(100)
+  const after = await service.runLoad({ perSecond: 40, lengthMs: 1_000, workMs: 50, latencyTargetMs: 600, deadlineMs: 1_500 })
+  expect(after.filter(({ endedMs }) => endedMs !== undefined).length).toBe(after.length)
+})
+
+test('addresses leave out entries that are cut off from targets, unless hardly any other is left', () => {
+  const createEntries = (cutOffCount: number): MemberView[] => Array.from({ length: 8 }, (_, index) => ({
+    id: toBrand(`front-${index}`),
+    zone: toBrand('a'),
+    address: '10.0.0.1',
+    port: 1,
+    status: { isReady: true, isLeaving: false, isBusy: false, canReadStore: true, isCutOff: index < cutOffCount },
+    state: 'live',
+    isSelf: false
+  }) as MemberView)
+  const countSelected = (cutOffCount: number): number => selectAddresses({ entries: createEntries(cutOffCount), callerZone: undefined, random: Math.random }).length
+  expect([0, 2, 6, 7, 8].map(countSelected)).toEqual([8, 6, 2, 8, 8])
+})
+
+test('an entry whose connections to targets live on while new ones are refused still serves on them', async () => {
+  const targets = await Promise.all(Array.from({ length: 6 }, (_, index) => startPlatformTarget(`i-${index}`)))
+  const fleet = await startGatewayFleet(targets, 1)
+  fleets.push(fleet)
+  const [entry] = fleet.entries
+  await Promise.all(Array.from({ length: 30 }, () => sendTo(entry!, { path: '/safe/a' })))
+  // Unlike that of an HTTP server, this leaves idle connections open.
+  for (const { server } of targets) Server.prototype.close.call(server)
+  for (let index = 0; index < 10; index++) expect((await sendTo(entry!, { path: '/safe/a' })).status).toBe(200)
+})
+
+test('callers are sent to other entries while one is cut off from all targets', async () => {
+  const targets = await Promise.all(Array.from({ length: 6 }, (_, index) => startPlatformTarget(`i-${index}`)))
+  const fleet = await startGatewayFleet(targets, 1)
+  fleets.push(fleet)
+  const [entry] = fleet.entries
+  for (const { server } of targets) {
+    server.close()
+    server.closeAllConnections()
+  }
+  await waitFor(async () => {
+    await sendTo(entry!, { path: '/safe/a' })
+    return entry!.log.some(({ message }) => message === 'Cut off from targets: callers are sent to other entries.')
+  })
+  const response = await sendTo(entry!, { path: '/unsafe/a', method: 'POST', deadlineMs: 60_000 })
+  expect(response.status).toBe(503)
+  expect(response.text).toContain('cannot reach the targets')
+})
