--- a/src/process/gateway/gateway-metrics.ts
+++ b/src/process/gateway/gateway-metrics.ts
@@ -6,7 +6,7 @@
 import type { RequestRecord } from '../../request/gateway/request-record.ts'
 import type { QuarantineCounts } from '../quarantine/request-quarantine.ts'
 import type { LimiterCounts } from '../target-limits/target-limiter.ts'
-import type { ServiceMetrics } from './gateway-state.ts'
+import type { ServiceMetrics } from './gateway-services.ts'
 
 const MS_PER_SECOND = 1000
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5]
--- /dev/null
+++ b/src/process/gateway/gateway-services.ts
@@ -0,0 +1,129 @@
+/**
+ * The services of a gateway: each has a target selector and a retry budget, and learns from the responses of its targets.
+ */
+import type { Clock } from '../../clock.ts'
+import { createRatioBudget } from '../../request/balancing/ratio-budget.ts'
+import type { GatewayService } from '../../request/gateway/gateway-call.ts'
+import type { TargetNotices } from '../../request/selection/target-notices.ts'
+import type { ServiceId, TargetId, ZoneId } from '../../types.ts'
+import type { TargetRegistry } from '../discovery/target-registry.ts'
+import type { PartLogger } from '../logger.ts'
+import { createCrashChecks } from '../selection/crash-checks.ts'
+import { createServiceSelector } from '../selection/service-selector.ts'
+import type { TargetState, TargetStates } from '../selection/target-states.ts'
+import type { TargetLimiter } from '../target-limits/target-limiter.ts'
+
+/** Metric values of one service. */
+export interface ServiceMetrics {
+  service: string
+  /** Requests queued at present. */
+  waiting: number
+  /** Registered targets that are not leaving. */
+  targets: number
+  /** Load probes sent since the start. */
+  loadProbes: number
+  /** Requests that were queued since the start. */
+  queued: number
+  /** Requests rejected since the start because no target was selected. */
+  rejected: number
+  /** Attempts beyond the first since the start. */
+  retries: number
+}
+
+/** The services that have been used. */
+export interface GatewayServices {
+  /** Returns a service; creates it on first use. */
+  get(name: ServiceId): GatewayService
+  /** Changes the retry burst of each service, in requests. */
+  updateMaxRetryTokens(maxTokens: number): void
+  /** Whether this entry cannot reach most targets of a service; call it periodically, since it probes them again. */
+  checkCutOff(): boolean
+  /** Returns the number of crashes of targets that this process has found. */
+  countCrashes(): number
+  /** Returns the metric values of all services that have been used. */
+  listMetrics(): ServiceMetrics[]
+}
+
+/** Options that the services have in common with the state of a gateway. */
+export interface ServiceOptions {
+  zone: ZoneId
+  clock: Clock
+  random: () => number
+  logger: PartLogger
+  /** Retry tokens added by each request, and the maximum number of tokens. */
+  retryBudget: { share: number, maxTokens: number }
+  /** Returns how many load probes this process may send to one target per second. */
+  getLoadProbesPerSecond(): number
+  /** Keeps the requests within the rate limits that targets advertise. */
+  limiter: TargetLimiter
+  /** Called when this process detects that a target is leaving, so that the peers can be notified. */
+  handleLeaving(service: ServiceId, target: TargetId): void
+}
+
+/** Options of `createGatewayServices`. */
+export interface GatewayServicesOptions extends ServiceOptions {
+  registry: TargetRegistry
+  states: TargetStates
+  /** Returns the path of a service's health endpoint in the configuration in effect. */
+  getHealthPath(service: ServiceId): string | undefined
+}
+
+/** Creates the services; none exists before its first use. */
+export function createGatewayServices (options: GatewayServicesOptions): GatewayServices {
+  const { registry, clock, logger, limiter } = options
+  const services = new Map<ServiceId, GatewayService>()
+  const crashChecks = createCrashChecks({ clock, logger })
+  let maxRetryTokens = options.retryBudget.maxTokens
+
+  const markLeaving = (service: ServiceId, state: TargetState, evidence: string): void => {
+    const { id } = state.registered.report
+    if (!registry.markLeaving(id)) return
+    logger.info('Marked a target as leaving.', { target: id, service, because: evidence })
+    options.handleLeaving(service, id)
+  }
+  const pauseTarget = (state: TargetState, pauseMs: number): void => {
+    const nowMs = clock.monotonicMs()
+    if (state.pausedUntilMs <= nowMs) logger.info('A target rejects requests for a while; it gets none.', { target: state.registered.report.id, forMs: Math.round(pauseMs) })
+    state.pausedUntilMs = Math.max(state.pausedUntilMs, nowMs + pauseMs)
+  }
+  const createService = (name: ServiceId): GatewayService => {
+    const handleLeaving = (state: TargetState, evidence: string): void => markLeaving(name, state, evidence)
+    const recordNotices = (state: TargetState, { limit, isLeaving, pauseMs }: TargetNotices, sentAtMs: number): void => {
+      limiter.record(state.registered.report.id, limit, sentAtMs)
+      if (isLeaving) handleLeaving(state, 'a response of it says so')
+      if (pauseMs !== undefined) pauseTarget(state, pauseMs)
+    }
+    return {
+      name,
+      retryBudget: createRatioBudget({ share: options.retryBudget.share, maxTokens: maxRetryTokens }),
+      handleLeaving,
+      recordNotices,
+      checkCrash: crashChecks.check,
+      selector: createServiceSelector({ ...options, service: name, getHealthPath: () => options.getHealthPath(name), handleLeaving, recordNotices })
+    }
+  }
+  return {
+    get (name) {
+      const known = services.get(name) ?? createService(name)
+      services.set(name, known)
+      return known
+    },
+    updateMaxRetryTokens (maxTokens) {
+      maxRetryTokens = maxTokens
+      for (const { retryBudget } of services.values()) retryBudget.updateMaxTokens(maxTokens)
+    },
+    checkCutOff () {
+      const cutOff = [...services.values()].filter(({ selector }) => selector.isCutOff())
+      for (const { selector } of cutOff) selector.probeTargets()
+      return cutOff.length > 0
+    },
+    countCrashes: crashChecks.countCrashes,
+    listMetrics: () => [...services.values()].map(({ name, selector, retryBudget }) => ({
+      service: name,
+      waiting: selector.countWaiting(),
+      targets: registry.list(name).filter((target) => !target.isLeaving).length,
+      retries: retryBudget.countAcquired(),
+      ...selector.report()
+    }))
+  }
+}
