--- a/src/process/gateway/gateway-peers.ts
+++ b/src/process/gateway/gateway-peers.ts
@@ -6,6 +6,7 @@
 import type { EntryId } from '../../types.ts'
 import type { SharedReading } from '../discovery/shared-reading.ts'
 import type { MemberRecord } from '../gossip/member-record.ts'
+import type { PeerMessaging } from '../peer-messaging.ts'
 import { createRequestQuarantine } from '../quarantine/request-quarantine.ts'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.ts'
 import { createTargetLimiter } from '../target-limits/target-limiter.ts'
@@ -76,14 +77,14 @@
 }
 
 /** Returns what a part needs to exchange messages with the same part of the other entries. */
-function createMessaging (parts: GatewayParts) {
+function createMessaging (parts: GatewayParts): PeerMessaging<GatewayMessage> {
   const { settings, clock, random } = parts
   return {
     self: settings.entry,
     clock,
     random,
-    send: (to: EntryId, message: GatewayMessage) => parts.membership.sendTo(to, message),
-    broadcast: (message: GatewayMessage) => parts.membership.broadcast(message)
+    send: (to, message) => parts.membership.sendTo(to, message),
+    broadcast: (message) => parts.membership.broadcast(message)
   }
 }
 
--- a/src/process/quarantine/request-quarantine.ts
+++ b/src/process/quarantine/request-quarantine.ts
@@ -5,12 +5,12 @@
  * trials only, one at a time over all entries, until it completes; a crash of its trial puts it in quarantine, where it is
  * rejected. One entry grants the trials of a request; which one follows from the live entries.
  */
-import type { Clock } from '../../clock.ts'
 import { sortByRendezvous } from '../../request/balancing/rendezvous.ts'
 import type { RequestFingerprint } from '../../request/request-fingerprint.ts'
 import type { EntryId, TargetId } from '../../types.ts'
 import type { MemberView } from '../gossip/gossip-membership.ts'
 import type { PartLogger } from '../logger.ts'
+import type { PeerMessaging } from '../peer-messaging.ts'
 import { createPendingResponses } from '../pending-responses.ts'
 import { createCrashHistory } from './crash-history.ts'
 import type { CrashedRun, Suspicion, TargetCrash } from './crash-history.ts'
@@ -74,15 +74,8 @@
 }
 
 /** Options of `createRequestQuarantine`. */
-export interface RequestQuarantineOptions {
-  self: EntryId
-  clock: Clock
-  random: () => number
+export interface RequestQuarantineOptions extends PeerMessaging<QuarantineMessage> {
   logger: Pick<PartLogger, 'info' | 'warn'>
-  /** Sends a message to one entry; it may be lost. */
-  send(to: EntryId, message: QuarantineMessage): void
-  /** Sends a message to all entries; some may miss it. */
-  broadcast(message: QuarantineMessage): void
 }
 
 /** The entry that grants trials counts as unreachable without a response within this time, in ms. */
--- a/src/process/target-limits/target-limiter.ts
+++ b/src/process/target-limits/target-limiter.ts
@@ -4,10 +4,10 @@
  * One entry issues the permits of a target; which one follows from the live entries. Any entry that wants to send a request
  * to the target requests a permit there. A permit that was not used stays valid for a short time.
  */
-import type { Clock } from '../../clock.ts'
 import type { AdvertisedLimit } from '../../request/selection/advertised-limit.ts'
 import type { EntryId, TargetId } from '../../types.ts'
 import type { PartLogger } from '../logger.ts'
+import type { PeerMessaging } from '../peer-messaging.ts'
 import { createPendingResponses } from '../pending-responses.ts'
 import { createIssuerView } from './issuer-view.ts'
 import type { IssuerCandidate } from './issuer-view.ts'
@@ -53,15 +53,8 @@
 }
 
 /** Options of `createTargetLimiter`. */
-export interface TargetLimiterOptions {
-  self: EntryId
-  clock: Clock
-  random: () => number
+export interface TargetLimiterOptions extends PeerMessaging<LimitMessage> {
   logger: Pick<PartLogger, 'info' | 'warn'>
-  /** Sends a message to one entry; it may be lost. */
-  send(to: EntryId, message: LimitMessage): void
-  /** Sends a message to all entries; some may miss it. */
-  broadcast(message: LimitMessage): void
 }
 
 /** A request for a permit counts as denied without a response within this time, in ms. */
