Keep a message of another entry on which a handler fails from ending the process

A broadcast reaches all entries, and an exception in the handler of a datagram was uncaught: one message could have ended them all. It is counted as refused and logged now. datagram failed before (an unhandled error), passes now. No such message is known.

--- a/src/connection/datagram-socket.ts
+++ b/src/connection/datagram-socket.ts
@@ -76,6 +76,15 @@
     }
     for (const datagram of datagrams.value) sendDatagram(to, datagram)
   }
+  /** A message that a handler fails on reaches all entries: it must not end them one after the other. */
+  const handleSafely = (message: unknown): void => {
+    try {
+      handleMessage(message)
+    } catch (cause) {
+      counts.refused += 1
+      reportFault(`Handling a message failed: ${describeCause(cause)}`)
+    }
+  }
   socket.on('message', (datagram, from) => {
     counts.received += 1
     counts.receivedBytes += datagram.length
@@ -83,7 +92,7 @@
     if (message.isErr()) {
       counts.refused += 1
       reportFault(`Refused a datagram from ${from.address}:${from.port}: ${message.error.message}`)
-    } else if (message.value !== undefined) handleMessage(message.value)
+    } else if (message.value !== undefined) handleSafely(message.value)
   })
   return new Promise((resolve) => {
     const fail = (cause: Error): void => resolve(err(createError('settings-invalid', `Cannot receive datagrams on ${address}:${port}: ${describeCause(cause)}`, cause)))
--- a/test/datagram.test.ts
+++ b/test/datagram.test.ts
@@ -115,6 +115,24 @@
   expect(faults[0]).toContain('different `peerKey`')
 })
 
+test('a message on which its handler fails does not end the process, and the next one is delivered', async () => {
+  const received: unknown[] = []
+  const faults: string[] = []
+  const clock = createHostClock()
+  const handleMessage = (message: unknown): void => {
+    if (message === 'fatal') throw new Error('a fault of the handler')
+    received.push(message)
+  }
+  const options = { address: '127.0.0.1', peerKey: 'a', clock, handleMessage, handleFault: (message: string) => { faults.push(message) } }
+  const ports = [await findFreePort(), await findFreePort()] as const
+  const sender = (await openDatagramSocket({ ...options, port: ports[0] }))._unsafeUnwrap()
+  open.push(sender, (await openDatagramSocket({ ...options, port: ports[1] }))._unsafeUnwrap())
+  for (const message of ['fatal', 'sound']) sender.send({ address: '127.0.0.1', port: ports[1] }, message)
+  await waitFor(() => received.length > 0)
+  expect(received).toEqual(['sound'])
+  expect(faults).toEqual(['Handling a message failed: a fault of the handler'])
+})
+
 test('an address that is in use is an error of the settings', async () => {
   const clock = createHostClock()
   const options = { address: '127.0.0.1', port: await findFreePort(), peerKey: 'key', clock, handleMessage: () => undefined, handleFault: () => undefined }
