Give a short Retry-After in a cut only while another entry can serve

Found by reading the diff: when all targets of a service have failed, every entry is cut off from them, and all callers would have come back after 10 ms. That time is given only while another entry is ready and not cut off; otherwise 0.2 to 0.4 s as for every other rejection. cut-off-entries checks it.

--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -34,6 +34,7 @@
     getLoadProbesPerSecond: () => parts.settings.maxLoadProbesPerSecond * USED_SHARE / parts.membership.countMembers(),
     maxConnections: MAX_CONNECTIONS_PER_TARGET,
     limiter: parts.limiter,
+    hasConnectedPeer: () => parts.membership.listMembers().some(({ isSelf, state, status }) => !isSelf && state === 'live' && status.isReady && !status.isCutOff),
     handleConfiguration ({ limits }) {
       parts.servers.setIdleTimeout(limits.idleTimeoutMs)
       publishStatus(parts)
--- a/src/process/gateway/gateway-services.ts
+++ b/src/process/gateway/gateway-services.ts
@@ -56,6 +56,8 @@
   getLoadProbesPerSecond(): number
   /** Keeps the requests within the rate limits that targets advertise. */
   limiter: TargetLimiter
+  /** Whether another entry can reach targets. */
+  hasConnectedPeer(): boolean
   /** Called when this process detects that a target is leaving, so that the peers can be notified. */
   handleLeaving(service: ServiceId, target: TargetId): void
 }
--- a/src/process/selection/service-selector.ts
+++ b/src/process/selection/service-selector.ts
@@ -96,8 +96,10 @@
     for (const item of queue.removeExpired(nowMs)) settle(item, reject('queue-timeout', 'No target became available before the queue timeout.'))
     for (const item of queue.removeLate(nowMs)) settle(item, reject('queue-full', 'The request would miss its latency target while other queued requests can still meet theirs.'))
   }
-  const rejectCutOff = (): Result<TargetSelection, AppError> =>
-    reject('no-target', `This entry cannot reach the targets of service ${service} at present; use another entry.`, CUT_OFF_RETRY_AFTER_S)
+  const rejectCutOff = (): Result<TargetSelection, AppError> => {
+    if (!options.hasConnectedPeer()) return reject('no-target', `No entry can reach the targets of service ${service} at present.`)
+    return reject('no-target', `This entry cannot reach the targets of service ${service} at present; use another entry.`, CUT_OFF_RETRY_AFTER_S)
+  }
   const dispatch = async (): Promise<void> => {
     for (;;) {
       rejectLate()
--- a/src/process/selection/target-states.ts
+++ b/src/process/selection/target-states.ts
@@ -35,7 +35,7 @@
   failureRate: number
   /** End of the ejection; the target gets no requests before it. */
   ejectedUntilMs: number
-  /** Until then the target wants no requests of this process, by its own words. */
+  /** The target rejects requests of this process until then, by the `Retry-After` of a rejection. */
   pausedUntilMs: number
   /** Rate limit of the load probes. */
   probeBucket: TokenBucket
--- a/test/cut-off-entries.test.ts
+++ b/test/cut-off-entries.test.ts
@@ -95,7 +95,7 @@
   for (let index = 0; index < 10; index++) expect((await sendTo(entry!, { path: '/safe/a' })).status).toBe(200)
 })
 
-test('callers are sent to other entries while one is cut off from all targets', async () => {
+test('an entry that is cut off from all targets says so, and rejects requests with a Retry-After when no other entry can serve them', async () => {
   const targets = await Promise.all(Array.from({ length: 6 }, (_, index) => startPlatformTarget(`i-${index}`)))
   const fleet = await startGatewayFleet(targets, 1)
   fleets.push(fleet)
@@ -110,5 +110,7 @@
   })
   const response = await sendTo(entry!, { path: '/unsafe/a', method: 'POST', deadlineMs: 60_000 })
   expect(response.status).toBe(503)
-  expect(response.text).toContain('cannot reach the targets')
+  // The only entry: another attempt is no use before some time has passed.
+  expect(response.text).toContain('No entry can reach the targets')
+  expect(Number(/retry-after: ([\d.]+)/.exec(response.text)?.[1])).toBeGreaterThanOrEqual(0.2)
 })
