Release the lease of a trial that was granted after its request had ended

Found by reading the diff: a request whose caller left while it waited for its trial kept the lease until its deadline, and held up other attempts of the same request. request-quarantine has the case; it failed before.

--- a/src/request/gateway/request-admission.ts
+++ b/src/request/gateway/request-admission.ts
@@ -44,6 +44,7 @@
 export function createRequestAdmission (options: RequestAdmissionOptions): RequestAdmission {
   const { quarantine, getFingerprint, deadlineAtMs, caller, clock } = options
   let trial: { release(): void } | undefined
+  let isFinished = false
   const releaseTrial = (): void => {
     trial?.release()
     trial = undefined
@@ -60,6 +61,8 @@
         case 'ordinary': return ok(undefined)
         case 'trial':
           trial = admission
+          // The request may have ended, as when its caller has left, while it waited for the trial.
+          if (isFinished) releaseTrial()
           return ok(undefined)
         case 'quarantined': return err({
           ...createError('request-quarantined', `${admission.crashCount} targets crashed while they ran this request.`),
@@ -75,6 +78,7 @@
       releaseTrial()
     },
     finish (isComplete) {
+      isFinished = true
       if (isComplete && !quarantine.isIdle() && quarantine.isSuspected(getFingerprint())) quarantine.recordCompletion(getFingerprint())
       releaseTrial()
     }
--- a/test/request-quarantine.test.ts
+++ b/test/request-quarantine.test.ts
@@ -2,6 +2,8 @@
 import { createTestClock } from '../src/clock.ts'
 import { createCrashHistory } from '../src/process/quarantine/crash-history.ts'
 import { createTrialLeases } from '../src/process/quarantine/trial-leases.ts'
+import { createCallerConnection } from '../src/request/caller-connection.ts'
+import { createRequestAdmission } from '../src/request/gateway/request-admission.ts'
 import { toBrand } from '../src/types.ts'
 import type { EntryId, TargetId } from '../src/types.ts'
 import { createQuarantineFleet, toFingerprint } from './support/quarantine-fleet.ts'
@@ -215,6 +217,21 @@
   expect(history.getSuspicion(deadly).kind).toBe('quarantined')
 })
 
+test('a request that ends while it waits for its trial does not keep the lease', async () => {
+  const fleet = createQuarantineFleet({ size: 7, targetCount: 28 })
+  const { quarantine } = fleet.entries[0]!
+  quarantine.recordCrash(toTarget('i-1'), { request: toFingerprint('a'), kind: 'ordinary' })
+  await fleet.clock.advance(100)
+  const admission = createRequestAdmission({ quarantine, getFingerprint: () => toFingerprint('a'), deadlineAtMs: 60_000, caller: createCallerConnection(), clock: fleet.clock })
+  const acquired = admission.acquire()
+  admission.finish(false)
+  await fleet.clock.advance(100)
+  await acquired
+  const outcome = fleet.sendRequest(fleet.entries[1]!, { name: 'a' })
+  await fleet.clock.advance(1_000)
+  expect(await outcome).toBe('completed')
+})
+
 test('a lease on a trial is granted to one holder at a time and ends by itself', async () => {
   const clock = createTestClock()
   const leases = createTrialLeases(clock)
