--- a/review/lib/store-proxy.mjs
+++ b/review/lib/store-proxy.mjs
@@ -1,4 +1,5 @@
-// A proxy before the store that cuts single entries off: their bytes are held back, in both directions, also on new connections.
+// A proxy before the store that cuts single entries off, in one direction or both: what they send or are sent is held back, also
+// on new connections, until the cut heals.
 import { readdirSync, readFileSync, readlinkSync } from 'node:fs'
 import { connect, createServer } from 'node:net'
 import { findPort } from './deployment.mjs'
@@ -30,21 +31,24 @@
 
 /** Starts the proxy. `listPids` returns the ids of the processes that may connect. */
 export async function startStoreProxy (storePort, listPids) {
-  const cutPids = new Set()
+  const cuts = { toStore: new Set(), fromStore: new Set() }
   const connections = new Set()
   const port = await findPort('127.0.0.1')
+  let handleCall = () => undefined
   const server = createServer((client) => {
     const store = connect({ host: '127.0.0.1', port: storePort })
     const inode = findInode(client.remotePort, port)
-    const pid = listPids().find((each) => isOwner(each, inode))
-    const connection = { pid, client, store, held: [] }
+    const connection = { pid: listPids().find((each) => isOwner(each, inode)), held: { toStore: [], fromStore: [] } }
     connections.add(connection)
-    const pass = (to, chunk) => {
-      if (cutPids.has(connection.pid)) connection.held.push([to, chunk])
+    const pass = (direction, to, chunk) => {
+      if (cuts[direction].has(connection.pid)) connection.held[direction].push([to, chunk])
       else to.write(chunk)
     }
-    client.on('data', (chunk) => pass(store, chunk))
-    store.on('data', (chunk) => pass(client, chunk))
+    client.on('data', (chunk) => {
+      handleCall(connection.pid, chunk.toString('latin1').split('\r\n')[0])
+      pass('toStore', store, chunk)
+    })
+    store.on('data', (chunk) => pass('fromStore', client, chunk))
     for (const [socket, other] of [[client, store], [store, client]]) {
       socket.on('error', () => undefined)
       socket.on('close', () => {
@@ -56,11 +60,20 @@
   await new Promise((resolve) => server.listen(port, '127.0.0.1', resolve))
   return {
     port,
-    cut: (pid) => cutPids.add(pid),
-    heal (pid) {
-      cutPids.delete(pid)
-      for (const { held } of connections) for (const [to, chunk] of held.splice(0)) to.write(chunk)
+    /** Cuts a process off from the store: `directions` are `toStore` and `fromStore`, by default both. */
+    cut (pid, directions = Object.keys(cuts)) {
+      for (const direction of directions) cuts[direction].add(pid)
+    },
+    /** Heals the cut; what was held back goes on its way. */
+    heal (pid, directions = Object.keys(cuts)) {
+      for (const direction of directions) {
+        cuts[direction].delete(pid)
+        const own = [...connections].filter((connection) => connection.pid === pid)
+        for (const { held } of own) for (const [to, chunk] of held[direction].splice(0)) to.write(chunk)
+      }
     },
+    /** Calls `action` with the process and the first line of each call to the store. */
+    watchCalls (action) { handleCall = action },
     countConnections: (pid) => [...connections].filter((connection) => connection.pid === pid).length
   }
 }
