--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -7,7 +7,7 @@
 const WORK_MS = 1_500
 const CUT_MS = 5_500
 /** The removal comes this long after the end of the cut, when the entry that was cut off reads the store again, in ms. */
-const REMOVAL_AFTER_MS = 900
+const REMOVAL_AFTER_MS = 400
 const DRAIN_MS = 2_000
 /** The upstream that leaves serves for `drain` and this long, in ms. */
 const SERVES_LONGER_MS = 1_000
