--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,71 +1,64 @@
-// DRAIN: after one entry was partitioned from the store, the others, which were not, keep an upstream whose entry is removed for
-// more than `drain`.
+// LOST: at the end of the grace period the entry closes the connections of requests that it has read and still keeps in its
+// queue, without an answer.
 import { describeConfiguration, now, runCase, sendAnswer, sendRequest, startDeployment, startUpstream, wait } from '../lib/deployment.mjs'
-import { startStoreProxy } from '../lib/store-proxy.mjs'
 
-const UPSTREAMS = 6
-const WORK_MS = 1_500
-const CUT_MS = 5_500
-/** The removal comes this long after the end of the cut, when the entry that was cut off reads the store again, in ms. */
-const REMOVAL_AFTER_MS = 400
-const DRAIN_MS = 2_000
-/** The upstream that leaves serves for `drain` and this long, in ms. */
-const SERVES_LONGER_MS = 1_000
-/** The requests come this long after the removal was acknowledged, in ms. */
-const REQUESTS_AFTER_MS = 2_100
-const REQUESTS = 18
+const SLOTS = 2
+const WORK_MS = 3_500
+const REQUESTS = 12
+const TIMEOUT_MS = 15_000
+const TERM_AFTER_MS = 1_000
+const GRACE_MS = 6_000
 
-runCase(import.meta.dirname, async ({ write, hasTrouble }) => {
-  const upstreams = await Promise.all(Array.from({ length: UPSTREAMS }, (_, index) => startUpstream(`i-${index + 1}`, async (request) => {
+/** Starts an upstream that processes as many requests at once as it has slots and queues the others. */
+async function startBusyUpstream (id) {
+  const waiting = []
+  let running = 0
+  const describeLoad = () => { upstream.load = `${running},${waiting.length},${SLOTS}` }
+  const startNext = () => {
+    const request = running < SLOTS ? waiting.shift() : undefined
+    if (request) process(request)
+    describeLoad()
+  }
+  const process = async (request) => {
+    running += 1
     await wait(WORK_MS)
+    running -= 1
+    startNext()
     if (!request.socket.destroyed) sendAnswer(request)
-  }, { load: null })))
-  const leaving = upstreams.at(-1)
-  let proxy
-  const { entries, store } = await startDeployment({
-    entryCount: 3,
-    upstreams,
-    configuration: describeConfiguration(1, { timeout: '4000ms', targetLatency: '2500ms' }),
-    write,
-    wrapStore: async (storePort, { children }) => {
-      proxy = await startStoreProxy(storePort, () => children.map(({ pid }) => pid))
-      return proxy.port
-    }
-  })
-  const [cutOff, calm] = entries
-  const results = []
-  const send = (id) => sendRequest(calm, { id, method: 'POST', path: '/unsafe/slot', body: 'one slot', deadlineMs: 3_500, headers: 'Connection: close\r\n' })
-  for (const id of ['first-1', 'first-2', 'first-3', 'first-4']) results.push(send(id))
-  await Promise.all(results)
-  await wait(4_000)
+  }
+  const upstream = await startUpstream(id, (request) => {
+    waiting.push(request)
+    startNext()
+  }, { load: `0,0,${SLOTS}` })
+  upstream.registration.slots = SLOTS
+  return upstream
+}
 
+runCase(import.meta.dirname, async ({ write, hasTrouble }) => {
+  const upstreams = await Promise.all(['i-1', 'i-2'].map((id) => startBusyUpstream(id)))
+  const configuration = describeConfiguration(1, { timeout: `${TIMEOUT_MS}ms`, targetLatency: `${TIMEOUT_MS}ms` })
+  const { entries } = await startDeployment({ entryCount: 2, upstreams, configuration, write })
+  const [stopped] = entries
+  const sent = Array.from({ length: REQUESTS }, (_, index) => sendRequest(stopped, { id: `booking-${index + 1}`, method: 'POST', path: '/unsafe/slot', body: 'one slot', deadlineMs: TIMEOUT_MS }))
+  write(`${REQUESTS} bookings are sent to ${stopped.name}, with a deadline of ${TIMEOUT_MS} ms; the upstreams have ${2 * SLOTS} slots, and a booking takes ${WORK_MS} ms`)
+  await wait(TERM_AFTER_MS)
+  const termAtMs = now()
   if (hasTrouble) {
-    proxy.cut(cutOff.child.pid)
-    write(`${cutOff.name} is partitioned from the store; it has ${proxy.countConnections(cutOff.child.pid)} connections to it, ${calm.name} has ${proxy.countConnections(calm.child.pid)}`)
+    stopped.child.kill('SIGTERM')
+    write(`${stopped.name}: SIGTERM; grace is ${GRACE_MS} ms`)
   }
-  await wait(CUT_MS)
-  proxy.heal(cutOff.child.pid)
-  if (hasTrouble) write(`${cutOff.name} reaches the store again`)
-  await wait(REMOVAL_AFTER_MS)
-
-  leaving.isLeaving = true
-  leaving.isRegistered = false
-  store.put('keyed.servers', leaving.id)
-  const removedAtMs = now()
-  write(`${leaving.id} leaves: its entry is removed from the store, and it serves for drain (${DRAIN_MS} ms) and ${SERVES_LONGER_MS} ms longer`)
-  setTimeout(() => {
-    leaving.close()
-    write(`${leaving.id} has ended, ${Math.round(now() - removedAtMs)} ms after its entry was removed`)
-  }, DRAIN_MS + SERVES_LONGER_MS)
-  await wait(removedAtMs + REQUESTS_AFTER_MS - now())
-  write(`${REQUESTS} requests are sent to ${calm.name}, which was not disturbed`)
-  const answers = await Promise.all(Array.from({ length: REQUESTS }, (_, index) => send(`late-${index + 1}`)))
-  const late = leaving.runs.filter(({ atMs }) => atMs > removedAtMs + DRAIN_MS)
-  for (const { id, atMs } of late) {
-    const { answer } = answers.find((each) => each.id === id)
-    write(`${id} reaches ${leaving.id} ${Math.round(atMs - removedAtMs)} ms after its entry was removed; the client gets ${answer?.status ?? 'no answer'}`)
+  const results = await Promise.all(sent)
+  await wait(500)
+  let lost = 0
+  for (const { id, answer, isClosed, sentAtMs, endedAtMs } of results) {
+    const run = upstreams.flatMap(({ id: upstream, runs }) => runs.map((each) => ({ ...each, upstream }))).find((each) => each.id === id)
+    // A request that an upstream has begun is excused here: it may still be at work at the end of the grace period.
+    const isLost = run === undefined && !answer && isClosed
+    if (isLost) lost += 1
+    const end = answer ? `answer ${answer.status}` : isClosed ? 'the connection is closed without an answer' : 'no answer'
+    const since = hasTrouble ? `, ${Math.round(endedAtMs - termAtMs)} ms after SIGTERM` : ''
+    write(`${id}: ${run ? `runs at ${run.upstream} from ${(run.atMs / 1000).toFixed(3)} s` : 'was sent to no upstream'}; ${end} after ${Math.round(endedAtMs - sentAtMs)} ms${since}`)
   }
-  write(`${late.length} requests reached ${leaving.id} later than drain; of all answers ${answers.filter(({ answer }) => answer?.status === 200).length} are 200`)
-  for (const { name, log } of entries) write(`${name}: ${log.split('\n').filter((line) => line.includes(leaving.id) && !line.includes('[request]')).map((line) => `${JSON.parse(line).time} ${JSON.parse(line).msg}`).join('; ')}`)
-  return late.length === 0
+  write(`${lost} of ${REQUESTS} requests were read whole, sent to no upstream, and lost their connection before their deadline`)
+  return lost === 0
 })
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,45 +1,80 @@
-// MIXED: a spoilt answer of an upstream, a 200 without its signature, reaches the client as a success.
-import { describeConfiguration, now, runCase, sendAnswer, sendRequest, startDeployment, startUpstream, wait } from '../lib/deployment.mjs'
+// CONFIG: an entry that is partitioned from the store for a short time tells the others, when the last answer before the cut
+// arrives, that it knows the store's present state; they then stay with an old configuration for longer than `configApply`.
+import { describeConfiguration, HOST, now, runCase, sendAnswer, sendRequest, startDeployment, startUpstream, wait } from '../lib/deployment.mjs'
+import { startStoreProxy } from '../lib/store-proxy.mjs'
 
-const UPSTREAMS = 7
-const WORK_MS = 40
-/** The trouble: these upstreams spoil this share of their answers, for this long. */
-const TROUBLED_UPSTREAMS = 4
-const SPOILT_SHARE = 0.03
-const TROUBLE_MS = 5_000
-const REQUESTS_PER_TICK = 3
-const TICK_MS = 10
-const TRAFFIC_MS = 6_000
-const KINDS = [{ method: 'GET', path: '/safe/slots' }, { method: 'POST', path: '/unsafe/slot', body: 'one slot' }]
+const WORK_MS = 20
+const CONFIG_APPLY_MS = 2_000
+/** The cut begins this long after the reader has sent its call for the configuration, in ms. */
+const CUT_AFTER_CALL_MS = 30
+/** From the cut to the moment from which the store's answers reach the entry again, in ms. */
+const CUT_MS = 1_150
+/** From then on only the calls of the entry are lost, for this long, in ms. */
+const ONE_WAY_CUT_MS = 4_000
+/** The two versions are sent this long after each other, in ms. */
+const VERSIONS_APART_MS = 40
+const REQUEST_INTERVAL_MS = 20
+const REQUESTS_UNTIL_MS = 3_500
 
-/** Sends an answer of which the line with the signature and the body are spoilt. */
-function sendSpoiltAnswer ({ socket, id }) {
-  socket.write(`HTTP/1.1 200 OK\r\nMedlarcove-Attempt-Id: ${id}\r\nMedlarcove-Respoose-Sygnature: zzzz\r\nContent-Length: 12\r\n\r\n${'\xff\xfe'.repeat(6)}`, 'latin1')
-}
+/** Version 2 changes the timeout of the routes; version 3 moves them to another service. */
+const VERSION_2 = describeConfiguration(2, { timeout: '1400ms' })
+const VERSION_3 = describeConfiguration(3, { timeout: '1400ms', service: 'newdesk' })
 
 runCase(import.meta.dirname, async ({ write, hasTrouble }) => {
-  let isTroubled = false
-  const spoiltIds = new Set()
-  const upstreams = await Promise.all(Array.from({ length: UPSTREAMS }, (_, index) => startUpstream(`i-${index + 1}`, async (request) => {
-    await wait(WORK_MS)
-    if (isTroubled && index < TROUBLED_UPSTREAMS && Math.random() < SPOILT_SHARE) {
-      spoiltIds.add(request.id)
-      sendSpoiltAnswer(request)
-    } else sendAnswer(request)
-  })))
-  const { entries: [entry] } = await startDeployment({ entryCount: 2, upstreams, configuration: describeConfiguration(1), write })
+  const start = async (id, service) => {
+    const upstream = await startUpstream(id, async (request) => {
+      await wait(WORK_MS)
+      sendAnswer(request)
+    })
+    upstream.registration.service = service
+    return upstream
+  }
+  const upstreams = await Promise.all([['i-1', 'desk'], ['i-2', 'desk'], ['i-3', 'newdesk'], ['i-4', 'newdesk']].map(([id, service]) => start(id, service)))
+  let proxy
+  const { entries, store } = await startDeployment({
+    entryCount: 3,
+    upstreams,
+    write,
+    wrapStore: async (storePort, { children }) => {
+      proxy = await startStoreProxy(storePort, () => children.map(({ pid }) => pid))
+      return proxy.port
+    }
+  })
+  const [cutOff, , calm] = entries
+  const { pid } = cutOff.child
+  await wait(5_000)
+
+  await new Promise((resolve) => proxy.watchCalls((caller, line) => { if (caller === pid && line.includes('/log-read?topic=keyed.op')) resolve() }))
+  proxy.watchCalls(() => undefined)
+  await wait(CUT_AFTER_CALL_MS)
+  if (hasTrouble) {
+    proxy.cut(pid)
+    write(`${cutOff.name} is partitioned from the store`)
+    setTimeout(() => {
+      proxy.heal(pid, ['fromStore'])
+      write(`the store's answers reach ${cutOff.name} again; its calls do not`)
+    }, CUT_MS)
+    setTimeout(() => {
+      proxy.heal(pid)
+      write(`${cutOff.name} reaches the store again`)
+    }, CUT_MS + ONE_WAY_CUT_MS)
+  }
+  await wait(10)
+  store.put('keyed.op', 'config', VERSION_2)
+  await wait(VERSIONS_APART_MS)
+  store.put('keyed.op', 'config', VERSION_3)
+  const acknowledgedAtMs = now()
+  write(`version 3, which moves all routes of ${HOST} from desk to newdesk, is acknowledged, ${VERSIONS_APART_MS} ms after version 2`)
   const sent = []
-  const startedAtMs = now()
-  isTroubled = hasTrouble
-  if (hasTrouble) write(`${TROUBLED_UPSTREAMS} of ${UPSTREAMS} upstreams spoil ${SPOILT_SHARE} of their answers for ${TROUBLE_MS} ms`)
-  while (now() - startedAtMs < TRAFFIC_MS) {
-    for (let count = 0; count < REQUESTS_PER_TICK; count++) sent.push(sendRequest(entry, { ...KINDS[sent.length % KINDS.length], id: `request-${sent.length + 1}`, deadlineMs: 1_500, headers: 'Connection: close\r\n' }))
-    await wait(TICK_MS)
-    if (now() - startedAtMs > TROUBLE_MS) isTroubled = false
+  while (now() - acknowledgedAtMs < REQUESTS_UNTIL_MS) {
+    sent.push(sendRequest(calm, { id: `request-${sent.length + 1}`, method: 'POST', path: '/unsafe/slot', body: 'one slot', deadlineMs: 1_500, headers: 'Connection: close\r\n' }))
+    await wait(REQUEST_INTERVAL_MS)
   }
   const results = await Promise.all(sent)
-  const unsigned = results.filter(({ answer }) => answer?.status === 200 && !answer.headers['medlarcove-response-signature'])
-  for (const { id, answer } of unsigned) write(`${id}: the client gets ${answer.status} without a signature, headers ${JSON.stringify(Object.keys(answer.headers))}, body ${answer.body.toString('hex')}`)
-  write(`${results.length} requests; ${spoiltIds.size} had a spoilt answer; ${unsigned.length} clients got a success without the upstream's signature`)
-  return unsigned.length === 0
+  const oldRuns = new Map(upstreams.filter(({ registration }) => registration.service === 'desk').flatMap(({ id: upstream, runs }) => runs.map(({ id }) => [id, upstream])))
+  const late = results.filter(({ id, sentAtMs }) => oldRuns.has(id) && sentAtMs > acknowledgedAtMs + CONFIG_APPLY_MS)
+  for (const { id, sentAtMs } of late) write(`${id}, sent to ${calm.name} ${Math.round(sentAtMs - acknowledgedAtMs)} ms after the acknowledgement, is run by ${oldRuns.get(id)} of desk`)
+  const last = results.findLast(({ id }) => oldRuns.has(id))
+  write(`${results.length} requests; the last one run by the old service was sent ${last ? Math.round(last.sentAtMs - acknowledgedAtMs) : 0} ms after the acknowledgement; ${late.length} were sent later than configApply (${CONFIG_APPLY_MS} ms)`)
+  return late.length === 0
 })
