Give every request in progress a true response before the process ends

Cause: only new requests knew when the process ends. Requests in progress waited for their own deadline, which may be later.

Change: a shutdown part that each request watches. 0.1 s before the connections are closed, a request ends with 503 not-run if nothing was sent, 502 unknown (new kind entry-stopped) otherwise. That covers the queue, a silent target, an incomplete body, and waits between attempts. The queue takes the end for its deadline, and no attempt starts that would end later.

Why it works: the response is sent while the connection is open, and what has not been sent by then never is.

--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -16,6 +16,7 @@
 import type { GatewayState } from './gateway-state.ts'
 import type { GatewayOptions, GatewayParts } from './gateway-types.ts'
 import { selectAddresses } from './select-addresses.ts'
+import { createShutdown } from './shutdown.ts'
 
 /** How long callers may cache the entry addresses, in ms. */
 export const ADDRESS_LIFETIME_MS = 1_000
@@ -98,7 +99,7 @@
   const { settings, clock, logger, random = Math.random } = options
   const run = clock.wallMs()
   const incarnation = toBrand<Incarnation>(`${run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
-  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, isCutOff: false, hasMembershipChanged: true, endAtMs: undefined }
+  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, isCutOff: false, hasMembershipChanged: true, shutdown: createShutdown(clock) }
   const parts = { ...base } as GatewayParts
   parts.store = createStore(parts)
   parts.limiter = createLimiter(parts)
@@ -112,7 +113,7 @@
     clock,
     logger: logger.forPart('metrics')
   })
-  parts.requests = createGatewayRequests({ state: parts.state, quarantine: parts.quarantine, clock, logger: logger.forPart('request'), metrics: parts.metrics, getEndAtMs: () => parts.endAtMs, isCutOff: () => parts.isCutOff })
+  parts.requests = createGatewayRequests({ state: parts.state, quarantine: parts.quarantine, clock, logger: logger.forPart('request'), metrics: parts.metrics, shutdown: parts.shutdown, isCutOff: () => parts.isCutOff })
   parts.servers = createServers(parts, options)
   return parts
 }
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -23,6 +23,7 @@
 import type { GatewayMetrics } from './gateway-metrics.ts'
 import type { GatewayState, ConfigurationInEffect } from './gateway-state.ts'
 import { createRequestLog } from './request-log.ts'
+import type { Shutdown } from './shutdown.ts'
 
 /** Handles requests. */
 export interface GatewayRequests {
@@ -41,14 +42,11 @@
   metrics: GatewayMetrics
   /** Whether this entry cannot reach most targets, so that callers are better served by others. */
   isCutOff(): boolean
-  /** Returns the latest end of the process, by the monotonic clock in ms; undefined until a shutdown starts. */
-  getEndAtMs(): number | undefined
+  shutdown: Shutdown
 }
 
 /** Subtracted from the caller's deadline, for the transfer of the response to the caller, in ms. */
 const RESPONSE_MARGIN_MS = 5
-/** Time to send the last responses before the process ends, in ms. */
-const END_MARGIN_MS = 100
 const MAX_BODY_PAUSE_MS = 5_000
 
 /** A request whose body has not been read yet. */
@@ -62,7 +60,7 @@
 
 /** Creates the request handling. */
 export function createGatewayRequests (options: GatewayRequestsOptions): GatewayRequests {
-  const { state, clock, logger, metrics } = options
+  const { state, clock, logger, metrics, shutdown } = options
   const log = createRequestLog({ logger, clock })
   const workMeter = createWorkMeter()
   let inProgress = 0
@@ -103,6 +101,7 @@
       startedAtMs,
       deadlineAtMs: startedAtMs + leftMs,
       caller: watchCaller(outgoing),
+      shutdown,
       workMeter,
       clock,
       record: { id, route: route.name, service: service.name, version, leftMs, attempts: [], tookMs: 0 }
@@ -126,10 +125,7 @@
     call.admission.finish(end.kind === 'whole')
   }
   /** Whether the request gets its response before the process ends, even if it takes until its deadline. */
-  const canFinish = ({ deadlineAtMs }: UnreadCall): boolean => {
-    const endAtMs = options.getEndAtMs()
-    return endAtMs === undefined || deadlineAtMs + END_MARGIN_MS <= endAtMs
-  }
+  const canFinish = ({ deadlineAtMs }: UnreadCall): boolean => deadlineAtMs <= shutdown.getResponseByMs()
   const recordEnd = (call: UnreadCall): void => {
     call.record.tookMs = clock.monotonicMs() - call.startedAtMs
     log.write(call.record)
@@ -153,7 +149,7 @@
       return
     }
     const call = createCall(incoming, outgoing, id, route, inEffect, startedAtMs)
-    const limits = { maxBytes: inEffect.configuration.limits.maxBodyBytes, maxPauseMs: MAX_BODY_PAUSE_MS }
+    const limits = { maxBytes: inEffect.configuration.limits.maxBodyBytes, maxPauseMs: MAX_BODY_PAUSE_MS, watchStop: shutdown.watchResponseBy }
     const body = await readBody(incoming, limits, clock)
     if (body.isErr()) reject(call, outgoing, body.error)
     else if (!canFinish(call)) reject(call, outgoing, createError('entry-stopping', 'This entry is shutting down and would end before the request completes.'))
--- a/src/process/gateway/gateway-types.ts
+++ b/src/process/gateway/gateway-types.ts
@@ -15,6 +15,7 @@
 import type { GatewayRequests } from './gateway-requests.ts'
 import type { GatewayServers } from './gateway-servers.ts'
 import type { GatewayState } from './gateway-state.ts'
+import type { Shutdown } from './shutdown.ts'
 
 /** Options of a gateway. */
 export interface GatewayOptions {
@@ -54,6 +55,5 @@
   isCutOff: boolean
   /** Whether a member has appeared, changed or is gone since `applyMembershipChanges` was last called. */
   hasMembershipChanged: boolean
-  /** Latest end of the process, by the monotonic clock in ms; undefined until a shutdown starts. */
-  endAtMs: number | undefined
+  shutdown: Shutdown
 }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -21,6 +21,8 @@
   close(): Promise<void>
   /** Applies changed settings; the addresses of listeners stay as they were at the start. */
   reload(settings: BootSettings): void
+  /** Returns the number of requests in progress. */
+  countInProgress(): number
 }
 
 /** Some callers keep the entry addresses for this many times their lifetime, and a shutdown must outlast that. */
@@ -35,7 +37,7 @@
   const { clock, settings, requests } = parts
   const startedAtMs = clock.monotonicMs()
   const latestEndAtMs = startedAtMs + settings.graceMs - KILL_MARGIN_MS
-  parts.endAtMs = latestEndAtMs
+  parts.shutdown.start(latestEndAtMs)
   const callersGoneAtMs = startedAtMs + ADDRESS_LIFETIME_MS * CACHE_TIME_FACTOR + MAINTENANCE_INTERVAL_MS
   for (;;) {
     const nowMs = clock.monotonicMs()
@@ -64,6 +66,7 @@
 /** Closes everything that the gateway holds open. */
 async function closeParts (parts: GatewayParts): Promise<void> {
   parts.servers.close()
+  parts.shutdown.close()
   parts.metrics.close()
   parts.followers.close()
   parts.contacts.close()
@@ -118,6 +121,7 @@
     reload (next) {
       parts.settings = next
       log.info('Reloaded the settings.', { drainMs: next.drainMs, graceMs: next.graceMs, looksPerSecond: next.maxLoadProbesPerSecond })
-    }
+    },
+    countInProgress: parts.requests.countInProgress
   })
 }
--- a/src/request/gateway/run-attempts.ts
+++ b/src/request/gateway/run-attempts.ts
@@ -34,8 +34,10 @@
   | { type: 'selection-failed', error: AppError }
   /** The response takes longer than expected; a hedged request may be sent. */
   | { type: 'late' }
-  /** The deadline has passed, or the caller has closed its connection. */
-  | { type: 'end' }
+  /** No response can be sent any more, or nobody waits for it. */
+  | { type: 'end', cause: EndCause }
+
+type EndCause = 'caller-gone' | 'deadline' | 'shutdown'
 
 /** Returns whether another attempt may follow an outcome. */
 function canRetry (outcome: AttemptOutcome, isIdempotentRequest: boolean): boolean {
@@ -54,7 +56,7 @@
     priority: route.priority,
     workMs: call.workMeter.getWorkMs(route.name, Math.min(route.targetLatencyMs, route.timeoutMs) * INITIAL_WORK_SHARE),
     latencyTargetAtMs: call.startedAtMs + route.targetLatencyMs,
-    deadlineAtMs: call.deadlineAtMs,
+    get deadlineAtMs () { return Math.min(call.deadlineAtMs, call.shutdown.getResponseByMs()) },
     crossZonePenalty: CROSS_ZONE_PENALTY[route.kind],
     excluded,
     isTrial: call.admission.isTrial(),
@@ -62,6 +64,19 @@
   }
 }
 
+/** Returns the error of a request that has no response when it ends; `isUnsent` if it was sent to no target and will not be. */
+function createEndError (cause: EndCause, isUnsent: boolean): AppError {
+  switch (cause) {
+    case 'caller-gone': return createError('target-broken', 'The caller closed its connection before the response.')
+    case 'deadline': return isUnsent
+      ? createError('queue-timeout', 'No target became available before the deadline of the request.')
+      : createError('route-timeout', 'No target responded before the deadline of the request.')
+    case 'shutdown': return isUnsent
+      ? createError('entry-stopping', 'This entry shut down before a target became available.')
+      : createError('entry-stopped', 'This entry shut down before a target responded.')
+  }
+}
+
 /** Creates a queue that hands out events one at a time, in the order of their arrival. */
 function createEventQueue () {
   const events: AttemptEvent[] = []
@@ -97,8 +112,9 @@
   let isFinished = false
   let lastFailedResponse: StartedResponse | undefined
   let cancelHedge: Cancel = () => undefined
-  const cancelEnd = clock.startTimer(Math.max(0, call.deadlineAtMs - clock.monotonicMs()), () => events.add({ type: 'end' }))
-  const stopWatchingCaller = call.caller.watchDisconnect(() => events.add({ type: 'end' }))
+  const cancelDeadline = clock.startTimer(Math.max(0, call.deadlineAtMs - clock.monotonicMs()), () => events.add({ type: 'end', cause: 'deadline' }))
+  const stopWatchingCaller = call.caller.watchDisconnect(() => events.add({ type: 'end', cause: 'caller-gone' }))
+  const stopWatchingShutdown = call.shutdown.watchResponseBy(() => events.add({ type: 'end', cause: 'shutdown' }))
 
   const send = (selection: TargetSelection): void => {
     sentCount += 1
@@ -111,7 +127,10 @@
   }
   const selectTarget = async (): Promise<Result<TargetSelection, AppError>> => {
     const admitted = await call.admission.acquire()
-    return admitted.isErr() ? err(admitted.error) : await service.selector.select(createSelectionRequest(call, triedTargets))
+    if (admitted.isErr()) return err(admitted.error)
+    const request = createSelectionRequest(call, triedTargets)
+    if (clock.monotonicMs() + request.workMs > call.shutdown.getResponseByMs()) return err(createError('entry-stopping', 'This entry is shutting down and would end before a target responds.'))
+    return await service.selector.select(request)
   }
   const startNextAttempt = async (): Promise<void> => {
     pendingSelections += 1
@@ -127,9 +146,10 @@
   const takeRetry = (): boolean => sentCount < route.maxAttempts && service.retryBudget.tryAcquire()
   const finish = (result: Result<StartedResponse, AppError>): Result<StartedResponse, AppError> => {
     isFinished = true
-    cancelEnd()
+    cancelDeadline()
     cancelHedge()
     stopWatchingCaller()
+    stopWatchingShutdown()
     const winner = result.isOk() ? result.value.attempt : undefined
     for (const attempt of running) if (attempt !== winner) attempt.cancel()
     if (lastFailedResponse && lastFailedResponse.attempt !== winner) lastFailedResponse.attempt.cancel()
@@ -141,13 +161,11 @@
     const isWronglyNotRun = mayHaveRun && getErrorResponse(error.kind).fate === 'not-run'
     return finish(err(isWronglyNotRun ? createError('target-broken', error.message, error) : toShedError(error)))
   }
-  const finishAtEnd = (): Result<StartedResponse, AppError> => {
-    if (call.caller.isDisconnected()) return finish(err(createError('target-broken', 'The caller closed its connection before the response.')))
-    if (lastFailedResponse) return finish(ok(lastFailedResponse))
-    const isUnsent = running.size === 0 && !mayHaveRun
-    return finish(err(isUnsent
-      ? createError('queue-timeout', 'No target became available before the deadline of the request.')
-      : createError('route-timeout', 'No target responded before the deadline of the request.')))
+  const finishAtEnd = (cause: EndCause): Result<StartedResponse, AppError> => {
+    if (lastFailedResponse && cause !== 'caller-gone') return finish(ok(lastFailedResponse))
+    // An attempt that still waits for its connection is cancelled before it sends anything.
+    const isUnsent = !mayHaveRun && [...running].every(({ exchange }) => !exchange?.wasSent())
+    return finish(err(createEndError(cause, isUnsent)))
   }
   /** Records the outcome of an attempt without a response to relay, and returns it as an error. */
   const recordOutcome = (attempt: TargetAttempt, outcome: Exclude<AttemptOutcome, { kind: 'answered' }>): AppError => {
@@ -174,7 +192,7 @@
   /** Handles an event; returns the result of the request once it is settled. */
   const handleEvent = (event: AttemptEvent): Result<StartedResponse, AppError> | undefined => {
     switch (event.type) {
-      case 'end': return finishAtEnd()
+      case 'end': return finishAtEnd(event.cause)
       case 'outcome': return handleOutcome(event.attempt, event.outcome)
       case 'selection-failed': return running.size === 0 && pendingSelections === 0 ? finishFailed(event.error) : undefined
       case 'late':
--- a/src/request/read-body.ts
+++ b/src/request/read-body.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../clock.ts'
 import { createError } from '../errors.ts'
 import type { AppError } from '../errors.ts'
+import type { Cancel } from '../types.ts'
 
 /** Returns whether the headers of a request announce a body. */
 function hasBody (incoming: IncomingMessage): boolean {
@@ -19,13 +20,15 @@
   maxBytes: number
   /** Timeout between two parts of the body, in ms. */
   maxPauseMs: number
+  /** Calls the action when this process can no longer handle the request; the returned function removes the action. Optional. */
+  watchStop?(action: () => void): Cancel
 }
 
 /**
  * Reads a complete body; undefined when there is none.
- * Errors: `body-too-large`, `request-timeout`, `malformed-request` when the caller disconnects before its end.
+ * Errors: `body-too-large`, `request-timeout`, `entry-stopping`, `malformed-request` when the caller disconnects before its end.
  */
-export async function readBody (incoming: IncomingMessage, { maxBytes, maxPauseMs }: BodyLimits, clock: Clock): Promise<Result<Uint8Array | undefined, AppError>> {
+export async function readBody (incoming: IncomingMessage, { maxBytes, maxPauseMs, watchStop }: BodyLimits, clock: Clock): Promise<Result<Uint8Array | undefined, AppError>> {
   if (!hasBody(incoming)) return ok(undefined)
   if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) return err(createTooLargeError(maxBytes))
   const chunks: Uint8Array[] = []
@@ -35,6 +38,7 @@
       finish(err(createError('request-timeout', `No part of the request body was received for ${maxPauseMs} ms.`)))
     })
     let cancelPause = startPauseTimer()
+    let stopWatching: Cancel = () => undefined
     const handleData = (chunk: Uint8Array): void => {
       cancelPause()
       sizeBytes += chunk.byteLength
@@ -49,10 +53,12 @@
     const handleClose = (): void => finish(err(createError('malformed-request', 'The connection was closed before the request body was complete.')))
     const finish = (result: Result<Uint8Array, AppError>): void => {
       cancelPause()
+      stopWatching()
       incoming.off('data', handleData).off('end', handleEnd).off('close', handleClose)
       resolve(result)
     }
     incoming.on('data', handleData).on('end', handleEnd).on('close', handleClose)
+    stopWatching = watchStop?.(() => finish(err(createError('entry-stopping', 'This entry shut down before the request body was complete.')))) ?? stopWatching
     incoming.on('error', () => undefined)
   })
 }
--- a/test/gateway-stop.test.ts
+++ b/test/gateway-stop.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, expect, test } from 'vitest'
-import { ROUTE_HOST, sendCompleteResponse, startPlatformTarget } from '../stand-ins/platform-target.ts'
-import { sendRaw, startGatewaySystem } from './support/gateway-system.ts'
+import { describeConfiguration, ROUTE_HOST, sendCompleteResponse, startPlatformTarget } from '../stand-ins/platform-target.ts'
+import { sendRaw, startGatewaySystem, waitFor } from './support/gateway-system.ts'
 import type { GatewaySystem } from './support/gateway-system.ts'
 
 const systems: GatewaySystem[] = []
@@ -32,3 +32,26 @@
   // The last ones may come when the process has closed its port.
   for (const [id, status] of rejected) expect(['503', ''], id).toContain(await status)
 }, 20_000)
+
+// Guards against an entry that closes the connections of requests it still holds at the end of the grace period.
+test('at the end of the grace period every request gets a response that says truly whether it may have run', async () => {
+  const silent = await startPlatformTarget('i-1', () => undefined)
+  const system = await startGatewaySystem([silent], { graceMs: 2_000 })
+  systems.push(system)
+  system.store.put('keyed.op', 'config', describeConfiguration(2, { timeout: '15s' }))
+  await waitFor(() => system.log.some(({ message, fields }) => message === 'A configuration is in effect.' && fields.version === 2))
+  const send = async (id: string, length: number, body = '') => {
+    const head = `POST /unsafe/a HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nMedlarcove-Attempt-Id: ${id}\r\nMedlarcove-Deadline-Ms: 15000\r\n`
+    const { text } = await sendRaw(system.settings.listen.front.port, `${head}Content-Length: ${length}\r\n\r\n${body}`, 10_000)
+    return { id, status: text.slice(9, 12), executionStatus: /"fate":"([a-z-]+)"/.exec(text)?.[1] }
+  }
+  const atTarget = ['at-target-1', 'at-target-2'].map((id) => send(id, 0))
+  await waitFor(() => silent.receivedAttempts.length === atTarget.length)
+  silent.load = '4,400,4,100'
+  const others = [send('queued-1', 0), send('queued-2', 3, 'abc'), send('half-a-body', 9, 'abc')]
+  await waitFor(() => system.gateway.countInProgress() === atTarget.length + others.length)
+  await system.gateway.stop('SIGTERM')
+  expect(await Promise.all(atTarget)).toEqual(['at-target-1', 'at-target-2'].map((id) => ({ id, status: '502', executionStatus: 'unknown' })))
+  expect(await Promise.all(others)).toEqual(['queued-1', 'queued-2', 'half-a-body'].map((id) => ({ id, status: '503', executionStatus: 'not-run' })))
+  expect(silent.receivedAttempts.toSorted()).toEqual(['at-target-1', 'at-target-2'])
+})
