Send an error for a response whose body never comes, while nothing of it has been sent

Cause: relayResponse counted the head as sent though Node.js holds it back until the first chunk, and destroyed the connection. Ruled out: sending the head at once, which takes away the chance of a true answer.

Change: the head is sent with the first chunk. A response that fails before that ends with an error: 504 at the timeout, 502 when the process ends or the target breaks off, all with execution status unknown. A head that cannot be written ends the relay with an error of its own rather than an exception in the sink.

Test: gateway-stop, "a response whose head has come and whose body has not ..."; on the code before, both requests of it got no response.

--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -12,7 +12,9 @@
 import { filterRequestHeaders } from '../../request/gateway/gateway-headers.ts'
 import { createRequestAdmission } from '../../request/gateway/request-admission.ts'
 import { relayResponse } from '../../request/gateway/relay-response.ts'
+import type { RelayOutcome } from '../../request/gateway/relay-response.ts'
 import { runAttempts } from '../../request/gateway/run-attempts.ts'
+import type { StartedResponse } from '../../request/gateway/run-attempts.ts'
 import { readBody } from '../../request/read-body.ts'
 import { createFingerprintReader } from '../../request/request-fingerprint.ts'
 import type { RequestId } from '../../types.ts'
@@ -107,6 +109,15 @@
       record: { id, route: route.name, service: service.name, version, leftMs, attempts: [], tookMs: 0 }
     }
   }
+  const recordRelay = (call: GatewayCall, { head }: StartedResponse, end: RelayOutcome, outgoing: ServerResponse): void => {
+    if (end.kind === 'unsent') {
+      reject(call, outgoing, end.error)
+      return
+    }
+    call.record.status = head.status
+    call.record.end = end.kind
+    if (end.kind === 'broken') call.record.detail = end.error.message
+  }
   const serve = async (call: GatewayCall, outgoing: ServerResponse): Promise<void> => {
     call.service.retryBudget.addShare()
     const response = await runAttempts(call)
@@ -116,12 +127,8 @@
       return
     }
     const end = await relayResponse(call, response.value, outgoing)
-    call.record.status = response.value.head.status
-    call.record.end = end.kind
-    if (end.kind === 'broken') {
-      call.record.detail = end.error.message
-      await response.value.attempt.recordLoss()
-    }
+    recordRelay(call, response.value, end, outgoing)
+    if ('error' in end && end.error.kind === 'answer-truncated') await response.value.attempt.recordLoss()
     call.admission.finish(end.kind === 'whole')
   }
   /** Whether the request gets its response before the process ends, even if it takes until its deadline. */
--- a/src/request/gateway/relay-response.ts
+++ b/src/request/gateway/relay-response.ts
@@ -3,15 +3,22 @@
  * that the caller never takes a partial body for a complete one.
  */
 import type { ServerResponse } from 'node:http'
-import { createError } from '../../errors.ts'
+import { createError, describeCause } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
 import type { Cancel } from '../../types.ts'
 import type { GatewayCall } from './gateway-call.ts'
 import { filterResponseHeaders } from './gateway-headers.ts'
 import type { StartedResponse } from './run-attempts.ts'
 
-/** How a relay ended: `whole` for a complete response, `broken` for a truncated one, or `caller-gone`. */
-export type RelayOutcome = { kind: 'whole' } | { kind: 'caller-gone' } | { kind: 'broken', error: AppError }
+/** How a relay ended. */
+export type RelayOutcome =
+  /** The response is complete. */
+  | { kind: 'whole' }
+  | { kind: 'caller-gone' }
+  /** The response was truncated, and the caller's connection is closed. */
+  | { kind: 'broken', error: AppError }
+  /** The response was truncated before anything of it was sent, so that the caller can be sent an error instead. */
+  | { kind: 'unsent', error: AppError }
 
 /** A response may continue after the deadline, but a pause of this length then ends it, in ms. */
 const MAX_LATE_PAUSE_MS = 150
@@ -25,21 +32,37 @@
     const { exchange } = attempt
     let isFinished = false
     let lastChunkAtMs = clock.monotonicMs()
+    let hasSentHead = false
     let cancelWatch: Cancel = () => undefined
+    let stopWatchingShutdown: Cancel = () => undefined
     const finish = (end: RelayOutcome): void => {
       if (isFinished) return
       isFinished = true
       cancelWatch()
+      stopWatchingShutdown()
       if (end.kind !== 'whole') attempt.cancel()
       if (end.kind === 'broken') outgoing.destroy()
       resolve(end)
     }
+    const fail = (error: AppError): void => finish({ kind: hasSentHead ? 'broken' : 'unsent', error })
+    /** Sends the head, with the first chunk: until then the caller can still be sent an error. Returns whether it was sent. */
+    const sendHead = (): boolean => {
+      if (hasSentHead) return true
+      try {
+        outgoing.writeHead(head.status, filterResponseHeaders(head.headers))
+        hasSentHead = true
+      } catch (cause) {
+        fail(createError('target-broken', `The head of the response cannot be passed on: ${describeCause(cause)}.`, cause))
+      }
+      return hasSentHead
+    }
     const watchPauses = (): void => {
       const nowMs = clock.monotonicMs()
       const limitAtMs = Math.max(deadlineAtMs, lastChunkAtMs + MAX_LATE_PAUSE_MS)
       const isCallerSlow = outgoing.writableNeedDrain
-      if (nowMs >= deadlineAtMs + MAX_LATE_MS) finish({ kind: 'broken', error: createError('answer-truncated', 'The response did not end after the deadline.') })
-      else if (nowMs >= limitAtMs && !isCallerSlow) finish({ kind: 'broken', error: createError('answer-truncated', 'The target stopped sending in the middle of its response.') })
+      if (nowMs >= deadlineAtMs && !hasSentHead) fail(createError('route-timeout', 'The target sent the head of its response, but no body before the deadline.'))
+      else if (nowMs >= deadlineAtMs + MAX_LATE_MS) fail(createError('answer-truncated', 'The response did not end after the deadline.'))
+      else if (nowMs >= limitAtMs && !isCallerSlow) fail(createError('answer-truncated', 'The target stopped sending in the middle of its response.'))
       else cancelWatch = clock.startTimer(Math.max(MAX_LATE_PAUSE_MS, limitAtMs - nowMs), watchPauses)
     }
     outgoing.on('drain', () => exchange?.resume())
@@ -48,18 +71,21 @@
       finish({ kind: 'caller-gone' })
       return
     }
-    outgoing.writeHead(head.status, filterResponseHeaders(head.headers))
     watchPauses()
+    stopWatchingShutdown = call.shutdown.watchResponseBy(() => {
+      if (!hasSentHead) fail(createError('entry-stopped', 'This entry shut down after the head and before the body of the response.'))
+    })
     exchange.pipe({
       write (chunk) {
         lastChunkAtMs = clock.monotonicMs()
-        return outgoing.write(chunk)
+        return sendHead() && outgoing.write(chunk)
       },
       end () {
+        if (!sendHead()) return
         outgoing.end()
         finish({ kind: 'whole' })
       },
-      fail: (error) => finish({ kind: 'broken', error })
+      fail
     })
   })
 }
--- a/test/gateway-stop.test.ts
+++ b/test/gateway-stop.test.ts
@@ -55,3 +55,26 @@
   expect(await Promise.all(others)).toEqual(['queued-1', 'queued-2', 'half-a-body'].map((id) => ({ id, status: '503', executionStatus: 'not-run' })))
   expect(silent.receivedAttempts.toSorted()).toEqual(['at-target-1', 'at-target-2'])
 })
+
+// Guards against a response that is cut although nothing of it was sent, so that an error could be sent in its place.
+test('a response whose head has come and whose body has not gets an error at the timeout of its route and at the end of the process', async () => {
+  const target = await startPlatformTarget('i-1', (self, incoming, outgoing) => {
+    outgoing.writeHead(200, { 'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'], 'medlarcove-response-signature': self.id, 'content-length': '5' }).flushHeaders()
+  })
+  const system = await startGatewaySystem([target], { graceMs: 2_000 })
+  systems.push(system)
+  const send = async (id: string, deadlineMs: number) => {
+    const text = `POST /unsafe/a HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nMedlarcove-Attempt-Id: ${id}\r\nMedlarcove-Deadline-Ms: ${deadlineMs}\r\nContent-Length: 0\r\n\r\n`
+    const response = await sendRaw(system.settings.listen.front.port, text, 5_000)
+    return { status: response.text.slice(9, 12), executionStatus: /"fate":"([a-z-]+)"/.exec(response.text)?.[1], signature: /response-signature/i.exec(response.text)?.[0] }
+  }
+  const late = send('late', 300)
+  await waitFor(() => target.abortedAttempts.includes('late'))
+  system.store.put('keyed.op', 'config', describeConfiguration(2, { timeout: '15s' }))
+  await waitFor(() => system.log.some(({ message, fields }) => message === 'A configuration is in effect.' && fields.version === 2))
+  const stopped = send('stopped', 15_000)
+  await waitFor(() => target.receivedAttempts.includes('stopped'))
+  await system.gateway.stop('SIGTERM')
+  expect(await stopped).toEqual({ status: '502', executionStatus: 'unknown', signature: undefined })
+  expect(await late).toEqual({ status: '504', executionStatus: 'unknown', signature: undefined })
+})
