Count a response as in progress until the operating system has taken all of it

A stopping entry ends early once callers have moved on and no request is in progress.

Change: such a response stays in progress until it is sent or its connection closes, within the grace period as before.

Test: gateway-stop, "a response that its caller has not taken yet counts as in progress until it is sent/closed"; both failed on the code before (0 in progress where 1 is expected).

--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -65,7 +65,9 @@
   const { state, clock, logger, metrics, shutdown } = options
   const log = createRequestLog({ logger, clock })
   const workMeter = createWorkMeter()
-  let inProgress = 0
+  let handledCount = 0
+  /** Responses that are complete here, and whose rest the operating system has not taken since the caller reads slowly. */
+  const unsent = new Set<ServerResponse>()
 
   /** Rejects a request that has no route yet. */
   const rejectUnrouted = (outgoing: ServerResponse, error: AppError, id?: RequestId): void => {
@@ -133,6 +135,14 @@
   }
   /** Whether the request gets its response before the process ends, even if it takes until its deadline. */
   const canFinish = ({ deadlineAtMs }: UnreadCall): boolean => deadlineAtMs <= shutdown.getResponseByMs()
+  /** Counts a response as in progress until all of it is sent or its connection has closed. */
+  const watchUnsent = (incoming: IncomingMessage, outgoing: ServerResponse): void => {
+    if (outgoing.writableFinished || incoming.socket.destroyed) return
+    unsent.add(outgoing)
+    const remove = (): void => { unsent.delete(outgoing) }
+    outgoing.once('finish', remove)
+    incoming.socket.once('close', remove)
+  }
   const recordEnd = (call: UnreadCall): void => {
     call.record.tookMs = clock.monotonicMs() - call.startedAtMs
     log.write(call.record)
@@ -165,16 +175,17 @@
   }
   return {
     async handleRequest (incoming, outgoing) {
-      inProgress += 1
+      handledCount += 1
       try {
         await handle(incoming, outgoing)
       } catch (cause) {
         logger.error('Handling a request failed with an internal error.', { err: cause })
         sendError(outgoing, createError('internal', 'The request failed with an internal error of the entry.', cause))
       } finally {
-        inProgress -= 1
+        handledCount -= 1
+        watchUnsent(incoming, outgoing)
       }
     },
-    countInProgress: () => inProgress
+    countInProgress: () => handledCount + unsent.size
   }
 }
--- a/test/gateway-stop.test.ts
+++ b/test/gateway-stop.test.ts
@@ -1,6 +1,13 @@
+import { createServer } from 'node:http'
+import { Duplex } from 'node:stream'
 import { afterEach, expect, test } from 'vitest'
+import { createHostClock } from '../src/clock.ts'
+import { createGatewayRequests } from '../src/process/gateway/gateway-requests.ts'
+import type { GatewayRequestsOptions } from '../src/process/gateway/gateway-requests.ts'
+import type { GatewayState } from '../src/process/gateway/gateway-state.ts'
+import { createShutdown } from '../src/process/gateway/shutdown.ts'
 import { describeConfiguration, ROUTE_HOST, sendCompleteResponse, startPlatformTarget } from '../stand-ins/platform-target.ts'
-import { sendRaw, startGatewaySystem, waitFor } from './support/gateway-system.ts'
+import { createListLogger, sendRaw, startGatewaySystem, waitFor } from './support/gateway-system.ts'
 import type { GatewaySystem } from './support/gateway-system.ts'
 
 const systems: GatewaySystem[] = []
@@ -78,3 +85,24 @@
   expect(await stopped).toEqual({ status: '502', executionStatus: 'unknown', signature: undefined })
   expect(await late).toEqual({ status: '504', executionStatus: 'unknown', signature: undefined })
 })
+
+// Guards against a process that ends with the rest of a response that its caller has not read yet.
+for (const ending of ['sent', 'closed'] as const) {
+  test(`a response that its caller has not taken yet counts as in progress until it is ${ending}`, async () => {
+    const withoutConfiguration = { getInEffect: () => undefined } as unknown as GatewayState
+    const clock = createHostClock()
+    const requests = createGatewayRequests({ state: withoutConfiguration, clock, shutdown: createShutdown(clock), logger: createListLogger([]).forPart('request'), isCutOff: () => false } as unknown as GatewayRequestsOptions)
+    let startReading: () => void = () => undefined
+    const isReading = new Promise<void>((resolve) => { startReading = resolve })
+    const caller = new Duplex({ read () {}, write (_chunk, _encoding, done) { isReading.then(() => done(), done) } })
+    const handled = new Promise<void>((resolve, reject) => {
+      createServer((incoming, outgoing) => { requests.handleRequest(incoming, outgoing).then(resolve, reject) }).emit('connection', caller)
+    })
+    caller.push('GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n')
+    await handled
+    expect(requests.countInProgress()).toBe(1)
+    if (ending === 'sent') startReading()
+    else caller.destroy()
+    await waitFor(() => requests.countInProgress() === 0)
+  })
+}
