Count the age of what the store said from the call, not from the arrival of the response

Cause: the reader's response was 1.15 s under way; on arrival it counted as what the store held at that moment, at the reader and at all entries that it was shared with, so that none read for another 1.3 s. Also, a range that ends before the own position, and each part of a range, renewed the age. Evidence: knownForMs of the log line "Reading a topic by itself.". Ruled out: delays between the entries; the topic of the configuration alone (the targets' topic had the same fault).

Change: the age counts from the sending of the call, or from the end of the store's wait when the response is empty; it travels with the range, in its last part. A page that ends before the records do says nothing of the age, and the next is read at once. After records the next read does not wait, so that one call of the reader keeps the others from reading. The pause between reads counts from call to call. The delay of the first read is no longer kept as an age, which other entries could have been told.

--- a/src/clock.ts
+++ b/src/clock.ts
@@ -15,6 +15,24 @@
   wait(delayMs: number, signal?: AbortSignal): Promise<void>
 }
 
+/** An instant by both clocks of a host: the monotonic clock may stand still while the host is suspended, the wall clock may jump. */
+export interface Instant { monotonicMs: number, wallMs: number }
+
+/** Reads the present instant. */
+export function readInstant (clock: Pick<Clock, 'monotonicMs' | 'wallMs'>): Instant {
+  return { monotonicMs: clock.monotonicMs(), wallMs: clock.wallMs() }
+}
+
+/** Returns the instant that is `ms` later. */
+export function addMs ({ monotonicMs, wallMs }: Instant, ms: number): Instant {
+  return { monotonicMs: monotonicMs + ms, wallMs: wallMs + ms }
+}
+
+/** Measures how long ago an instant was at most, in ms: the longer time of the two clocks. Negative for a later instant. */
+export function measureElapsedMs (clock: Pick<Clock, 'monotonicMs' | 'wallMs'>, { monotonicMs, wallMs }: Instant): number {
+  return Math.max(clock.monotonicMs() - monotonicMs, clock.wallMs() - wallMs)
+}
+
 /** Resolves by a timer of `startTimer`, or at once when `signal` aborts. */
 function waitByTimer (startTimer: Clock['startTimer'], delayMs: number, signal?: AbortSignal): Promise<void> {
   if (signal?.aborted) return Promise.resolve()
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -14,7 +14,7 @@
 import type { StoreEpoch } from '../types.ts'
 import type { HostPort } from './boot-file.ts'
 import { decodeKeyedRecord, decodePage, encodeKeyedRecord } from './store-frames.ts'
-import type { KeyedRecord } from './store-frames.ts'
+import type { KeyedRecord, StorePage } from './store-frames.ts'
 
 /** The topic of the operator. The configuration is the newest record under `CONFIGURATION_KEY`. */
 export const OPERATOR_TOPIC = 'keyed.op'
@@ -37,6 +37,8 @@
   records: KeyedRecord[]
   /** The offset from which to read next. */
   next: number
+  /** Whether the store held no record beyond these. */
+  isEnd: boolean
   /** The number of records that were skipped because their key is incomplete. */
   malformed: number
   /** The epoch to which the offsets belong. */
@@ -78,10 +80,11 @@
 })
 
 /** Decodes the keyed records of a page that begins at `from` and skips those without a complete key. */
-function toKeyedPage (records: readonly { offset: number, data: Uint8Array }[], from: number, epoch: StoreEpoch): KeyedPage {
+function toKeyedPage ({ records, end }: StorePage, from: number, epoch: StoreEpoch): KeyedPage {
   const decoded = records.map(({ offset, data }) => decodeKeyedRecord(offset, data))
   const complete = decoded.filter((record) => record !== undefined)
-  return { records: complete, next: from + records.length, malformed: decoded.length - complete.length, epoch }
+  const next = from + records.length
+  return { records: complete, next, isEnd: next >= end, malformed: decoded.length - complete.length, epoch }
 }
 
 /** The body of a successful read, and the epoch that the response states. */
@@ -157,7 +160,7 @@
       next ??= page.value.end
       for (const { key, value, offset } of page.value.items) records.push({ key, offset, value: Buffer.from(value, 'base64') })
       after = page.value.items.at(-1)?.key
-      if (!page.value.more || after === undefined) return ok({ records, next, malformed: 0, epoch })
+      if (!page.value.more || after === undefined) return ok({ records, next, isEnd: true, malformed: 0, epoch })
     }
   }
 
@@ -168,7 +171,7 @@
       const response = await sendRead(`/log-read?${query}`, follow)
       if (response.isErr()) return err(response.error)
       const { body, epoch } = response.value
-      return decodePage(body, from).map((page) => toKeyedPage(page.records, from, epoch))
+      return decodePage(body, from).map((page) => toKeyedPage(page, from, epoch))
     },
     async append (topic, key, value) {
       use.appends += 1
--- a/src/process/discovery/read-position.ts
+++ b/src/process/discovery/read-position.ts
@@ -1,14 +1,15 @@
 /**
  * How far this entry has read a topic, how far others have, and how long it may rely on them.
  */
-import type { Clock } from '../../clock.ts'
+import { addMs, measureElapsedMs, readInstant } from '../../clock.ts'
+import type { Clock, Instant } from '../../clock.ts'
 import type { StoreEpoch } from '../../types.ts'
 import { canContinue, comparePositions, TOPIC_BEGINNING } from './topic-position.ts'
 import type { TopicPosition } from './topic-position.ts'
 
 /** How far a topic has been read. */
 export interface TopicProgress extends TopicPosition {
-  /** How long ago the store was seen to hold no further record, in ms. */
+  /** How long ago the store held no further record, in ms. */
   ageMs: number
 }
 
@@ -18,7 +19,7 @@
   get(): TopicPosition | undefined
   /** Returns how far another entry has read. */
   getFurthest(): TopicPosition
-  /** Moves on. Call `recordCurrent` too if the store holds no further record. */
+  /** Moves on. Call `recordCurrent` too if the store held no further record. */
   moveTo(position: TopicPosition): void
   /** Records that the store held no further record `ageMs` ago. */
   recordCurrent(ageMs: number): void
@@ -33,7 +34,7 @@
   takeLaterEpoch(storeEpoch: StoreEpoch): StoreEpoch | undefined
   /** Returns how long this entry may rely on what it knows, in ms, if that may be `maxAgeMs` old; 0 if it must read by itself. */
   getTrustMs(maxAgeMs: number): number
-  /** Returns how long ago the store was seen to hold no further record, in ms. */
+  /** Returns how long ago the store held no further record, in ms, as far as this process knows; `Infinity` before the first read. */
   getAgeMs(): number
   getProgress(): TopicProgress | undefined
 }
@@ -42,18 +43,18 @@
 export function createReadPosition (clock: Clock, initial: TopicPosition | undefined): ReadPosition {
   let position = initial
   let furthest = TOPIC_BEGINNING
-  /** Instant at which the store held no record beyond `position`, as far as this process knows. */
-  let currentAtMs = -Infinity
+  /** Latest instant at which the store is known to have held no record beyond `position`. */
+  let currentAt: Instant | undefined
   /** Instant from which this entry reads by itself because it is behind. */
   let catchUpAtMs = Infinity
   /** The latest epoch for which a position was given up. */
   let leftForEpoch = TOPIC_BEGINNING.epoch
 
   const isBehind = (): boolean => position === undefined || comparePositions(position, furthest) < 0
-  const getAgeMs = (): number => Math.max(0, clock.monotonicMs() - currentAtMs)
+  const getAgeMs = (): number => currentAt ? Math.max(0, measureElapsedMs(clock, currentAt)) : Infinity
   const reset = (): void => {
     position = undefined
-    currentAtMs = -Infinity
+    currentAt = undefined
   }
   return {
     get: () => position,
@@ -62,7 +63,7 @@
       position = { epoch, next }
     },
     recordCurrent (ageMs) {
-      currentAtMs = Math.max(currentAtMs, clock.monotonicMs() - ageMs)
+      if (ageMs < getAgeMs()) currentAt = addMs(readInstant(clock), -ageMs)
     },
     reset,
     resetAll () {
@@ -85,11 +86,10 @@
       return epoch
     },
     getTrustMs (maxAgeMs) {
-      const nowMs = clock.monotonicMs()
-      const trustMs = currentAtMs + maxAgeMs - nowMs
-      return Math.max(0, isBehind() ? Math.min(trustMs, catchUpAtMs - nowMs) : trustMs)
+      const trustMs = maxAgeMs - getAgeMs()
+      return Math.max(0, isBehind() ? Math.min(trustMs, catchUpAtMs - clock.monotonicMs()) : trustMs)
     },
     getAgeMs,
-    getProgress: () => position === undefined || currentAtMs === -Infinity ? undefined : { ...position, ageMs: getAgeMs() }
+    getProgress: () => position === undefined || currentAt === undefined ? undefined : { ...position, ageMs: getAgeMs() }
   }
 }
--- a/src/process/discovery/record-applier.ts
+++ b/src/process/discovery/record-applier.ts
@@ -36,6 +36,15 @@
   outages: OutageWatch
 }
 
+/** A page that was read, and what it tells about the store. */
+export interface ReadPage {
+  page: KeyedPage
+  /** Where the read began; undefined for a full read. */
+  from: TopicPosition | undefined
+  /** How long ago the store held no record beyond the page, in ms; undefined when more records follow. */
+  ageMs: number | undefined
+}
+
 /** Creates the functions that apply the records of a topic, and that move the position. */
 export function createRecordApplier (options: RecordApplierOptions) {
   const { topic, logger, sharing, position, outages, applyRecords } = options
@@ -51,22 +60,22 @@
     return isRestored
   }
   /** Applies a full read. The reader tells the others of a later epoch, in which they have to read by themselves too. */
-  const applyFullRead = ({ records, next, epoch }: KeyedPage): void => {
+  const applyFullRead = ({ page: { records, next, epoch }, ageMs }: ReadPage): void => {
     const isRestored = startEpoch(epoch)
     applyRecords(records, { isFullRead: true, isAfterOutage: isAfterOutage() })
     position.moveTo({ epoch, next })
-    position.recordCurrent(0)
-    if (isRestored && sharing?.isReader()) sharing.publish({ topic, epoch, from: next, next, isAfterOutage: true, records: [] })
+    if (ageMs !== undefined) position.recordCurrent(ageMs)
+    if (isRestored && sharing?.isReader()) sharing.publish({ topic, epoch, from: next, next, ageMs, isAfterOutage: true, records: [] })
   }
   /** Applies the records after `known` of a page that was read from `from`, and shares all of them if this entry is the reader. */
-  const applyNext = ({ records, next, epoch }: KeyedPage, from: TopicPosition, known: TopicPosition): void => {
+  const applyNext = ({ page: { records, next, epoch }, ageMs }: ReadPage, from: TopicPosition, known: TopicPosition): void => {
     startEpoch(epoch)
     const context: PageContext = { isFullRead: false, isAfterOutage: isAfterOutage() }
     const changed = applyRecords(records.filter(({ offset }) => offset >= known.next), context)
     position.moveTo({ epoch, next: Math.max(next, known.next) })
-    if (next >= known.next) position.recordCurrent(0)
+    if (next >= known.next && ageMs !== undefined) position.recordCurrent(ageMs)
     if (!sharing?.isReader()) return
-    const range = { topic, epoch, from: from.next, next, isAfterOutage: context.isAfterOutage, records: changed }
+    const range = { topic, epoch, from: from.next, next, ageMs, isAfterOutage: context.isAfterOutage, records: changed }
     for (const part of toSharedRanges(range)) sharing.publish(part)
   }
   return {
@@ -74,18 +83,19 @@
      * Applies a page that was read from a position, or a full read without one. Returns false, and applies nothing, when the
      * page is older than `storeEpoch`, or its offsets belong to another epoch than the position.
      */
-    applyPage (page: KeyedPage, from: TopicPosition | undefined, storeEpoch: StoreEpoch): boolean {
+    applyPage (read: ReadPage, storeEpoch: StoreEpoch): boolean {
+      const { page, from } = read
       if (page.epoch < storeEpoch) {
         logger.info('Skipped a response of before a restore of the store.', { topic, epoch: page.epoch, storeEpoch })
         return false
       }
       if (from === undefined) {
-        applyFullRead(page)
+        applyFullRead(read)
         return true
       }
       const known = position.get()
       if (!known || !canContinue(from, page.epoch) || !canContinue(known, page.epoch)) return false
-      applyNext(page, from, known)
+      applyNext(read, from, known)
       return true
     },
     /** Applies a range that another entry has read. Returns false if records before it are missing here. */
@@ -95,7 +105,6 @@
       if (known === undefined || !canContinue(known, range.epoch) || range.from > known.next) return false
       // The reader has just read the store, so this process need not find out by itself that it is available.
       outages.recordSuccess()
-      position.recordCurrent(0)
       if (range.next > known.next) {
         startEpoch(range.epoch)
         position.moveTo(range)
@@ -103,6 +112,8 @@
       } else if (range.records.length > 0) {
         logger.info('Ignored records that count as applied.', { topic, from: range.from, ...known, records: range.records.length })
       }
+      // A range that ends before the own position was read before what this process knows.
+      if (range.next >= known.next && range.ageMs !== undefined) position.recordCurrent(range.ageMs)
       return true
     }
   }
--- a/src/process/discovery/shared-range.ts
+++ b/src/process/discovery/shared-range.ts
@@ -12,6 +12,8 @@
   from: number
   /** Offset at which the next read continues. */
   next: number
+  /** How long before the message the store held no record beyond `next`, in ms; left out when more records follow. */
+  ageMs?: number
   /** Whether the store was unavailable shortly before. */
   isAfterOutage: boolean
   /** The records that change something. A range that is too large to share has no records, and its `from` equals `next`. */
@@ -50,8 +52,10 @@
   if (totalBytes > MAX_SHARED_TOTAL_BYTES || Math.max(0, ...sizes) > MAX_SHARED_RECORD_BYTES) return [{ ...range, from: range.next, records: [] }]
   const parts = splitRecords(range.records)
   if (parts.length <= 1) return [range]
+  const { ageMs, ...common } = range
   return parts.map((records, index) => ({
-    ...range,
+    ...common,
+    ...(index === parts.length - 1 && ageMs !== undefined ? { ageMs } : {}),
     from: index === 0 ? range.from : records[0]!.offset,
     next: parts[index + 1]?.[0]?.offset ?? range.next,
     records
--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -10,7 +10,8 @@
  * every key once more.
  */
 import type { Result } from 'neverthrow'
-import type { Clock } from '../../clock.ts'
+import { measureElapsedMs, readInstant } from '../../clock.ts'
+import type { Clock, Instant } from '../../clock.ts'
 import type { AppError } from '../../errors.ts'
 import type { KeyedPage, StoreClient } from '../../platform/store-client.ts'
 import type { PartLogger } from '../logger.ts'
@@ -34,7 +35,7 @@
   logger: PartLogger
   /** Maximum wait of a read at the store while there are no new records. */
   waitMs: number
-  /** Time between two reads. */
+  /** Time from the start of a read to the start of the next one. */
   pauseMs: number
   /** How long after an outage or a restore `isAfterOutage` is set. Default 0. */
   postOutageWindowMs?: number
@@ -72,6 +73,14 @@
 const OTHERS_HEARD_MS = 2_000
 /** Time between two reads while the store is unavailable, in ms, before jitter. */
 const RETRY_MS = 150
+
+/** Times of one read. */
+interface ReadTimes {
+  sentAt: Instant
+  /** How long the store was to wait for a record, in ms. */
+  waitMs: number
+}
+
 /** Creates a follower. It does nothing before `start`. */
 export function createTopicFollower (options: TopicFollowerOptions): TopicFollower {
   const { topic, store, clock, random, logger, sharing, postOutageWindowMs = 0 } = options
@@ -79,6 +88,12 @@
   const outages = createOutageWatch({ topic, clock, logger })
   const position = createReadPosition(clock, options.firstReadDelayMs === undefined ? undefined : TOPIC_BEGINNING)
   const { applyPage, applyRange } = createRecordApplier({ ...options, position, outages, postOutageWindowMs })
+  /** Until this instant, by the monotonic clock in ms, the reader is given the time for the first read. */
+  let firstReadAtMs = -Infinity
+  /** Whether the last page had records: the next read finds out at once whether there are more. */
+  let hasReadRecords = false
+  /** Whether the last page ended before the records did. */
+  let hasMoreRecords = false
   /** Whether this process reads although it is not the reader. */
   let isReadingAlone = false
   /** Instant at which another entry was last heard. */
@@ -99,17 +114,30 @@
     if (error.kind === 'record-malformed') position.reset()
     outages.recordFailure(error)
   }
-  const read = async (from: TopicPosition | undefined): Promise<Result<KeyedPage, AppError>> => {
-    const limits = outages.getReadLimits()
+  const read = async (from: TopicPosition | undefined, waitMs: number): Promise<Result<KeyedPage, AppError>> => {
+    const { timeoutMs } = outages.getReadLimits()
+    const limits = timeoutMs === undefined ? {} : { timeoutMs }
     if (from === undefined) return store.readNewest(topic, limits)
-    return store.readFrom(topic, from.next, { waitMs: options.waitMs, ...limits, signal: stop.signal })
+    return store.readFrom(topic, from.next, { ...limits, waitMs, signal: stop.signal })
+  }
+  /**
+   * Returns how long ago the store held no record beyond a page, in ms; undefined when more records follow. The response may
+   * have been on its way for long, so its arrival says nothing: it was given after the call was sent, and an empty one after
+   * the store has waited.
+   */
+  const computeAgeMs = ({ records, isEnd }: KeyedPage, { sentAt, waitMs }: ReadTimes): number | undefined => {
+    if (!isEnd) return undefined
+    const elapsedMs = measureElapsedMs(clock, sentAt)
+    return records.length === 0 && elapsedMs >= waitMs ? elapsedMs - waitMs : elapsedMs
   }
   /** Reads once. Returns whether the records were applied. */
   const readOnce = async (): Promise<boolean> => {
     const laterEpoch = position.takeLaterEpoch(store.getEpoch())
     if (laterEpoch !== undefined) startInLaterEpoch(laterEpoch)
     const from = position.get()
-    const page = await read(from)
+    const waitMs = hasReadRecords ? 0 : outages.getReadLimits().waitMs ?? options.waitMs
+    const sentAt = readInstant(clock)
+    const page = await read(from, waitMs)
     if (stop.signal.aborted) return false
     if (page.isErr()) {
       recordFailure(page.error)
@@ -117,7 +145,9 @@
     }
     outages.recordSuccess()
     if (page.value.malformed > 0) logger.warn('Skipped records without a key.', { topic, count: page.value.malformed })
-    const isApplied = applyPage(page.value, from, store.getEpoch())
+    hasReadRecords = page.value.records.length > 0
+    hasMoreRecords = !page.value.isEnd
+    const isApplied = applyPage({ page: page.value, from, ageMs: computeAgeMs(page.value, { sentAt, waitMs: from ? waitMs : 0 }) }, store.getEpoch())
     if (!isApplied && page.value.epoch >= store.getEpoch()) startInLaterEpoch(page.value.epoch)
     return isApplied
   }
@@ -129,7 +159,9 @@
   const getReaderTrustMs = (): number => {
     const known = position.get()
     if (!sharing || known === undefined || outages.isUnavailable() || sharing.isReader()) return 0
-    return canContinue(known, store.getEpoch()) ? position.getTrustMs(sharing.silentAfterMs) : 0
+    if (!canContinue(known, store.getEpoch())) return 0
+    const trustMs = position.getTrustMs(sharing.silentAfterMs)
+    return position.isBehind() ? trustMs : Math.max(trustMs, firstReadAtMs - clock.monotonicMs())
   }
   /** Whether other entries have been heard lately, so that this one will hear from them when the store recovers. */
   const isHearingOthers = (): boolean => clock.monotonicMs() - lastHeardAtMs < OTHERS_HEARD_MS
@@ -161,9 +193,11 @@
         continue
       }
       explainOwnRead()
+      const startedAtMs = clock.monotonicMs()
       const isRead = await readOnce()
       if (isRead) {
-        if (options.pauseMs > 0) await pause(options.pauseMs)
+        const pauseMs = hasMoreRecords ? 0 : startedAtMs + options.pauseMs - clock.monotonicMs()
+        if (pauseMs > 0) await pause(pauseMs)
         continue
       }
       await pauseForRetry()
@@ -172,7 +206,7 @@
   return {
     start () {
       const { firstReadDelayMs } = options
-      if (firstReadDelayMs !== undefined && sharing) position.recordCurrent(sharing.silentAfterMs - firstReadDelayMs)
+      if (firstReadDelayMs !== undefined && sharing) firstReadAtMs = clock.monotonicMs() + firstReadDelayMs
       run().catch((cause: unknown) => logger.error('Following a topic failed.', { topic, err: cause }))
     },
     applyShared (range) {
--- a/src/process/gateway/gateway-messages.ts
+++ b/src/process/gateway/gateway-messages.ts
@@ -60,6 +60,7 @@
       epoch,
       from: counter,
       next: counter,
+      ageMs: duration.optional(),
       isAfterOutage: z.boolean(),
       records: z.array(z.object({ offset: counter, key: z.string(), value: z.instanceof(Uint8Array).optional() })).max(MAX_RECORDS)
     })
@@ -81,7 +82,7 @@
 
 /** Converts the progress of all topics to its wire form. */
 export function formatProgress (topics: ReadProgress): unknown {
-  return topics.map(({ topic, progress }) => [topic, progress.epoch, progress.next, Math.round(progress.ageMs)])
+  return topics.map(({ topic, progress }) => [topic, progress.epoch, progress.next, Math.ceil(progress.ageMs)])
 }
 
 /** Parses the progress of another gateway. Errors: `frame-malformed`. */
--- a/test/entry-contacts.test.ts
+++ b/test/entry-contacts.test.ts
@@ -27,7 +27,7 @@
       state.reads += 1
       await clock.wait(5)
       if (state.isStoreLost) return err(createError('log-unavailable', 'no response'))
-      return ok({ records: [...records.values()], next: records.size, malformed: 0, epoch: state.epoch })
+      return ok({ records: [...records.values()], next: records.size, isEnd: true, malformed: 0, epoch: state.epoch })
     },
     readFrom: async () => err(createError('log-unavailable', 'unused')),
     async append (_, key, value) {
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
 import { createSharedReads, selectReader } from '../src/process/gateway/shared-reads.ts'
+import { toSharedRanges } from '../src/process/discovery/shared-range.ts'
 import type { ReaderCandidate } from '../src/process/gateway/shared-reads.ts'
 import { toBrand } from '../src/types.ts'
 import type { EntryId, StoreEpoch } from '../src/types.ts'
@@ -8,6 +9,9 @@
 
 const EPOCH = toBrand<StoreEpoch>(1)
 const LARGE_BYTES = 100_000
+const CONFIGURATION_TIMES = { waitMs: 1_000, pauseMs: 0, silentAfterMs: 1_300 }
+/** A new configuration must be in effect after this time. */
+const CONFIGURATION_APPLY_MS = 2_000
 
 function countOthersReads (followers: readonly Follower[]): number {
   return followers.slice(1).reduce((sum, { reads }) => sum + reads, 0)
@@ -40,6 +44,40 @@
   }
 })
 
+// Guards against a response of the store that is long on its way and counts as what the store holds when it arrives.
+test('when a late response is the last that the reader gets, the others get newer records within the time of a configuration', async () => {
+  for (let offsetMs = 0; offsetMs < CONFIGURATION_TIMES.waitMs; offsetMs += 90) {
+    const { clock, followers, write, advanceWithProbes } = createSharedReaders(3, CONFIGURATION_TIMES)
+    await clock.advance(5_000 + offsetMs)
+    followers[0]!.readMs = 1_150
+    write('a', 'older')
+    await clock.advance(40)
+    followers[0]!.areCallsLost = true
+    write('a', 'newer')
+    await advanceWithProbes(CONFIGURATION_APPLY_MS)
+    expect(followers.slice(1).map(({ known }) => known.get('a')), `${offsetMs} ms`).toEqual(['newer', 'newer'])
+  }
+})
+
+test('a range that was read before what an entry knows does not keep it from reading', async () => {
+  const { clock, followers, write } = createSharedReaders(2)
+  write('a', 'old')
+  await clock.advance(2_000)
+  followers[0]!.areCallsLost = true
+  write('a', 'new')
+  for (let step = 0; step < 20; step++) {
+    followers[1]!.follower.applyShared({ topic: 't', epoch: EPOCH, from: 0, next: 0, ageMs: 0, isAfterOutage: false, records: [] })
+    await clock.advance(DRAIN_MS / 20)
+  }
+  expect(followers[1]!.known.get('a')).toBe('new')
+})
+
+test('only the last part of records that are shared in parts says how new it is', () => {
+  const records = Array.from({ length: 4 }, (_, offset) => ({ offset, key: `k-${offset}`, value: Buffer.alloc(7_000) }))
+  const parts = toSharedRanges({ topic: 't', epoch: EPOCH, from: 0, next: 4, ageMs: 5, isAfterOutage: false, records })
+  expect(parts.map(({ ageMs }) => ageMs)).toEqual([undefined, undefined, undefined, 5])
+})
+
 test('an entry that missed a range reads it by itself', async () => {
   const { clock, followers, write } = createSharedReaders(3)
   await clock.advance(2_000)
--- a/test/support/shared-readers.ts
+++ b/test/support/shared-readers.ts
@@ -27,12 +27,23 @@
   readsAfterOutage: number
   readMs: number
   isStoreLost: boolean
+  /** Its calls do not reach the store; responses of the store still reach it. */
+  areCallsLost: boolean
   /** Neither sends nor receives ranges. */
   isCut: boolean
 }
 
+/** Times of the followers, in ms: how long a read is held open, the pause between reads, and the age at which an entry reads by itself. */
+export interface FollowerTimes { waitMs: number, pauseMs: number, silentAfterMs: number }
+
+const DEFAULT_TIMES: FollowerTimes = { waitMs: 0, pauseMs: PAUSE_MS, silentAfterMs: SILENT_AFTER_MS }
+/** How often the store looks for a record while it holds a read open, in ms. */
+const HOLD_STEP_MS = 5
+/** A call that is lost ends after this time, in ms. */
+const LOST_CALL_MS = 1_800
+
 /** Creates followers of one topic that share their reads; the first is the reader. Values that begin with `~` change nothing. */
-export function createSharedReaders (count: number) {
+export function createSharedReaders (count: number, { waitMs, pauseMs, silentAfterMs }: FollowerTimes = DEFAULT_TIMES) {
   const clock = createTestClock()
   const log: KeyedRecord[] = []
   const followers: Follower[] = []
@@ -40,9 +51,15 @@
   const write = (key: string, value: string): void => { log.push({ offset: log.length, key, value: Buffer.from(value) }) }
   const createStore = (self: () => Follower): StoreClient => {
     let highestEpoch = 0
-    const toPage = (records: KeyedRecord[]): KeyedPage => ({ records, next: log.length, malformed: 0, epoch: toBrand<StoreEpoch>(state.epoch) })
-    const answer = async (from: number | undefined) => {
+    const toPage = (records: KeyedRecord[]): KeyedPage => ({ records, next: log.length, isEnd: true, malformed: 0, epoch: toBrand<StoreEpoch>(state.epoch) })
+    const answer = async (from: number | undefined, holdMs = 0) => {
       self().reads += 1
+      if (self().areCallsLost) {
+        await clock.wait(LOST_CALL_MS)
+        return err(createError('log-unavailable', 'no response'))
+      }
+      const heldUntilMs = clock.monotonicMs() + holdMs
+      while (from === log.length && clock.monotonicMs() < heldUntilMs) await clock.wait(HOLD_STEP_MS)
       const page = toPage(log.slice(from ?? 0))
       const isGone = from !== undefined && (from < state.firstKept || from > log.length)
       await clock.wait(self().readMs)
@@ -55,7 +72,7 @@
     }
     return {
       readNewest: () => answer(undefined),
-      readFrom: (_, from) => answer(from),
+      readFrom: (_, from, options) => answer(from, options.waitMs),
       append: async () => ok(toBrand<StoreEpoch>(state.epoch)),
       getEpoch: () => toBrand<StoreEpoch>(highestEpoch),
       report: () => ({ reads: 0, appends: 0, failures: 0, receivedBytes: 0 }),
@@ -74,8 +91,8 @@
       clock,
       random: () => 0.5,
       logger: SILENT_LOGGER,
-      waitMs: 0,
-      pauseMs: PAUSE_MS,
+      waitMs,
+      pauseMs,
       postOutageWindowMs: DRAIN_MS,
       applyRecords (records, { isFullRead, isAfterOutage }) {
         if (isFullRead && isAfterOutage) followers[index]!.readsAfterOutage += 1
@@ -83,9 +100,9 @@
         for (const { key, value } of changed) known.set(key, Buffer.from(value!).toString())
         return changed
       },
-      sharing: { isReader: () => state.reader === index, publish: (range) => publishFrom(index, range), silentAfterMs: SILENT_AFTER_MS, getRetryFactor: () => Math.max(1, count / RETRYING_ENTRIES) }
+      sharing: { isReader: () => state.reader === index, publish: (range) => publishFrom(index, range), silentAfterMs, getRetryFactor: () => Math.max(1, count / RETRYING_ENTRIES) }
     })
-    followers.push({ follower, known, reads: 0, readsAfterOutage: 0, readMs: READ_MS, isStoreLost: false, isCut: false })
+    followers.push({ follower, known, reads: 0, readsAfterOutage: 0, readMs: READ_MS, isStoreLost: false, areCallsLost: false, isCut: false })
   }
   for (const { follower } of followers) follower.start()
   return {
--- a/test/topic-follower.test.ts
+++ b/test/topic-follower.test.ts
@@ -24,7 +24,7 @@
       return err(createError('log-unavailable', 'no response'))
     }
     await clock.wait(tookMs)
-    return ok({ records: [], next: 1, malformed: 0, epoch: EPOCH })
+    return ok({ records: [], next: 1, isEnd: true, malformed: 0, epoch: EPOCH })
   }
   const store: StoreClient = {
     readNewest: (_, options = {}) => read(options),
