Add the time that a message waited to be read to the ages in it

Cause, from the code: ages in messages hold at the moment of sending. A process reads after a pause what came before it, takes it for new, and passes it on as a relay and with its own progress. Ruled out: timestamps of the sender, as wall clocks step.

Change: the socket bounds the wait of a datagram by the last moment at which it had been read empty, checked on the ticks of the lateness watch (no timer more). The bound is added to the ages of progress and ranges; a broadcast carries the wait at its relay in an optional field, so that entries of both versions understand each other.

Tests: datagram (2), gossip-membership (1), shared-reading (1); before the change no message said how long it had waited, so that they could not hold.

--- a/src/connection/datagram-socket.ts
+++ b/src/connection/datagram-socket.ts
@@ -8,6 +8,7 @@
 import { createError, describeCause } from '../errors.ts'
 import type { AppError } from '../errors.ts'
 import { createDatagramCodec } from './datagram-codec.ts'
+import { createReceiveDelay } from './receive-delay.ts'
 
 /** Where a socket receives messages. */
 export interface DatagramAddress { address: string, port: number }
@@ -28,6 +29,8 @@
 export interface DatagramSocket {
   /** Sends a message; a failure is counted and reported to `handleFault`. */
   send(to: DatagramAddress, message: unknown): void
+  /** Keeps track of how long datagrams wait. Call it from a timer, several times a second. */
+  runTick(): void
   report(): DatagramCounts
   close(): Promise<void>
 }
@@ -37,7 +40,8 @@
   /** Secret shared by all entries. */
   peerKey: string
   clock: Clock
-  handleMessage(message: unknown): void
+  /** Called with each message, and how long it may have waited to be read, in ms. */
+  handleMessage(message: unknown, delayMs: number): void
   /** Called with the first fault and then with one in `FAULTS_PER_CALL`, so that an unknown sender cannot flood the log. */
   handleFault(message: string): void
 }
@@ -50,6 +54,7 @@
   const codec = createDatagramCodec(options)
   const counts: DatagramCounts = { sent: 0, sentBytes: 0, received: 0, receivedBytes: 0, refused: 0, failed: 0 }
   const socket = createSocket('udp4')
+  const receiveDelay = createReceiveDelay(options.clock)
   let faultCount = 0
   let isClosed = false
 
@@ -79,13 +84,14 @@
   /** A message that a handler fails on reaches all entries: it must not end them one after the other. */
   const handleSafely = (message: unknown): void => {
     try {
-      handleMessage(message)
+      handleMessage(message, receiveDelay.getMs())
     } catch (cause) {
       counts.refused += 1
       reportFault(`Handling a message failed: ${describeCause(cause)}`)
     }
   }
   socket.on('message', (datagram, from) => {
+    receiveDelay.recordRead()
     counts.received += 1
     counts.receivedBytes += datagram.length
     const message = codec.decode(datagram, `${from.address}:${from.port}`)
@@ -102,6 +108,7 @@
       socket.on('error', (cause) => reportFault(`The socket on ${address}:${port} failed: ${describeCause(cause)}`))
       resolve(ok({
         send,
+        runTick: receiveDelay.runTick,
         report: () => ({ ...counts }),
         async close () {
           if (isClosed) return
--- a/src/connection/gossip-frames.ts
+++ b/src/connection/gossip-frames.ts
@@ -23,8 +23,11 @@
   | { type: 'sync-request', from: MemberRecord, digest: number }
   /** Updates of the sender's whole view, as many as fit into one message. */
   | { type: 'sync', from: MemberRecord, updates: MemberUpdate[] }
-  /** Carries a value of the application to all members. A relay sends it on to the members of its zone. */
-  | { type: 'broadcast', from: MemberRecord, isRelay: boolean, payload: unknown }
+  /**
+   * Carries a value of the application to all members. A relay sends it on to the members of its zone. `delayMs` is how long the
+   * message may have waited at the relay.
+   */
+  | { type: 'broadcast', from: MemberRecord, isRelay: boolean, delayMs: number, payload: unknown }
   /** Carries a value of the application to the recipient alone. */
   | { type: 'direct', from: MemberRecord, payload: unknown }
 
@@ -47,7 +50,7 @@
   z.object({ t: z.literal('r'), s: counter, f: record, d: z.tuple([text, port]) }),
   z.object({ t: z.literal('q'), f: record, h: counter }),
   z.object({ t: z.literal('s'), f: record, u: updates }),
-  z.object({ t: z.literal('b'), f: record, r: z.boolean(), v: z.unknown() }),
+  z.object({ t: z.literal('b'), f: record, r: z.boolean(), w: counter.optional(), v: z.unknown() }),
   z.object({ t: z.literal('d'), f: record, v: z.unknown() })
 ])
 
@@ -91,7 +94,7 @@
     case 'ping-request': return { t: 'r', s: message.sequence, f, d: [message.target.address, message.target.port] }
     case 'sync-request': return { t: 'q', f, h: message.digest }
     case 'sync': return { t: 's', f, u: message.updates.map(formatUpdate) }
-    case 'broadcast': return { t: 'b', f, r: message.isRelay, v: message.payload }
+    case 'broadcast': return { t: 'b', f, r: message.isRelay, w: Math.ceil(message.delayMs), v: message.payload }
     case 'direct': return { t: 'd', f, v: message.payload }
   }
 }
@@ -104,7 +107,7 @@
     case 'r': return { type: 'ping-request', sequence: frame.s, from, target: { address: frame.d[0], port: frame.d[1] } }
     case 'q': return { type: 'sync-request', from, digest: frame.h }
     case 's': return { type: 'sync', from, updates: frame.u.map(parseUpdate) }
-    case 'b': return { type: 'broadcast', from, isRelay: frame.r, payload: frame.v }
+    case 'b': return { type: 'broadcast', from, isRelay: frame.r, delayMs: frame.w ?? 0, payload: frame.v }
     case 'd': return { type: 'direct', from, payload: frame.v }
   }
 }
--- a/src/process/gateway/gateway-membership.ts
+++ b/src/process/gateway/gateway-membership.ts
@@ -13,7 +13,7 @@
 import type { MemberRecord } from '../gossip/member-record.ts'
 import type { EntryId } from '../../types.ts'
 import type { PartLogger } from '../logger.ts'
-import { formatProgress, parseGatewayMessage, parseProgress } from './gateway-messages.ts'
+import { addMessageAge, addProgressAge, formatProgress, parseGatewayMessage, parseProgress } from './gateway-messages.ts'
 import type { GatewayMessage, ReadProgress } from './gateway-messages.ts'
 
 /** The membership of a gateway. */
@@ -24,6 +24,8 @@
   broadcast(message: GatewayMessage): void
   /** Sends a message to one gateway. It may be lost. */
   sendTo(id: EntryId, message: GatewayMessage): void
+  /** Keeps track of how long messages wait to be read. Call it from a timer, several times a second. */
+  runTick(): void
   /** Returns the totals of the socket. */
   report(): DatagramCounts
   close(): Promise<void>
@@ -57,8 +59,8 @@
     ...options,
     send: (to, message) => socket?.send(to, formatGossipMessage(message)),
     createAttachment: () => formatProgress(options.getProgress()),
-    handleAttachment: (_, attachment) => { parseProgress(attachment).match(options.handleProgress, warnMalformed) },
-    handlePayload: (from, payload) => { parseGatewayMessage(payload).match((message) => options.handleMessage(from, message), warnMalformed) }
+    handleAttachment: (_, attachment, delayMs) => { parseProgress(attachment).match((progress) => options.handleProgress(addProgressAge(progress, delayMs)), warnMalformed) },
+    handlePayload: (from, payload, delayMs) => { parseGatewayMessage(payload).match((message) => options.handleMessage(from, addMessageAge(message, delayMs)), warnMalformed) }
   })
   const { addContacts, setStatus, listMembers, countMembers } = gossip
   return {
@@ -72,7 +74,7 @@
         port: self.peerPort,
         peerKey,
         clock,
-        handleMessage: (message) => { parseGossipMessage(message).match(gossip.handleMessage, warnMalformed) },
+        handleMessage: (message, delayMs) => { parseGossipMessage(message).match((parsed) => gossip.handleMessage(parsed, delayMs), warnMalformed) },
         handleFault: (message) => logger.warn(message)
       })
       if (opened.isErr()) return opened.map(() => undefined)
@@ -82,6 +84,7 @@
     },
     broadcast: (message) => gossip.broadcast(message),
     sendTo: (id, message) => gossip.sendTo(id, message),
+    runTick: () => socket?.runTick(),
     report: () => socket?.report() ?? NO_DATAGRAMS,
     async close () {
       gossip.close()
--- a/src/process/gateway/gateway-messages.ts
+++ b/src/process/gateway/gateway-messages.ts
@@ -80,6 +80,17 @@
   return ok(parsed.data as GatewayMessage)
 }
 
+/** Returns what a message says when it is `ms` older. */
+export function addMessageAge (message: GatewayMessage, ms: number): GatewayMessage {
+  if (message.type !== 'topic-range' || message.range.ageMs === undefined) return message
+  return { ...message, range: { ...message.range, ageMs: message.range.ageMs + ms } }
+}
+
+/** Returns what the progress of another gateway says when it is `ms` older. */
+export function addProgressAge (topics: ReadProgress, ms: number): ReadProgress {
+  return topics.map(({ topic, progress }) => ({ topic, progress: { ...progress, ageMs: progress.ageMs + ms } }))
+}
+
 /** Converts the progress of all topics to its wire form. */
 export function formatProgress (topics: ReadProgress): unknown {
   return topics.map(({ topic, progress }) => [topic, progress.epoch, progress.next, Math.ceil(progress.ageMs)])
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -98,6 +98,7 @@
   }, MAINTENANCE_INTERVAL_MS)
   const stopWatching = startLatenessWatch({
     clock,
+    handleTick: parts.membership.runTick,
     handleChange (isBusy, latenessMs) {
       log.warn(isBusy ? 'Overloaded: callers are sent to other entries.' : 'No longer overloaded.', { latenessMs: Math.round(latenessMs) })
       parts.isBusy = isBusy
--- a/src/process/gossip/gossip-membership.ts
+++ b/src/process/gossip/gossip-membership.ts
@@ -47,10 +47,10 @@
   send(to: DatagramAddress, message: GossipMessage): void
   /** Returns a small value that rides on each probe and response. */
   createAttachment(): unknown
-  /** Called with the attachment of each probe and response that arrives. */
-  handleAttachment(from: EntryId, attachment: unknown): void
-  /** Called with each value that another member has sent, to all or to this one alone. */
-  handlePayload(from: EntryId, payload: unknown): void
+  /** Called with the attachment of each probe and response that arrives, and how long it may have waited to be read, in ms. */
+  handleAttachment(from: EntryId, attachment: unknown, delayMs: number): void
+  /** Called with each value that another member has sent, to all or to this one alone, and how long it may have waited, in ms. */
+  handlePayload(from: EntryId, payload: unknown, delayMs: number): void
   /** Called when a member has appeared, changed its status or liveness, or is gone. */
   handleChange(): void
   timing?: Partial<GossipTiming>
@@ -62,8 +62,8 @@
   start(): void
   /** Adds addresses at which members may be found, and greets them if no other member is known. */
   addContacts(contacts: readonly DatagramAddress[]): void
-  /** Handles a message that has arrived. */
-  handleMessage(message: GossipMessage): void
+  /** Handles a message that has arrived, and that may have waited for `delayMs` before it was read. Default 0. */
+  handleMessage(message: GossipMessage, delayMs?: number): void
   /** Changes the own status, and announces the change to all members at once. */
   setStatus(changes: Partial<MemberStatus>): void
   /** Sends a value to all members. Some may miss it. */
@@ -214,21 +214,22 @@
   const sendBroadcast = (payload: unknown): void => {
     const alive = listAlive(members).map(({ update }) => update.record)
     for (const { member, isRelay } of listBroadcastRecipients(self.zone, alive, random)) {
-      send(toAddress(member), { type: 'broadcast', from: members.getSelf(), isRelay, payload })
+      send(toAddress(member), { type: 'broadcast', from: members.getSelf(), isRelay, delayMs: 0, payload })
     }
   }
-  const handleBroadcast = (message: GossipMessage & { type: 'broadcast' }): void => {
+  const handleBroadcast = (message: GossipMessage & { type: 'broadcast' }, ownDelayMs: number): void => {
+    const delayMs = message.delayMs + ownDelayMs
     const alive = listAlive(members).map(({ update }) => update.record).filter(({ id }) => id !== message.from.id)
-    if (message.isRelay) for (const member of listRelayRecipients(self.zone, alive)) send(toAddress(member), { ...message, isRelay: false })
-    if (message.payload !== undefined) options.handlePayload(message.from.id, message.payload)
+    if (message.isRelay) for (const member of listRelayRecipients(self.zone, alive)) send(toAddress(member), { ...message, isRelay: false, delayMs })
+    if (message.payload !== undefined) options.handlePayload(message.from.id, message.payload, delayMs)
   }
-  const handleMessage = (message: GossipMessage): void => {
+  const handleMessage = (message: GossipMessage, delayMs: number): void => {
     const { from } = message
     detector.recordMessage()
     applyUpdates(from, 'updates' in message ? message.updates : [], message.type === 'sync')
     if (message.type === 'ping' || message.type === 'ack') {
       if (message.digest !== members.getDigest()) differing = from
-      options.handleAttachment(from.id, message.attachment)
+      options.handleAttachment(from.id, message.attachment, delayMs)
     }
     switch (message.type) {
       case 'ping': return send(toAddress(from), createProbe('ack', message.sequence, from))
@@ -238,8 +239,8 @@
       case 'sync':
         hasJoined = true
         return
-      case 'broadcast': return handleBroadcast(message)
-      case 'direct': return options.handlePayload(from.id, message.payload)
+      case 'broadcast': return handleBroadcast(message, delayMs)
+      case 'direct': return options.handlePayload(from.id, message.payload, delayMs)
     }
   }
   return {
@@ -252,8 +253,8 @@
       for (const contact of contacts.choose(MAX_GREETED_CONTACTS)) send(contact, createProbe('ping', detector.takeSequence()))
       joinContacts()
     },
-    handleMessage (message) {
-      if (!isClosed) handleMessage(message)
+    handleMessage (message, delayMs = 0) {
+      if (!isClosed) handleMessage(message, delayMs)
     },
     setStatus (changes) {
       if (members.setStatus(changes)) sendBroadcast(undefined)
--- a/src/process/lateness-watch.ts
+++ b/src/process/lateness-watch.ts
@@ -9,6 +9,8 @@
   clock: Clock
   /** Called when the process becomes busy and when it stops being busy; `latenessMs` is the mean delay of timers. */
   handleChange(isBusy: boolean, latenessMs: number): void
+  /** Called on each tick of the watch, 20 times a second. */
+  handleTick?(): void
 }
 
 const TICK_MS = 50
@@ -22,7 +24,7 @@
 const MAX_LATENESS_MS = 150
 
 /** Starts the watch; the returned function ends it. */
-export function startLatenessWatch ({ clock, handleChange }: LatenessWatchOptions): Cancel {
+export function startLatenessWatch ({ clock, handleChange, handleTick }: LatenessWatchOptions): Cancel {
   let latenessMs = 0
   let isBusy = false
   let cancel: Cancel = () => undefined
@@ -34,6 +36,7 @@
       const isBusyNow = latenessMs > (isBusy ? NOT_BUSY_MS : BUSY_MS)
       if (isBusyNow !== isBusy) handleChange(isBusyNow, latenessMs)
       isBusy = isBusyNow
+      handleTick?.()
       startTick()
     })
   }
--- a/test/datagram.test.ts
+++ b/test/datagram.test.ts
@@ -5,6 +5,7 @@
 import type { DatagramSocket } from '../src/connection/datagram-socket.ts'
 import { formatGossipMessage, parseGossipMessage } from '../src/connection/gossip-frames.ts'
 import type { GossipMessage } from '../src/connection/gossip-frames.ts'
+import { createReceiveDelay } from '../src/connection/receive-delay.ts'
 import type { MemberRecord } from '../src/process/gossip/member-record.ts'
 import { toBrand } from '../src/types.ts'
 import { findFreePort, waitFor } from './support/gateway-system.ts'
@@ -82,7 +83,7 @@
     { type: 'ping-request', sequence: 2, from: RECORD, target: { address: '10.0.0.9', port: 7_660 } },
     { type: 'sync-request', from: RECORD, digest: 4_294_967_295 },
     { type: 'sync', from: RECORD, updates: UPDATES },
-    { type: 'broadcast', from: RECORD, isRelay: true, payload: { type: 'x' } }
+    { type: 'broadcast', from: RECORD, isRelay: true, delayMs: 70, payload: { type: 'x' } }
   ]
   for (const message of messages) expect(parseGossipMessage(formatGossipMessage(message))._unsafeUnwrap()).toEqual(message)
 })
@@ -139,3 +140,35 @@
   open.push((await openDatagramSocket(options))._unsafeUnwrap())
   expect((await openDatagramSocket(options))._unsafeUnwrapErr().kind).toBe('settings-invalid')
 })
+
+const waitForImmediates = () => new Promise((resolve) => { setImmediate(resolve) })
+
+test('a datagram that is read after a pause of the process may have waited for it, until the socket has been read empty', async () => {
+  const clock = createTestClock()
+  const delay = createReceiveDelay(clock)
+  await clock.advance(1_700)
+  delay.runTick()
+  for (let read = 0; read < 32; read++) delay.recordRead()
+  expect(delay.getMs()).toBe(1_700)
+  await waitForImmediates()
+  expect(delay.getMs()).toBe(1_700)
+  delay.runTick()
+  delay.recordRead()
+  await waitForImmediates()
+  expect(delay.getMs()).toBe(0)
+})
+
+// Guards against an old message that counts as new because its reader was paused.
+test('a message that waited while the process was busy says so', async () => {
+  const BUSY_MS = 300
+  const delays: number[] = []
+  const options = { address: '127.0.0.1', peerKey: 'key', clock: createHostClock(), handleFault: () => undefined }
+  const port = await findFreePort()
+  const receiver = (await openDatagramSocket({ ...options, port, handleMessage: (_, delayMs) => { delays.push(delayMs) } }))._unsafeUnwrap()
+  const sender = (await openDatagramSocket({ ...options, port: await findFreePort(), handleMessage: () => undefined }))._unsafeUnwrap()
+  open.push(receiver, sender)
+  sender.send({ address: '127.0.0.1', port }, 'old')
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BUSY_MS)
+  await waitFor(() => delays.length === 1)
+  expect(delays[0]).toBeGreaterThanOrEqual(BUSY_MS)
+})
--- a/test/gossip-membership.test.ts
+++ b/test/gossip-membership.test.ts
@@ -201,3 +201,19 @@
   await fleet.clock.advance(JOIN_MS)
   expect(Math.min(...fleet.members.map(({ membership }) => membership.countMembers()))).toBe(123)
 })
+
+// Guards against an old message that counts as new because the member that passes it on was paused.
+test('a broadcast that waited at a member that was paused says so to all that it reaches', async () => {
+  const PAUSE_MS = 1_000
+  const fleet = createFleet(4, { zoneCount: 2 })
+  await fleet.clock.advance(JOIN_MS)
+  const [origin, ...others] = fleet.members as [FleetMember, ...FleetMember[]]
+  const inOtherZone = others.filter((_, index) => index % 2 === 0)
+  for (const member of inOtherZone) member.isPaused = true
+  origin.membership.broadcast({ topic: 't' })
+  await fleet.clock.advance(PAUSE_MS)
+  for (const member of inOtherZone) fleet.resume(member)
+  await fleet.clock.advance(20)
+  expect(inOtherZone.map(({ received }) => received.length)).toEqual([1, 1])
+  for (const { receivedDelaysMs } of inOtherZone) expect(receivedDelaysMs[0]).toBeGreaterThan(PAUSE_MS - 10)
+})
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from 'vitest'
+import { addMessageAge, addProgressAge } from '../src/process/gateway/gateway-messages.ts'
 import { createSharedReads, selectReader } from '../src/process/gateway/shared-reads.ts'
 import { toSharedRanges } from '../src/process/discovery/shared-range.ts'
 import type { ReaderCandidate } from '../src/process/gateway/shared-reads.ts'
@@ -72,6 +73,14 @@
   expect(followers[1]!.known.get('a')).toBe('new')
 })
 
+test('what an entry says of its progress and of a range is older by the time that the message has waited', () => {
+  const position = { epoch: EPOCH, next: 3 }
+  const range = { topic: 't', from: 0, isAfterOutage: false, records: [], ...position }
+  expect(addProgressAge([{ topic: 't', progress: { ...position, ageMs: 40 } }], 1_700)).toEqual([{ topic: 't', progress: { ...position, ageMs: 1_740 } }])
+  expect(addMessageAge({ type: 'topic-range', range: { ...range, ageMs: 4 } }, 1_700)).toEqual({ type: 'topic-range', range: { ...range, ageMs: 1_704 } })
+  expect(addMessageAge({ type: 'topic-range', range }, 1_700)).toEqual({ type: 'topic-range', range })
+})
+
 test('only the last part of records that are shared in parts says how new it is', () => {
   const records = Array.from({ length: 4 }, (_, offset) => ({ offset, key: `k-${offset}`, value: Buffer.alloc(7_000) }))
   const parts = toSharedRanges({ topic: 't', epoch: EPOCH, from: 0, next: 4, ageMs: 5, isAfterOutage: false, records })
--- a/test/support/gossip-fleet.ts
+++ b/test/support/gossip-fleet.ts
@@ -17,6 +17,8 @@
   address: string
   membership: GossipMembership
   received: unknown[]
+  /** How long each value of `received` may have waited, in ms. */
+  receivedDelaysMs: number[]
   sentCount: number
   /** The datagrams that it sends, or that reach it, are lost. */
   isSendCut: boolean
@@ -65,13 +67,14 @@
     if (!to || from.isStopped || from.isSendCut || to.isReceiveCut || random() < network.lossShare) return
     const { membership } = to
     clock.startTimer(1 + random() * 2, () => {
-      if (!to.isStopped && to.membership === membership) runOrKeep(to, () => membership.handleMessage(message))
+      const arrivedAtMs = clock.monotonicMs()
+      if (!to.isStopped && to.membership === membership) runOrKeep(to, () => membership.handleMessage(message, clock.monotonicMs() - arrivedAtMs))
     })
   }
   const startMember = (index: number, run: number, contacts: readonly number[] = []): FleetMember => {
     const id = `front-${index}`
     const address = `10.0.${Math.floor(index / 250)}.${1 + index % 250}`
-    const member = { id, address, received: [], sentCount: 0, isSendCut: false, isReceiveCut: false, isPaused: false, isStopped: false } as unknown as FleetMember
+    const member = { id, address, received: [], receivedDelaysMs: [], sentCount: 0, isSendCut: false, isReceiveCut: false, isPaused: false, isStopped: false } as unknown as FleetMember
     const zone = ZONES[index % zoneCount]!
     member.membership = createGossipMembership({
       self: { id: toBrand(id), zone: toBrand(zone), address, port: 8_144, peerPort: PEER_PORT, run, version: 0, status: { isReady: true, isLeaving: false, isBusy: false, canReadStore: true, isCutOff: false } },
@@ -81,7 +84,10 @@
       send: (to, message) => send(member, to.address, message),
       createAttachment: () => null,
       handleAttachment: () => undefined,
-      handlePayload: (_, payload) => { member.received.push(payload) },
+      handlePayload (_, payload, delayMs) {
+        member.received.push(payload)
+        member.receivedDelaysMs.push(delayMs)
+      },
       handleChange: () => undefined
     })
     const replaced = members[index]
