Keep a record of an entry with a port out of range from ending every entry that reads it

Shown by a test with a real process: one record under keyed.entries with a port like 65536 ended the entry 0.5 s after its start with ERR_SOCKET_BAD_PORT, at each start.

Cause: the record's port was any whole number; the socket throws for one out of range, in the timer of the membership.

Change: one check of unicast addresses and ports, used for the records of entries; the socket counts a datagram that cannot be sent as failed, whatever the reason. The six copies of the highest port are one constant.

--- a/src/connection/datagram-socket.ts
+++ b/src/connection/datagram-socket.ts
@@ -65,11 +65,16 @@
   const sendDatagram = (to: DatagramAddress, datagram: Buffer): void => {
     counts.sent += 1
     counts.sentBytes += datagram.length
-    socket.send(datagram, to.port, to.address, (cause) => {
-      if (!cause) return
+    const fail = (cause: unknown): void => {
       counts.failed += 1
       reportFault(`A datagram to ${to.address}:${to.port} could not be sent: ${describeCause(cause)}`)
-    })
+    }
+    try {
+      socket.send(datagram, to.port, to.address, (cause) => { if (cause) fail(cause) })
+    } catch (cause) {
+      // Node.js throws for a port out of range.
+      fail(cause)
+    }
   }
   const send = (to: DatagramAddress, message: unknown): void => {
     if (isClosed) return
--- a/src/connection/gossip-frames.ts
+++ b/src/connection/gossip-frames.ts
@@ -8,6 +8,7 @@
 import { createError } from '../errors.ts'
 import type { AppError } from '../errors.ts'
 import type { Liveness, MemberRecord, MemberStatus, MemberUpdate } from '../process/gossip/member-record.ts'
+import { MAX_PORT } from '../unicast-address.ts'
 import { toBrand } from '../types.ts'
 import type { EntryId, ZoneId } from '../types.ts'
 import type { DatagramAddress } from './datagram-socket.ts'
@@ -32,7 +33,6 @@
   | { type: 'direct', from: MemberRecord, payload: unknown }
 
 const MAX_TEXT_LENGTH = 128
-const MAX_PORT = 65_535
 const MAX_UPDATES = 4_096
 const FLAG_BITS: Record<keyof MemberStatus, number> = { isReady: 1, isLeaving: 2, isBusy: 4, canReadStore: 8, isCutOff: 16 }
 const LIVENESS_CODES: readonly Liveness[] = ['alive', 'suspect', 'dead']
--- a/src/connection/peer-frames.ts
+++ b/src/connection/peer-frames.ts
@@ -8,12 +8,12 @@
 import type { AppError } from '../errors.ts'
 import type { PeerMessage } from '../process/membership/peer-mesh.ts'
 import type { EntryId, Incarnation, Offset, ZoneId } from '../types.ts'
+import { MAX_PORT } from '../unicast-address.ts'
 
 /** Version of the peer protocol; both ends must use the same. */
 export const PEER_PROTOCOL_VERSION = 1
 
 const MAX_ID_LENGTH = 128
-const MAX_PORT = 65_535
 const NONCE_BYTES = 16
 const PROOF_BYTES = 32
 const MAX_FACTS = 4_096
--- a/src/platform/boot-file.ts
+++ b/src/platform/boot-file.ts
@@ -9,12 +9,11 @@
 import { toBrand } from '../types.ts'
 import type { EntryId, ZoneId } from '../types.ts'
 import { parseDurationMs } from './durations.ts'
+import { isPort, MAX_PORT } from '../unicast-address.ts'
 
 /** Environment variable that holds the path of the boot file. */
 export const BOOT_FILE_VARIABLE = 'MEDLARCOVE_BOOT'
 
-const MAX_PORT = 65_535
-
 /** An IP address or host name with a port. */
 export interface HostPort { address: string, port: number }
 
@@ -66,7 +65,7 @@
 function parseHostPort (text: string): HostPort | undefined {
   const at = text.lastIndexOf(':')
   const port = Number(text.slice(at + 1))
-  if (at <= 0 || !Number.isInteger(port) || port < 1 || port > MAX_PORT) return undefined
+  if (at <= 0 || !isPort(port)) return undefined
   return { address: text.slice(0, at), port }
 }
 
--- a/src/process/gateway/entry-contacts.ts
+++ b/src/process/gateway/entry-contacts.ts
@@ -11,6 +11,7 @@
 import type { KeyedRecord } from '../../platform/store-frames.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import type { PartLogger } from '../logger.ts'
+import { isPort, isUnicastAddress } from '../../unicast-address.ts'
 import type { MemberRecord } from '../gossip/member-record.ts'
 
 /** Topic with the record of each entry, keyed by the entry's id. */
@@ -53,8 +54,8 @@
 const REWRITE_SPREAD_MS = 1_000
 
 const recordSchema = z.object({
-  address: z.ipv4(),
-  peerPort: z.number().int()
+  address: z.string().refine(isUnicastAddress),
+  peerPort: z.number().refine(isPort)
 })
 
 function decodeContact (record: KeyedRecord): DatagramAddress | undefined {
--- a/src/process/host-list-http-client.ts
+++ b/src/process/host-list-http-client.ts
@@ -6,6 +6,7 @@
 import { z } from 'zod'
 import { createError, describeCause } from '../errors.ts'
 import type { HostListClient, ListedHost } from './host-list-client.ts'
+import { MAX_PORT } from '../unicast-address.ts'
 
 /** Options of the client. */
 export interface HostListHttpOptions {
@@ -16,7 +17,6 @@
 }
 
 const DEFAULT_TIMEOUT_MS = 2_000
-const MAX_PORT = 65_535
 const HTTP_OK = 200
 
 const port = z.number().int().min(0).max(MAX_PORT)
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -9,8 +9,8 @@
 import type { AppError } from '../errors.ts'
 import type { EntryId, ZoneId } from '../types.ts'
 import { formatFaults, parseJsonc } from '../version/jsonc.ts'
+import { MAX_PORT } from '../unicast-address.ts'
 
-const MAX_PORT = 65_535
 const MIN_PEER_KEY_LENGTH = 16
 const ID_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/
 
--- /dev/null
+++ b/src/unicast-address.ts
@@ -0,0 +1,21 @@
+/**
+ * Addresses at which one process can be reached: a unicast IPv4 address and a port.
+ */
+import { z } from 'zod'
+
+/** The highest port. */
+export const MAX_PORT = 65_535
+/** First octets of the addresses that name no host: those of "this" network, and multicast and reserved ones. */
+const THIS_NETWORK_OCTET = 0
+const FIRST_MULTICAST_OCTET = 224
+
+/** Returns whether a text is an IPv4 address of one host. */
+export function isUnicastAddress (text: string): boolean {
+  const firstOctet = Number(text.split('.', 1)[0])
+  return z.ipv4().safeParse(text).success && firstOctet !== THIS_NETWORK_OCTET && firstOctet < FIRST_MULTICAST_OCTET
+}
+
+/** Returns whether a value is a port at which a process can be reached. */
+export function isPort (value: unknown): value is number {
+  return Number.isInteger(value) && (value as number) >= 1 && (value as number) <= MAX_PORT
+}
--- a/src/version/contract.ts
+++ b/src/version/contract.ts
@@ -3,8 +3,8 @@
  */
 import { z } from 'zod'
 import type { ContractVersion, CustomerId, ServiceId, TargetId, ZoneId } from '../types.ts'
+import { MAX_PORT } from '../unicast-address.ts'
 
-const MAX_PORT = 65_535
 const MAX_BODY_BYTES = 1_048_576
 const ID_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/
 
--- a/test/datagram.test.ts
+++ b/test/datagram.test.ts
@@ -172,3 +172,12 @@
   await waitFor(() => delays.length === 1)
   expect(delays[0]).toBeGreaterThanOrEqual(BUSY_MS)
 })
+
+test('a datagram to a port out of range is counted as failed and ends nothing', async () => {
+  const faults: string[] = []
+  const socket = (await openDatagramSocket({ address: '127.0.0.1', port: await findFreePort(), peerKey: 'key', clock: createHostClock(), handleMessage: () => undefined, handleFault: (message) => faults.push(message) }))._unsafeUnwrap()
+  open.push(socket)
+  for (const port of [0, -1, 65_536, 1.5]) socket.send({ address: '127.0.0.1', port }, 'x')
+  expect(socket.report().failed).toBe(4)
+  expect(faults[0]).toContain('127.0.0.1:0 could not be sent')
+})
