--- a/test/odd-records.test.ts
+++ b/test/odd-records.test.ts
@@ -1,8 +1,9 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
+import { describeConfiguration, ROUTE_HOST } from '../stand-ins/platform-target.ts'
 import { sendSafeRequest, startGatewayProgram } from './support/gateway-program.ts'
 import type { GatewayProgram } from './support/gateway-program.ts'
-import { waitFor } from './support/gateway-system.ts'
+import { sendRaw, waitFor } from './support/gateway-system.ts'
 
 const programs: GatewayProgram[] = []
 
@@ -28,3 +29,23 @@
   expect(program.child.exitCode, program.getOutput()).toBeNull()
   expect((await sendSafeRequest(program.settings, 'a-1')).text.slice(9, 12)).toBe('200')
 })
+
+// Guards against a time that no timer can hold: the idle timeout of a connection threw at the end of each response.
+test('a configuration with a number out of range changes nothing, and the next sound one takes effect', async () => {
+  const program = await startGatewayProgram()
+  programs.push(program)
+  const { settings, store } = program
+  const endless = `${'9'.repeat(400)}s`
+  const sound = describeConfiguration(2)
+  const odd = [{ ...sound, limits: { ...sound.limits, idleTimeout: endless } }, describeConfiguration(3, { timeout: endless }), describeConfiguration(4, { timeout: '9999999999s' }), { ...sound, version: 1e300 }, DEEP]
+  for (const [index, value] of odd.entries()) {
+    store.put('keyed.op', 'config', value)
+    await waitFor(() => program.child.exitCode !== null || program.getOutput().split(/A configuration is in effect|Skipped a configuration/).length === index + 3)
+    const kept = await sendRaw(settings.listen.front.port, `GET /safe/a HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nMedlarcove-Attempt-Id: kept-${index}\r\n\r\n`, 300)
+    expect(program.child.exitCode, program.getOutput()).toBeNull()
+    expect(kept.text.slice(9, 12), `${index}`).toBe('200')
+  }
+  store.put('keyed.op', 'config', describeConfiguration(5))
+  await waitFor(() => program.getOutput().includes('"version":5,"before":1'))
+  expect(program.child.exitCode).toBeNull()
+})
