Take no record with an address, number or name out of range for a target

One with a start in the far future that takes the id of a sound target kept the target's own reports out as stale.

--- a/replay/platform-demo.ts
+++ b/replay/platform-demo.ts
@@ -2,7 +2,7 @@
  * The part of the demo on the platform's store: two entries, with stand-ins of the store and the targets.
  */
 import { request } from 'undici'
-import type { HostPort } from '../src/platform/boot-file.ts'
+import type { HostPort } from '../src/unicast-address.ts'
 import { toBrand } from '../src/types.ts'
 import type { EntryId, ZoneId } from '../src/types.ts'
 import { formatBootText } from '../stand-ins/platform-boot.ts'
--- a/src/connection/check-for-crash.ts
+++ b/src/connection/check-for-crash.ts
@@ -3,7 +3,7 @@
  */
 import { connect } from 'node:net'
 import type { Clock } from '../clock.ts'
-import type { HostPort } from '../platform/boot-file.ts'
+import type { HostPort } from '../unicast-address.ts'
 
 /**
  * What a new connection to the target shows: `crashed` when it is refused, since nothing listens there any more; `alive`
--- a/src/platform/boot-file.ts
+++ b/src/platform/boot-file.ts
@@ -9,14 +9,12 @@
 import { toBrand } from '../types.ts'
 import type { EntryId, ZoneId } from '../types.ts'
 import { parseDurationMs } from './durations.ts'
-import { isPort, MAX_PORT } from '../unicast-address.ts'
+import { MAX_PORT, parseHostPort } from '../unicast-address.ts'
+import type { HostPort } from '../unicast-address.ts'
 
 /** Environment variable that holds the path of the boot file. */
 export const BOOT_FILE_VARIABLE = 'MEDLARCOVE_BOOT'
 
-/** An IP address or host name with a port. */
-export interface HostPort { address: string, port: number }
-
 /** The settings in a boot file. Durations are in ms. */
 export interface BootSettings {
   entry: EntryId
@@ -62,13 +60,6 @@
   return fields
 }
 
-function parseHostPort (text: string): HostPort | undefined {
-  const at = text.lastIndexOf(':')
-  const port = Number(text.slice(at + 1))
-  if (at <= 0 || !isPort(port)) return undefined
-  return { address: text.slice(0, at), port }
-}
-
 /** Reads typed fields and collects all faults, so that one error can report them together. */
 function createFieldReader (fields: Fields) {
   const faults: string[] = []
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -12,7 +12,7 @@
 import type { LogResponse } from '../process/log-connections.ts'
 import { toBrand } from '../types.ts'
 import type { StoreEpoch } from '../types.ts'
-import type { HostPort } from './boot-file.ts'
+import type { HostPort } from '../unicast-address.ts'
 import { decodeKeyedRecord, decodePage, encodeKeyedRecord } from './store-frames.ts'
 import type { KeyedRecord, StorePage } from './store-frames.ts'
 
--- a/stand-ins/platform-boot.ts
+++ b/stand-ins/platform-boot.ts
@@ -1,7 +1,8 @@
 /**
  * Formats boot files as the platform writes them.
  */
-import type { BootSettings, HostPort } from '../src/platform/boot-file.ts'
+import type { BootSettings } from '../src/platform/boot-file.ts'
+import type { HostPort } from '../src/unicast-address.ts'
 
 /** The settings that a boot file must have, and the grace period in ms where it differs from the default. */
 export type BootFields = Pick<BootSettings, 'entry' | 'zone' | 'address' | 'listen' | 'internalPorts' | 'store'> & Partial<Pick<BootSettings, 'graceMs'>>
--- a/test/odd-records.test.ts
+++ b/test/odd-records.test.ts
@@ -1,6 +1,8 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
-import { describeConfiguration, ROUTE_HOST } from '../stand-ins/platform-target.ts'
+import { decodeTargetReport } from '../src/platform/target-record.ts'
+import type { PlatformStore } from '../stand-ins/platform-store.ts'
+import { describeConfiguration, describeTarget, ROUTE_HOST } from '../stand-ins/platform-target.ts'
 import { sendSafeRequest, startGatewayProgram } from './support/gateway-program.ts'
 import type { GatewayProgram } from './support/gateway-program.ts'
 import { sendRaw, waitFor } from './support/gateway-system.ts'
@@ -30,6 +32,58 @@
   expect((await sendSafeRequest(program.settings, 'a-1')).text.slice(9, 12)).toBe('200')
 })
 
+const SOUND = describeTarget({ port: 9 })
+
+/** Records that name no target, as values of the topic of the targets. */
+const ODD_TARGETS: Record<string, unknown> = {
+  'port 0': { ...SOUND, address: '127.0.0.1:0' },
+  'port 65536': { ...SOUND, address: '127.0.0.1:65536' },
+  'port 99999': { ...SOUND, address: '127.0.0.1:99999' },
+  'no such octet': { ...SOUND, address: '999.1.1.1:80' },
+  'this network': { ...SOUND, address: '0.0.0.0:80' },
+  multicast: { ...SOUND, address: '224.0.0.1:80' },
+  broadcast: { ...SOUND, address: '255.255.255.255:80' },
+  'too many slots': { ...SOUND, info: { ...SOUND.info, slots: Number.MAX_SAFE_INTEGER } },
+  'long service': { ...SOUND, info: { ...SOUND.info, service: 's'.repeat(200_000) } },
+  'long zone': { ...SOUND, info: { ...SOUND.info, zone: 'z'.repeat(200_000) } },
+  'endless warm-up': { ...SOUND, status: { ...SOUND.status, warmupLeft: `${'9'.repeat(400)}s` } },
+  'long warm-up': { ...SOUND, status: { ...SOUND.status, warmupLeft: '9999999999s' } },
+  'sequence too large': { ...SOUND, status: { ...SOUND.status, sequence: Number.MAX_SAFE_INTEGER } },
+  'born too late': { ...SOUND, born: Number.MAX_SAFE_INTEGER },
+  'number too large': JSON.stringify(SOUND).replace('"born":1', '"born":1e999'),
+  deep: DEEP,
+  'deep field': JSON.stringify(SOUND).replace('"born":1', `"born":${DEEP}`)
+}
+
+// Guards against odd records that are taken for targets, and get requests that then fail.
+test('a record of a target with an address, a number or a name out of range names no target', () => {
+  expect(decodeTargetReport('i-1', Buffer.from(JSON.stringify(SOUND))).isOk()).toBe(true)
+  for (const [name, value] of Object.entries(ODD_TARGETS)) {
+    const bytes = Buffer.from(typeof value === 'string' ? value : JSON.stringify(value))
+    expect(decodeTargetReport('i-1', bytes).isErr(), name).toBe(true)
+  }
+  for (const id of ['', 'i-1\r\nx: y', 'i 1', '\u0000', 'ï-1', 'i'.repeat(200)]) expect(decodeTargetReport(id, Buffer.from(JSON.stringify(SOUND))).isErr(), id).toBe(true)
+})
+
+test('odd records of targets beside a sound one cost no request, at the start, later and in a full read', async () => {
+  const writeAll = (store: PlatformStore): void => { for (const [name, value] of Object.entries(ODD_TARGETS)) store.put('keyed.servers', name, value) }
+  const program = await startGatewayProgram({ prepare: writeAll })
+  programs.push(program)
+  const sendMany = async (round: string): Promise<void> => {
+    const responses = await Promise.all(Array.from({ length: 8 }, (_, index) => sendSafeRequest(program.settings, `${round}-${index}`)))
+    expect(responses.map(({ text }) => text.slice(9, 12)), round).toEqual(responses.map(() => '200'))
+  }
+  await sendMany('start')
+  writeAll(program.store)
+  program.store.put('keyed.servers', 'i-2', { ...describeTarget(program.target), status: { state: 'draining', sequence: 1, warmupLeft: '0ms' } })
+  await waitFor(() => program.getOutput().includes('"target":"i-2"'))
+  await sendMany('later')
+  program.store.restore(program.store.takeCopy())
+  await waitFor(() => program.getOutput().split('Read all targets.').length === 3)
+  await sendMany('full read')
+  expect(program.child.exitCode).toBeNull()
+})
+
 // Guards against a time that no timer can hold: the idle timeout of a connection threw at the end of each response.
 test('a configuration with a number out of range changes nothing, and the next sound one takes effect', async () => {
   const program = await startGatewayProgram()
