Keep a target whose record cannot be decoded in a full read

Change: ids whose records cannot be decoded are named in the full read and stay. A removal still removes them.

Test: target-registry, "a target whose record cannot be decoded in a full read stays"; the registry had no way to be told before.

--- a/src/process/discovery/target-registry.ts
+++ b/src/process/discovery/target-registry.ts
@@ -55,8 +55,8 @@
    * have expired only because the target could not reach the store.
    */
   apply(change: TargetChange, nowMs: number, isOutage: boolean): ChangeOutcome
-  /** Applies a full read. Targets that it does not contain are removed. */
-  replaceAll(reports: readonly TargetReport[], nowMs: number, isOutage: boolean): void
+  /** Applies a full read. Targets that it does not contain are removed, but for those in `unreadable`, whose records could not be decoded. */
+  replaceAll(reports: readonly TargetReport[], unreadable: readonly TargetId[], nowMs: number, isOutage: boolean): void
   /** Marks a target's present run as leaving without a report of its own. Returns whether that changed anything. */
   markLeaving(id: TargetId): boolean
   /** Removes the targets whose record expired and that did not report again in time. Returns their ids. */
@@ -146,8 +146,8 @@
     apply: (change, nowMs, isOutage) => change.type === 'report'
       ? applyReport(change.report, nowMs)
       : applyRemoval(change.id, nowMs, isOutage),
-    replaceAll (reports, nowMs, isOutage) {
-      const named = new Set(reports.map((report) => report.id))
+    replaceAll (reports, unreadable, nowMs, isOutage) {
+      const named = new Set([...reports.map((report) => report.id), ...unreadable])
       for (const report of reports) applyReport(report, nowMs)
       for (const id of [...targets.keys()]) if (!named.has(id)) applyRemoval(id, nowMs, isOutage)
     },
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -114,8 +114,11 @@
     return true
   }
   const applyAllTargets = (records: readonly KeyedRecord[], isAfterOutage: boolean): void => {
-    const reports: TargetReport[] = records.map(decodeChange).flatMap((change) => change?.type === 'report' ? [change.report] : [])
-    registry.replaceAll(reports, clock.monotonicMs(), isAfterOutage)
+    const decoded = records.map((record) => ({ id: toBrand<TargetId>(record.key), change: decodeChange(record) }))
+    const reports: TargetReport[] = decoded.flatMap(({ change }) => change?.type === 'report' ? [change.report] : [])
+    // As with single records, one that cannot be decoded changes nothing.
+    const unreadable = decoded.filter(({ change }) => change === undefined).map(({ id }) => id)
+    registry.replaceAll(reports, unreadable, clock.monotonicMs(), isAfterOutage)
     logger.info('Read all targets.', { count: registry.countTargets() })
   }
   return {
--- a/test/target-registry.test.ts
+++ b/test/target-registry.test.ts
@@ -85,7 +85,7 @@
 test('a full read removes the targets that it does not contain', () => {
   const registry = createTargetRegistry()
   for (const id of ['i-1', 'i-2']) registry.apply({ type: 'report', report: buildReport({ id: toId(id) }) }, 0, false)
-  registry.replaceAll([buildReport({ id: toId('i-2'), sequence: 2 })], 1, false)
+  registry.replaceAll([buildReport({ id: toId('i-2'), sequence: 2 })], [], 1, false)
   expect(listIds(registry)).toEqual(['i-2'])
 })
 
@@ -109,7 +109,7 @@
       if (kind === 'removal') {
         if (registry.apply({ type: 'removal', id: toId('i-1') }, nowMs, isOutage) === 'removed' && known) leftRuns.add(known.report.bornMs * 100 + known.report.sequence)
       } else if (kind === 'expiry') registry.removeExpired(nowMs)
-      else if (kind === 'full') registry.replaceAll([report], nowMs, isOutage)
+      else if (kind === 'full') registry.replaceAll([report], [], nowMs, isOutage)
       else if (registry.apply({ type: 'report', report }, nowMs, isOutage) === 'leaving') leftRuns.add(-born)
       const target = registry.get(toId('i-1'))
       if (!target || target.isLeaving) continue
@@ -118,3 +118,14 @@
     }
   }), { seed, numRuns })
 })
+
+// Guards against an odd record of another writer that takes a sound target away with the next full read.
+test('a target whose record cannot be decoded in a full read stays', () => {
+  const registry = createTargetRegistry()
+  registry.apply({ type: 'report', report: buildReport() }, 0, false)
+  const { id } = buildReport()
+  registry.replaceAll([], [id], 1, false)
+  expect(registry.get(id)).toBeDefined()
+  registry.replaceAll([], [], 2, false)
+  expect(registry.get(id)).toBeUndefined()
+})
