Collect the chunks of a body in one buffer

Cause: each chunk was kept as an object until the body was complete. Ruled out: the size of the body, which is within the limit. Change: chunks are copied into a buffer outside the heap that doubles up to the announced or allowed size.

--- a/src/request/read-body.ts
+++ b/src/request/read-body.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../clock.ts'
 import { createError } from '../errors.ts'
 import type { AppError } from '../errors.ts'
+import { createBodyBuffer } from './body-buffer.ts'
 import type { Cancel } from '../types.ts'
 
 /** Returns whether the headers of a request announce a body. */
@@ -30,8 +31,9 @@
  */
 export async function readBody (incoming: IncomingMessage, { maxBytes, maxPauseMs, watchStop }: BodyLimits, clock: Clock): Promise<Result<Uint8Array | undefined, AppError>> {
   if (!hasBody(incoming)) return ok(undefined)
-  if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) return err(createTooLargeError(maxBytes))
-  const chunks: Uint8Array[] = []
+  const announcedBytes = Number(incoming.headers['content-length'] ?? maxBytes)
+  if (announcedBytes > maxBytes) return err(createTooLargeError(maxBytes))
+  const body = createBodyBuffer(announcedBytes)
   let sizeBytes = 0
   return new Promise((resolve) => {
     const startPauseTimer = () => clock.startTimer(maxPauseMs, () => {
@@ -42,14 +44,14 @@
     const handleData = (chunk: Uint8Array): void => {
       cancelPause()
       sizeBytes += chunk.byteLength
-      if (sizeBytes > maxBytes) {
+      if (sizeBytes > announcedBytes) {
         finish(err(createTooLargeError(maxBytes)))
         return
       }
-      chunks.push(chunk)
+      body.append(chunk)
       cancelPause = startPauseTimer()
     }
-    const handleEnd = (): void => finish(ok(Buffer.concat(chunks)))
+    const handleEnd = (): void => finish(ok(body.finish()))
     const handleClose = (): void => finish(err(createError('malformed-request', 'The connection was closed before the request body was complete.')))
     const finish = (result: Result<Uint8Array, AppError>): void => {
       cancelPause()
