Let a second signal wait for the shutdown that is under way

Cause: stop() resolved at once for the second call, which the command takes for the end of the shutdown. Change: all calls resolve together.

--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -14,7 +14,7 @@
 export interface Gateway {
   /**
    * Shuts down gracefully: withdraws this entry from the addresses for callers, serves until callers use other entries,
-   * and closes. Resolves when the process may exit.
+   * and closes. Resolves when the process may exit; further calls resolve together with the first one.
    */
   stop(reason: string): Promise<void>
   /** Closes at once, without waiting for callers. */
@@ -111,12 +111,16 @@
     stopWatching()
     await closeParts(parts)
   }
+  const runStop = async (reason: string): Promise<void> => {
+    parts.isStopping = true
+    await stopParts(parts, reason)
+    await close()
+  }
+  let stopping: Promise<void> | undefined
   return ok({
-    async stop (reason) {
-      if (parts.isStopping) return
-      parts.isStopping = true
-      await stopParts(parts, reason)
-      await close()
+    stop (reason) {
+      stopping ??= runStop(reason)
+      return stopping
     },
     close,
     reload (next) {
--- a/test/gateway-process.test.ts
+++ b/test/gateway-process.test.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { afterEach, expect, test } from 'vitest'
+import { sendCompleteResponse } from '../stand-ins/platform-target.ts'
 import { PLATFORM_PROGRAM, sendSafeRequest, startGatewayProgram } from './support/gateway-program.ts'
 import type { GatewayProgram } from './support/gateway-program.ts'
 import { waitFor } from './support/gateway-system.ts'
@@ -29,6 +30,26 @@
   expect(getOutput()).toContain('[gateway] Stopped.')
 })
 
+// Guards against a second signal that ends the process with requests in progress.
+test('a second SIGTERM, SIGINT or SIGHUP during the shutdown changes nothing for the requests in progress', async () => {
+  const program = await startGatewayProgram({ settings: { graceMs: 6_000 } })
+  cleanups.push(program.close)
+  const finishers: (() => void)[] = []
+  program.target.handleRequest = (incoming, outgoing) => { finishers.push(() => sendCompleteResponse(program.target, incoming, outgoing)) }
+  const responses = ['a-1', 'a-2', 'a-3'].map((id) => sendSafeRequest(program.settings, id))
+  await waitFor(() => finishers.length === responses.length)
+  program.child.kill('SIGTERM')
+  await waitFor(() => program.getOutput().includes('Stopping.'))
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGTERM'] as const) program.child.kill(signal)
+  // The process has handled the signals once it reports a change of its boot file that came after them.
+  writeFileSync(program.bootFile, 'node=front-1\n')
+  program.child.kill('SIGHUP')
+  await waitFor(() => program.child.exitCode !== null || program.getOutput().includes('The changed settings are wrong'))
+  for (const finish of finishers) finish()
+  expect((await Promise.all(responses)).map(({ text }) => text.slice(9, 12))).toEqual(['200', '200', '200'])
+  expect(await program.exited).toBe(0)
+})
+
 test('the gateway command exits with 0 on SIGTERM', async () => {
   const { child, exited } = await startProgram(['dist/medlarcove.cjs', 'gateway'])
   child.kill('SIGTERM')
