Let one record that cannot be applied end neither its page nor the follower

Change: when applying a page fails, its records are applied one by one, and the one that fails is logged and skipped. The follower's loop logs any other exception and tries again after a pause.

The loop of the follower is split into three functions.

--- a/src/process/discovery/record-applier.ts
+++ b/src/process/discovery/record-applier.ts
@@ -47,10 +47,27 @@
 
 /** Creates the functions that apply the records of a topic, and that move the position. */
 export function createRecordApplier (options: RecordApplierOptions) {
-  const { topic, logger, sharing, position, outages, applyRecords } = options
+  const { topic, logger, sharing, position, outages } = options
   /** Epoch of the records that were applied last. */
   let appliedEpoch: StoreEpoch | undefined
 
+  const applyOne = (record: KeyedRecord, context: PageContext): KeyedRecord[] => {
+    try {
+      return options.applyRecords([record], context)
+    } catch (cause) {
+      logger.error('Skipped a record that could not be applied.', { topic, key: record.key, offset: record.offset, err: cause })
+      return []
+    }
+  }
+  /** Applies records; one on which that fails takes no others with it. A full read is applied as a whole or fails. */
+  const applyRecords = (records: readonly KeyedRecord[], context: PageContext): KeyedRecord[] => {
+    if (context.isFullRead) return options.applyRecords(records, context)
+    try {
+      return options.applyRecords(records, context)
+    } catch {
+      return records.flatMap((record) => applyOne(record, context))
+    }
+  }
   const isAfterOutage = (): boolean => outages.isAfterOutage(options.postOutageWindowMs)
   /** Begins to apply records of an epoch. Returns whether the store was restored since the last ones. */
   const startEpoch = (epoch: StoreEpoch): boolean => {
--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -184,23 +184,35 @@
     const because = outages.isUnavailable() ? 'its last read failed' : position.isBehind() ? 'it is behind the reader' : 'it received nothing from the reader'
     logger.info('Reading a topic by itself.', { topic, because, ...known, furthest: position.getFurthest(), knownForMs: Math.round(position.getAgeMs()) })
   }
+  const readAndPause = async (): Promise<void> => {
+    const startedAtMs = clock.monotonicMs()
+    const isRead = await readOnce()
+    if (!isRead) {
+      await pauseForRetry()
+      return
+    }
+    const pauseMs = hasMoreRecords ? 0 : startedAtMs + options.pauseMs - clock.monotonicMs()
+    if (pauseMs > 0) await pause(pauseMs)
+  }
+  /** Waits for the reader, or reads once. */
+  const runOnce = async (): Promise<void> => {
+    const trustMs = getReaderTrustMs()
+    if (trustMs > 0) {
+      isReadingAlone = false
+      await waitForReader(trustMs)
+      return
+    }
+    explainOwnRead()
+    await readAndPause()
+  }
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
-      const trustMs = getReaderTrustMs()
-      if (trustMs > 0) {
-        isReadingAlone = false
-        await waitForReader(trustMs)
-        continue
+      try {
+        await runOnce()
+      } catch (cause) {
+        logger.error('Following a topic failed; trying again.', { topic, err: cause })
+        await pause(RETRY_MS)
       }
-      explainOwnRead()
-      const startedAtMs = clock.monotonicMs()
-      const isRead = await readOnce()
-      if (isRead) {
-        const pauseMs = hasMoreRecords ? 0 : startedAtMs + options.pauseMs - clock.monotonicMs()
-        if (pauseMs > 0) await pause(pauseMs)
-        continue
-      }
-      await pauseForRetry()
     }
   }
   return {
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -5,7 +5,7 @@
 import type { ReaderCandidate } from '../src/process/gateway/shared-reads.ts'
 import { toBrand } from '../src/types.ts'
 import type { EntryId, StoreEpoch } from '../src/types.ts'
-import { createSharedReaders, DRAIN_MS, PAUSE_MS, READ_MS, SILENT_AFTER_MS } from './support/shared-readers.ts'
+import { createSharedReaders, DRAIN_MS, PAUSE_MS, POISON, READ_MS, SILENT_AFTER_MS } from './support/shared-readers.ts'
 import type { Follower } from './support/shared-readers.ts'
 
 const EPOCH = toBrand<StoreEpoch>(1)
@@ -87,6 +87,30 @@
   expect(parts.map(({ ageMs }) => ageMs)).toEqual([undefined, undefined, undefined, 5])
 })
 
+// Guards against a record that ends the follower of its topic for good.
+test('a record that cannot be applied takes neither the others of its page with it nor those that follow', async () => {
+  const { clock, followers, write } = createSharedReaders(3)
+  await clock.advance(2_000)
+  write('a', 'before')
+  write('odd', POISON)
+  write('b', 'after')
+  await clock.advance(DRAIN_MS)
+  write('c', 'later')
+  await clock.advance(DRAIN_MS)
+  expect(followers.map(({ known }) => [...known.keys()])).toEqual(followers.map(() => ['a', 'b', 'c']))
+})
+
+test('a follower goes on after a full read that cannot be applied', async () => {
+  const { clock, followers, write, restore } = createSharedReaders(1)
+  write('odd', POISON)
+  restore(1)
+  await clock.advance(1_000)
+  restore(0)
+  write('a', 'sound')
+  await clock.advance(2_000)
+  expect(followers[0]!.known.get('a')).toBe('sound')
+})
+
 test('an entry that missed a range reads it by itself', async () => {
   const { clock, followers, write } = createSharedReaders(3)
   await clock.advance(2_000)
--- a/test/support/shared-readers.ts
+++ b/test/support/shared-readers.ts
@@ -17,6 +17,8 @@
 export const DRAIN_MS = 2_000
 const RETRYING_ENTRIES = 3
 const PROBE_MS = 300
+/** Applying records with this value throws. */
+export const POISON = '!poison'
 
 /** An entry that follows the topic, what it knows, its reads, and its faults. */
 export interface Follower {
@@ -96,6 +98,7 @@
       postOutageWindowMs: DRAIN_MS,
       applyRecords (records, { isFullRead, isAfterOutage }) {
         if (isFullRead && isAfterOutage) followers[index]!.readsAfterOutage += 1
+        if (records.some(({ value }) => value && Buffer.from(value).toString() === POISON)) throw new Error('a record that cannot be applied')
         const changed = records.filter(({ value }) => value && !Buffer.from(value).toString().startsWith('~'))
         for (const { key, value } of changed) known.set(key, Buffer.from(value!).toString())
         return changed
