Bound the memory of all request bodies of an entry

Cause: each body had a bound, all together had none.

Change: the buffers of bodies take their memory from a budget of a quarter of limits.memoryMb (buffers that were given back are freed some time later). An announced body takes its size at the first chunk. What does not fit gets 503 bodies-full, not run, with Retry-After. A gauge shows the memory.

--- a/src/errors.ts
+++ b/src/errors.ts
@@ -34,6 +34,7 @@
   'no-contract': { status: 503, fate: 'not-run', retryAfterS: 2, advice: 'This entry has no contract yet; try another entry.' },
   'over-rate': { status: 429, fate: 'not-run', retryAfterS: 1, advice: 'The contract\'s rate is used up; wait and try again.' },
   'over-concurrency': { status: 429, fate: 'not-run', retryAfterS: 1, advice: 'Too many requests at once; wait for responses first.' },
+  'bodies-full': { status: 503, fate: 'not-run', retryAfterS: 1, advice: 'This entry has no memory left for another body; try again, or use another entry.' },
   'queue-full': { status: 503, fate: 'not-run', retryAfterS: 1, advice: 'All targets are busy; wait and try again.' },
   'queue-timeout': { status: 503, fate: 'not-run', retryAfterS: 1, advice: 'No target became free in time; try again.' },
   'no-target': { status: 503, fate: 'not-run', retryAfterS: 2, advice: 'No target of this service can take work; try again later.' },
--- a/src/platform/boot-file.ts
+++ b/src/platform/boot-file.ts
@@ -47,6 +47,8 @@
   retryBudget: { share: number, slack: number }
   /** The load probes per second that all entries together may send to the health endpoint of one target; `bounds.probesPerS`. */
   maxLoadProbesPerSecond: number
+  /** The memory at which the platform kills the process, in MB; `limits.memoryMb`. */
+  memoryMb: number
 }
 
 type Fields = ReadonlyMap<string, string>
@@ -88,7 +90,8 @@
   maxAddressLifetimeMs: 5_000,
   retryShare: 0.2,
   retrySlack: 0,
-  maxLoadProbesPerSecond: 60
+  maxLoadProbesPerSecond: 60,
+  memoryMb: 740
 }
 
 function parsePorts (text: string): readonly [number, number] | undefined {
@@ -123,7 +126,8 @@
       share: reader.readNumber('bounds.budgetRatio', DEFAULTS.retryShare),
       slack: reader.readNumber('bounds.budgetSlack', DEFAULTS.retrySlack)
     },
-    maxLoadProbesPerSecond: reader.readNumber('bounds.probesPerS', DEFAULTS.maxLoadProbesPerSecond)
+    maxLoadProbesPerSecond: reader.readNumber('bounds.probesPerS', DEFAULTS.maxLoadProbesPerSecond),
+    memoryMb: reader.readNumber('limits.memoryMb', DEFAULTS.memoryMb)
   }
   if (reader.faults.length > 0) return err(createError('settings-invalid', `${path}: ${reader.faults.join('; ')}`))
   return ok(settings)
--- a/src/process/gateway/gateway-metrics.ts
+++ b/src/process/gateway/gateway-metrics.ts
@@ -30,6 +30,8 @@
   datagrams: Pick<DatagramCounts, 'sent' | 'received' | 'refused' | 'failed'>
   droppedLogLines: number
   inProgress: number
+  /** Memory that request bodies take, in bytes. */
+  bodyBytes: number
 }
 
 /** Metrics of one gateway. */
@@ -62,7 +64,8 @@
     entries: new Gauge({ name: 'medlarcove_live_entries', help: 'Entries that are known to live.', registers }),
     datagrams: new Gauge({ name: 'medlarcove_datagrams_total', help: 'Datagrams between entries; refused: wrong key or malformed, failed: not sent.', labelNames: ['kind'], registers }),
     dropped: new Gauge({ name: 'medlarcove_log_lines_dropped_total', help: 'Log lines dropped because the reader was slow.', registers }),
-    inProgress: new Gauge({ name: 'medlarcove_requests_in_progress', help: 'Requests in progress.', registers })
+    inProgress: new Gauge({ name: 'medlarcove_requests_in_progress', help: 'Requests in progress.', registers }),
+    bodyBytes: new Gauge({ name: 'medlarcove_body_memory_bytes', help: 'Memory that the bodies of requests take.', registers })
   }
 }
 
@@ -93,6 +96,7 @@
   for (const kind of ['sent', 'received', 'refused', 'failed'] as const) metrics.datagrams.set({ kind }, values.datagrams[kind])
   metrics.dropped.set(values.droppedLogLines)
   metrics.inProgress.set(values.inProgress)
+  metrics.bodyBytes.set(values.bodyBytes)
 }
 
 /** Creates the metrics. */
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -6,6 +6,7 @@
 import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
 import type { Incarnation, ZoneId } from '../../types.ts'
+import { createByteBudget } from '../byte-budget.ts'
 import { createDeferredMetrics } from './deferred-metrics.ts'
 import { createGatewayFollowers } from './gateway-followers.ts'
 import { computeMaxRetryTokens, createContacts, createLimiter, createMembership, createQuarantine, createSharing, isReady, publishStatus, USED_SHARE } from './gateway-peers.ts'
@@ -23,6 +24,9 @@
 /** Share of the allowed retry ratio that is used: a request and its retries may be counted in different windows. */
 const USED_RETRY_SHARE = 0.9
 const MAX_CONNECTIONS_PER_TARGET = 24
+const BYTES_PER_MB = 1_048_576
+/** Share of the memory of the process that request bodies may take; buffers that were given back are freed only some time later. */
+const BODY_MEMORY_SHARE = 0.25
 
 function createState (parts: GatewayParts): GatewayState {
   const { clock, random, log, settings } = parts
@@ -73,7 +77,8 @@
       liveEntries: parts.membership.listMembers().filter((member) => member.state === 'live').length,
       datagrams: parts.membership.report(),
       droppedLogLines: options.countDroppedLines?.() ?? 0,
-      inProgress: requests.countInProgress()
+      inProgress: requests.countInProgress(),
+      bodyBytes: parts.bodyBudget.getTaken()
     })
   })
 }
@@ -99,8 +104,10 @@
   const { settings, clock, logger, random = Math.random } = options
   const run = clock.wallMs()
   const incarnation = toBrand<Incarnation>(`${run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
-  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, isCutOff: false, hasMembershipChanged: true, shutdown: createShutdown(clock) }
+  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, isCutOff: false, hasMembershipChanged: true }
   const parts = { ...base } as GatewayParts
+  parts.shutdown = createShutdown(clock)
+  parts.bodyBudget = createByteBudget(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE)
   parts.store = createStore(parts)
   parts.limiter = createLimiter(parts)
   parts.quarantine = createQuarantine(parts)
@@ -113,7 +120,7 @@
     clock,
     logger: logger.forPart('metrics')
   })
-  parts.requests = createGatewayRequests({ state: parts.state, quarantine: parts.quarantine, clock, logger: logger.forPart('request'), metrics: parts.metrics, shutdown: parts.shutdown, isCutOff: () => parts.isCutOff })
+  parts.requests = createGatewayRequests({ state: parts.state, quarantine: parts.quarantine, clock, logger: logger.forPart('request'), metrics: parts.metrics, shutdown: parts.shutdown, bodyBudget: parts.bodyBudget, isCutOff: () => parts.isCutOff })
   parts.servers = createServers(parts, options)
   return parts
 }
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -21,6 +21,7 @@
 import type { Route } from '../../version/configuration.ts'
 import type { PartLogger } from '../logger.ts'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.ts'
+import type { ByteBudget } from '../byte-budget.ts'
 import { createWorkMeter } from '../selection/work-meter.ts'
 import type { GatewayMetrics } from './gateway-metrics.ts'
 import type { GatewayState, ConfigurationInEffect } from './gateway-state.ts'
@@ -45,6 +46,8 @@
   /** Whether this entry cannot reach most targets, so that callers are better served by others. */
   isCutOff(): boolean
   shutdown: Shutdown
+  /** What the memory of request bodies is taken from. */
+  bodyBudget: ByteBudget
 }
 
 /** Subtracted from the caller's deadline, for the transfer of the response to the caller, in ms. */
@@ -148,6 +151,21 @@
     log.write(call.record)
     metrics.recordRequest(call.record)
   }
+  /** Reads the body of a request, and serves or rejects it. */
+  const handleCall = async (call: UnreadCall, incoming: IncomingMessage, outgoing: ServerResponse, maxBytes: number): Promise<void> => {
+    const { bodyBudget } = options
+    const body = await readBody(incoming, { maxBytes, maxPauseMs: MAX_BODY_PAUSE_MS, watchStop: shutdown.watchResponseBy, budget: bodyBudget }, clock)
+    if (body.isErr()) {
+      reject(call, outgoing, body.error)
+      return
+    }
+    try {
+      if (canFinish(call)) await serve(addBody(call, incoming.headers, body.value, options.quarantine), outgoing)
+      else reject(call, outgoing, createError('entry-stopping', 'This entry is shutting down and would end before the request completes.'))
+    } finally {
+      bodyBudget.release(body.value?.buffer.byteLength ?? 0)
+    }
+  }
   const handle = async (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> => {
     const startedAtMs = clock.monotonicMs()
     const inEffect = state.getInEffect()
@@ -166,11 +184,7 @@
       return
     }
     const call = createCall(incoming, outgoing, id, route, inEffect, startedAtMs)
-    const limits = { maxBytes: inEffect.configuration.limits.maxBodyBytes, maxPauseMs: MAX_BODY_PAUSE_MS, watchStop: shutdown.watchResponseBy }
-    const body = await readBody(incoming, limits, clock)
-    if (body.isErr()) reject(call, outgoing, body.error)
-    else if (!canFinish(call)) reject(call, outgoing, createError('entry-stopping', 'This entry is shutting down and would end before the request completes.'))
-    else await serve(addBody(call, incoming.headers, body.value, options.quarantine), outgoing)
+    await handleCall(call, incoming, outgoing, inEffect.configuration.limits.maxBodyBytes)
     recordEnd(call)
   }
   return {
--- a/src/process/gateway/gateway-types.ts
+++ b/src/process/gateway/gateway-types.ts
@@ -5,6 +5,7 @@
 import type { BootSettings } from '../../platform/boot-file.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import type { Incarnation } from '../../types.ts'
+import type { ByteBudget } from '../byte-budget.ts'
 import type { Logger, PartLogger } from '../logger.ts'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.ts'
 import type { TargetLimiter } from '../target-limits/target-limiter.ts'
@@ -56,4 +57,6 @@
   /** Whether a member has appeared, changed or is gone since `applyMembershipChanges` was last called. */
   hasMembershipChanged: boolean
   shutdown: Shutdown
+  /** What the memory of request bodies is taken from. */
+  bodyBudget: ByteBudget
 }
--- a/src/request/read-body.ts
+++ b/src/request/read-body.ts
@@ -8,6 +8,7 @@
 import { createError } from '../errors.ts'
 import type { AppError } from '../errors.ts'
 import { createBodyBuffer } from './body-buffer.ts'
+import type { ByteBudget } from '../process/byte-budget.ts'
 import type { Cancel } from '../types.ts'
 
 /** Returns whether the headers of a request announce a body. */
@@ -23,17 +24,21 @@
   maxPauseMs: number
   /** Calls the action when this process can no longer handle the request; the returned function removes the action. Optional. */
   watchStop?(action: () => void): Cancel
+  /** What the memory of the body is taken from. Whoever gets a body releases its whole buffer. Optional. */
+  budget?: ByteBudget
 }
 
 /**
  * Reads a complete body; undefined when there is none.
- * Errors: `body-too-large`, `request-timeout`, `entry-stopping`, `malformed-request` when the caller disconnects before its end.
+ * Errors: `body-too-large`, `bodies-full`, `request-timeout`, `entry-stopping`, `malformed-request` when the caller disconnects before its end.
  */
-export async function readBody (incoming: IncomingMessage, { maxBytes, maxPauseMs, watchStop }: BodyLimits, clock: Clock): Promise<Result<Uint8Array | undefined, AppError>> {
+export async function readBody (incoming: IncomingMessage, { maxBytes, maxPauseMs, watchStop, budget }: BodyLimits, clock: Clock): Promise<Result<Uint8Array | undefined, AppError>> {
   if (!hasBody(incoming)) return ok(undefined)
-  const announcedBytes = Number(incoming.headers['content-length'] ?? maxBytes)
-  if (announcedBytes > maxBytes) return err(createTooLargeError(maxBytes))
-  const body = createBodyBuffer(announcedBytes)
+  const announcedLength = incoming.headers['content-length']
+  const announcedBytes = announcedLength === undefined ? undefined : Number(announcedLength)
+  const limitBytes = announcedBytes ?? maxBytes
+  if (limitBytes > maxBytes) return err(createTooLargeError(maxBytes))
+  const body = createBodyBuffer({ maxBytes, announcedBytes, budget })
   let sizeBytes = 0
   return new Promise((resolve) => {
     const startPauseTimer = () => clock.startTimer(maxPauseMs, () => {
@@ -44,11 +49,14 @@
     const handleData = (chunk: Uint8Array): void => {
       cancelPause()
       sizeBytes += chunk.byteLength
-      if (sizeBytes > announcedBytes) {
+      if (sizeBytes > limitBytes) {
         finish(err(createTooLargeError(maxBytes)))
         return
       }
-      body.append(chunk)
+      if (!body.append(chunk)) {
+        finish(err(createError('bodies-full', 'The request bodies at this entry take all the memory that is meant for them.')))
+        return
+      }
       cancelPause = startPauseTimer()
     }
     const handleEnd = (): void => finish(ok(body.finish()))
@@ -56,6 +64,7 @@
     const finish = (result: Result<Uint8Array, AppError>): void => {
       cancelPause()
       stopWatching()
+      if (result.isErr()) body.release()
       incoming.off('data', handleData).off('end', handleEnd).off('close', handleClose)
       resolve(result)
     }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -331,3 +331,19 @@
   expect(targets.flatMap(({ receivedAttempts }) => receivedAttempts)).toEqual([])
   expect(joined.receivedAttempts.length).toBe(5)
 })
+
+// Guards against uploads that together take more memory than the process has.
+test('uploads beyond the memory for bodies are rejected as not run, and take no memory once they have ended', async () => {
+  const target = await startPlatformTarget('i-1', (self, incoming, outgoing) => { incoming.resume().on('end', () => sendCompleteResponse(self, incoming, outgoing)) })
+  const system = await setup([target], { memoryMb: 1 })
+  const sendUpload = (id: string, sizeBytes: number, body: string) => sendRaw(system.settings.listen.front.port, `POST /unsafe/a HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nMedlarcove-Attempt-Id: ${id}\r\nContent-Length: ${sizeBytes}\r\nConnection: close\r\n\r\n${body}`)
+  const half = sendUpload('half', 200_000, 'x')
+  await waitFor(() => system.gateway.countInProgress() === 1)
+  const [rejected, small] = await Promise.all([sendUpload('rejected', 200_000, 'x'), sendUpload('small', 3, 'abc')])
+  expect(rejected.text).toMatch(/^HTTP\/1\.1 503 [^]*retry-after: 1[^]*"kind":"bodies-full"[^]*"fate":"not-run"/)
+  expect(small.text.slice(9, 12)).toBe('200')
+  await half
+  await waitFor(() => system.gateway.countInProgress() === 0)
+  expect((await sendUpload('next', 200_000, 'x'.repeat(200_000))).text.slice(9, 12)).toBe('200')
+  expect(target.receivedAttempts.toSorted()).toEqual(['next', 'small'])
+})
--- a/test/support/gateway-system.ts
+++ b/test/support/gateway-system.ts
@@ -78,6 +78,7 @@
     maxAddressLifetimeMs: 5_000,
     retryBudget: { share: 0.2, slack: 62 },
     maxLoadProbesPerSecond: 60,
+    memoryMb: 740,
     ...changes
   }
 }
