--- a/test/deferred-metrics.test.ts
+++ b/test/deferred-metrics.test.ts
@@ -18,7 +18,8 @@
   liveEntries: 1,
   datagrams: { sent: 0, received: 0, refused: 0, failed: 0 },
   droppedLogLines: 0,
-  inProgress: 0, bodyBytes: 0
+  inProgress: 0,
+  bodyBytes: 0
 }
 
 function createRecord (tookMs: number): RequestRecord {
