Do not take an outage that only the reader has seen for one of the store

Cause: the returned reader says with its ranges that its reads failed shortly before; the others took that for an outage of the store, after which a removed target is kept for 2.2 s. Ruled out: late ranges (the log shows the removal after some ms).

Change: that word of the reader counts only for an entry that has heard of the store from nobody for 1.5 times the age at which it reads by itself; its own failed reads count as before.

--- a/src/process/discovery/record-applier.ts
+++ b/src/process/discovery/record-applier.ts
@@ -31,11 +31,17 @@
   applyRecords: ApplyRecords
   /** How long after an outage or a restore `isAfterOutage` is set, in ms. */
   postOutageWindowMs: number
-  sharing?: Pick<SharedReading, 'isReader' | 'publish'>
+  sharing?: Pick<SharedReading, 'isReader' | 'publish' | 'silentAfterMs'>
   position: ReadPosition
   outages: OutageWatch
 }
 
+/**
+ * An entry whose knowledge is older than this many times the age at which it reads by itself has not heard of the store from
+ * anyone: the store was unavailable, or this entry was cut off.
+ */
+const OUTAGE_AGE_FACTOR = 1.5
+
 /** A page that was read, and what it tells about the store. */
 export interface ReadPage {
   page: KeyedPage
@@ -72,7 +78,7 @@
   /** Begins to apply records of an epoch. Returns whether the store was restored since the last ones. */
   const startEpoch = (epoch: StoreEpoch): boolean => {
     const isRestored = appliedEpoch !== undefined && epoch > appliedEpoch
-    if (isRestored) outages.recordRestore()
+    if (isRestored) outages.recordEnd()
     appliedEpoch = epoch
     return isRestored
   }
@@ -120,12 +126,14 @@
       const known = position.get()
       if (known && range.epoch < known.epoch) return true
       if (known === undefined || !canContinue(known, range.epoch) || range.from > known.next) return false
+      // The reads of the reader may have failed for a reason of its own; then this entry has heard of the store from others.
+      if (range.isAfterOutage && position.getAgeMs() >= (sharing?.silentAfterMs ?? 0) * OUTAGE_AGE_FACTOR) outages.recordEnd()
       // The reader has just read the store, so this process need not find out by itself that it is available.
       outages.recordSuccess()
       if (range.next > known.next) {
         startEpoch(range.epoch)
         position.moveTo(range)
-        applyRecords(range.records.filter(({ offset }) => offset >= known.next), { isFullRead: false, isAfterOutage: range.isAfterOutage || isAfterOutage() })
+        applyRecords(range.records.filter(({ offset }) => offset >= known.next), { isFullRead: false, isAfterOutage: isAfterOutage() })
       } else if (range.records.length > 0) {
         logger.info('Ignored records that count as applied.', { topic, from: range.from, ...known, records: range.records.length })
       }
--- a/src/process/discovery/shared-range.ts
+++ b/src/process/discovery/shared-range.ts
@@ -14,7 +14,7 @@
   next: number
   /** How long before the message the store held no record beyond `next`, in ms; left out when more records follow. */
   ageMs?: number
-  /** Whether the store was unavailable shortly before. */
+  /** Whether the reads of the sender failed shortly before; the store may have been unavailable. */
   isAfterOutage: boolean
   /** The records that change something. A range that is too large to share has no records, and its `from` equals `next`. */
   records: KeyedRecord[]
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -87,6 +87,22 @@
   expect(parts.map(({ ageMs }) => ageMs)).toEqual([undefined, undefined, undefined, 5])
 })
 
+// Guards against a reader that was cut off alone and makes the others keep a target that has left, as after an outage.
+test('failed reads of the reader count as an outage only for an entry that has not heard of the store meanwhile', async () => {
+  const range = { topic: 't', epoch: EPOCH, from: 0, next: 1, ageMs: 0, isAfterOutage: true, records: [{ offset: 0, key: 'a', value: Buffer.from('gone') }] }
+  for (const hasHeard of [true, false]) {
+    const { clock, followers } = createSharedReaders(2)
+    const [, other] = followers as [Follower, Follower]
+    await clock.advance(2_000)
+    other.isCut = !hasHeard
+    other.areCallsLost = !hasHeard
+    await clock.advance(1_500)
+    other.follower.applyShared(range)
+    expect(other.known.get('a')).toBe('gone')
+    expect(other.changesAfterOutage).toBe(hasHeard ? 0 : 1)
+  }
+})
+
 // Guards against a record that ends the follower of its topic for good.
 test('a record that cannot be applied takes neither the others of its page with it nor those that follow', async () => {
   const { clock, followers, write } = createSharedReaders(3)
--- a/test/support/shared-readers.ts
+++ b/test/support/shared-readers.ts
@@ -27,6 +27,8 @@
   reads: number
   /** How often it was told that keys may be missing, with a full read. */
   readsAfterOutage: number
+  /** How often it was told so with records that were not a full read. */
+  changesAfterOutage: number
   readMs: number
   isStoreLost: boolean
   /** Its calls do not reach the store; responses of the store still reach it. */
@@ -98,6 +100,7 @@
       postOutageWindowMs: DRAIN_MS,
       applyRecords (records, { isFullRead, isAfterOutage }) {
         if (isFullRead && isAfterOutage) followers[index]!.readsAfterOutage += 1
+        if (!isFullRead && isAfterOutage && records.length > 0) followers[index]!.changesAfterOutage += 1
         if (records.some(({ value }) => value && Buffer.from(value).toString() === POISON)) throw new Error('a record that cannot be applied')
         const changed = records.filter(({ value }) => value && !Buffer.from(value).toString().startsWith('~'))
         for (const { key, value } of changed) known.set(key, Buffer.from(value!).toString())
@@ -105,7 +108,7 @@
       },
       sharing: { isReader: () => state.reader === index, publish: (range) => publishFrom(index, range), silentAfterMs, getRetryFactor: () => Math.max(1, count / RETRYING_ENTRIES) }
     })
-    followers.push({ follower, known, reads: 0, readsAfterOutage: 0, readMs: READ_MS, isStoreLost: false, areCallsLost: false, isCut: false })
+    followers.push({ follower, known, reads: 0, readsAfterOutage: 0, changesAfterOutage: 0, readMs: READ_MS, isStoreLost: false, areCallsLost: false, isCut: false })
   }
   for (const { follower } of followers) follower.start()
   return {
