Pass on what has arrived of a response before its time is looked at

The time was checked before the kept body was passed on. Also, a page without records that says more follow would have been read again without a pause.

Change: the relay passes on what is there, then watches deadline and shutdown; the pause after a response began counts as before. Tests: gateway, "the failure of a first attempt is passed on at the deadline ..." (504 before this commit, 500 now). The test of the shutdown waits until the load report that says the target is free has expired: it failed once beside load, traced to a report of the last 6 ms, which lets a request go to the target.

--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -146,7 +146,7 @@
     outages.recordSuccess()
     if (page.value.malformed > 0) logger.warn('Skipped records without a key.', { topic, count: page.value.malformed })
     hasReadRecords = page.value.records.length > 0
-    hasMoreRecords = !page.value.isEnd
+    hasMoreRecords = hasReadRecords && !page.value.isEnd
     const isApplied = applyPage({ page: page.value, from, ageMs: computeAgeMs(page.value, { sentAt, waitMs: from ? waitMs : 0 }) }, store.getEpoch())
     if (!isApplied && page.value.epoch >= store.getEpoch()) startInLaterEpoch(page.value.epoch)
     return isApplied
--- a/src/request/gateway/relay-response.ts
+++ b/src/request/gateway/relay-response.ts
@@ -60,7 +60,7 @@
       const nowMs = clock.monotonicMs()
       const limitAtMs = Math.max(deadlineAtMs, lastChunkAtMs + MAX_LATE_PAUSE_MS)
       const isCallerSlow = outgoing.writableNeedDrain
-      if (nowMs >= deadlineAtMs && !hasSentHead) fail(createError('route-timeout', 'The target sent the head of its response, but no body before the deadline.'))
+      if (nowMs >= limitAtMs && !hasSentHead) fail(createError('route-timeout', 'The target sent the head of its response, but no body before the deadline.'))
       else if (nowMs >= deadlineAtMs + MAX_LATE_MS) fail(createError('answer-truncated', 'The response did not end after the deadline.'))
       else if (nowMs >= limitAtMs && !isCallerSlow) fail(createError('answer-truncated', 'The target stopped sending in the middle of its response.'))
       else cancelWatch = clock.startTimer(Math.max(MAX_LATE_PAUSE_MS, limitAtMs - nowMs), watchPauses)
@@ -71,10 +71,7 @@
       finish({ kind: 'caller-gone' })
       return
     }
-    watchPauses()
-    stopWatchingShutdown = call.shutdown.watchResponseBy(() => {
-      if (!hasSentHead) fail(createError('entry-stopped', 'This entry shut down after the head and before the body of the response.'))
-    })
+    // What has arrived of the response is passed on before the time is looked at.
     exchange.pipe({
       write (chunk) {
         lastChunkAtMs = clock.monotonicMs()
@@ -87,5 +84,10 @@
       },
       fail
     })
+    if (isFinished) return
+    watchPauses()
+    stopWatchingShutdown = call.shutdown.watchResponseBy(() => {
+      if (!hasSentHead) fail(createError('entry-stopped', 'This entry shut down after the head and before the body of the response.'))
+    })
   })
 }
--- a/test/gateway-stop.test.ts
+++ b/test/gateway-stop.test.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http'
 import { Duplex } from 'node:stream'
+import { setTimeout as wait } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
 import { createHostClock } from '../src/clock.ts'
 import { createGatewayRequests } from '../src/process/gateway/gateway-requests.ts'
@@ -11,6 +12,7 @@
 import type { GatewaySystem } from './support/gateway-system.ts'
 
 const systems: GatewaySystem[] = []
+const LOAD_REPORT_EXPIRY_MS = 20
 
 afterEach(async () => { for (const system of systems.splice(0)) await system.close() })
 
@@ -55,6 +57,8 @@
   const atTarget = ['at-target-1', 'at-target-2'].map((id) => send(id, 0))
   await waitFor(() => silent.receivedAttempts.length === atTarget.length)
   silent.load = '4,400,4,100'
+  // A load report of the last 6 ms would still say that the target is free.
+  await wait(LOAD_REPORT_EXPIRY_MS)
   const others = [send('queued-1', 0), send('queued-2', 3, 'abc'), send('half-a-body', 9, 'abc')]
   await waitFor(() => system.gateway.countInProgress() === atTarget.length + others.length)
   await system.gateway.stop('SIGTERM')
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -347,3 +347,18 @@
   expect((await sendUpload('next', 200_000, 'x'.repeat(200_000))).text.slice(9, 12)).toBe('200')
   expect(target.receivedAttempts.toSorted()).toEqual(['next', 'small'])
 })
+
+test('the failure of a first attempt is passed on at the deadline when the second attempt gets no response', async () => {
+  let failedCount = 0
+  const failFirst = (self: PlatformTarget, incoming: IncomingMessage, outgoing: ServerResponse): void => {
+    if (incoming.url !== '/safe/failing') sendCompleteResponse(self, incoming, outgoing)
+    else if (failedCount++ === 0) outgoing.writeHead(500, { 'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'], 'medlarcove-response-signature': self.id }).end('failed')
+  }
+  const system = await setup(await Promise.all(['i-1', 'i-2'].map((id) => startPlatformTarget(id, failFirst))))
+  // They fill the retry budget.
+  for (let index = 0; index < 10; index++) await send(system, '/safe/a')
+  const response = await send(system, '/safe/failing', { deadlineMs: 400 })
+  expect(failedCount).toBe(2)
+  expect(response.status).toBe(500)
+  expect(response.text).toContain('medlarcove-response-signature')
+})
