Check addresses of records without building a schema each time

Part of it: the check of a target's address built a schema for each record. Same verdicts: odd-records, entry-contacts and platform-decoding pass.

--- a/src/unicast-address.ts
+++ b/src/unicast-address.ts
@@ -1,7 +1,7 @@
 /**
  * Addresses at which one process can be reached: a unicast IPv4 address and a port.
  */
-import { z } from 'zod'
+import { isIPv4 } from 'node:net'
 
 /** The highest port. */
 export const MAX_PORT = 65_535
@@ -13,7 +13,7 @@
 /** Returns whether a text is an IPv4 address of one host. */
 export function isUnicastAddress (text: string): boolean {
   const firstOctet = Number(text.split('.', 1)[0])
-  return z.ipv4().safeParse(text).success && firstOctet !== THIS_NETWORK_OCTET && firstOctet < FIRST_MULTICAST_OCTET
+  return isIPv4(text) && firstOctet !== THIS_NETWORK_OCTET && firstOctet < FIRST_MULTICAST_OCTET
 }
 
 /** Returns whether a value is a port at which a process can be reached. */
