--- a/test/odd-records.test.ts
+++ b/test/odd-records.test.ts
@@ -2,7 +2,8 @@
 import { afterEach, expect, test } from 'vitest'
 import { decodeTargetReport } from '../src/platform/target-record.ts'
 import type { PlatformStore } from '../stand-ins/platform-store.ts'
-import { describeConfiguration, describeTarget, ROUTE_HOST } from '../stand-ins/platform-target.ts'
+import { describeConfiguration, describeTarget, ROUTE_HOST, startPlatformTarget } from '../stand-ins/platform-target.ts'
+import { sendTo, startGatewayFleet } from './support/gateway-fleet.ts'
 import { sendSafeRequest, startGatewayProgram } from './support/gateway-program.ts'
 import type { GatewayProgram } from './support/gateway-program.ts'
 import { sendRaw, waitFor } from './support/gateway-system.ts'
@@ -103,3 +104,19 @@
   await waitFor(() => program.getOutput().includes('"version":5,"before":1'))
   expect(program.child.exitCode).toBeNull()
 })
+
+test('odd records reach no other entry by the one that reads for all, and an entry that starts among them serves', async () => {
+  const target = await startPlatformTarget('i-1')
+  const fleet = await startGatewayFleet([target], 2)
+  try {
+    for (const [name, value] of Object.entries(ODD_TARGETS)) fleet.store.put('keyed.servers', name, value)
+    for (const value of [DEEP, { ...describeConfiguration(2), version: 1e300 }, 'no JSON', '']) fleet.store.put('keyed.op', 'config', value)
+    fleet.store.put('keyed.op', 'config', describeConfiguration(3))
+    await waitFor(() => fleet.entries.every(({ log }) => log.some(({ fields }) => fields.version === 3)))
+    await fleet.startEntry()
+    for (const entry of fleet.entries) expect((await sendTo(entry, { path: '/safe/a' })).status).toBe(200)
+    expect(fleet.entries.flatMap(({ log }) => log.filter(({ message }) => /failed|could not be applied/.test(message)))).toEqual([])
+  } finally {
+    await fleet.close()
+  }
+})
--- a/test/platform-decoding.test.ts
+++ b/test/platform-decoding.test.ts
@@ -78,6 +78,23 @@
   for (const record of bad) expect(decodeTargetReport('i-1', encode(record)).isErr()).toBe(true)
 })
 
+const oddValue = fc.oneof(fc.jsonValue(), fc.double(), fc.maxSafeInteger(), fc.constantFrom('0.0.0.0:80', '127.0.0.1:65536', '127.0.0.1:0', '1.2.3.4:80', `${'9'.repeat(400)}s`, '1e9s', '5s'))
+
+test('a target record with odd values in some fields names no target, or one whose address and numbers can be used', () => {
+  fc.assert(fc.property(fc.constantFrom('address', 'born', 'slots', 'sequence', 'warmupLeft'), oddValue, (field, value) => {
+    const { info, status, ...rest } = describeTarget({ port: 80 })
+    const record = { ...rest, info: { ...info, [field]: value }, status: { ...status, [field]: value }, [field]: value }
+    const decoded = decodeTargetReport('i-1', encode(record))
+    if (decoded.isErr()) return
+    const { port, slots, bornMs, sequence, warmupLeftMs } = decoded.value
+    expect(port).toBeGreaterThanOrEqual(1)
+    expect(port).toBeLessThanOrEqual(65_535)
+    expect(slots).toBeLessThanOrEqual(65_535)
+    for (const number of [slots, bornMs, sequence, warmupLeftMs]) expect(Number.isFinite(number)).toBe(true)
+    expect(() => new URL(`http://${decoded.value.address}:${port}`)).not.toThrow()
+  }), { seed: 35, numRuns: 3_000 })
+})
+
 test('a configuration is decoded from its tables, and routes are found by host and path prefix', () => {
   const extra = ['split', ROUTE_HOST, '/safe/deep/', 'safe', '1.5s', '600ms', 0, [{ service: 'desk', weight: 90 }, { service: 'office', weight: 10 }], 2, null]
   const configuration = decodeConfiguration(encode(describeConfiguration(7, { extraRoutes: [extra] })))._unsafeUnwrap()
