--- a/src/process/discovery/outage-watch.ts
+++ b/src/process/discovery/outage-watch.ts
@@ -11,7 +11,7 @@
   recordSuccess(): void
   recordFailure(error: AppError): void
   /** Records that an outage has ended, or that the store was restored from a copy: keys may be missing until they are written again. */
-  recordEnd(): void
+  recordOutageEnd(): void
   /** Whether the latest read failed. */
   isUnavailable(): boolean
   /** Whether the reads have failed for as long as an outage lasts at least. */
@@ -53,7 +53,7 @@
       if (failingSinceMs === undefined) logger.warn('The store cannot be read.', { topic, error: error.message })
       failingSinceMs ??= clock.monotonicMs()
     },
-    recordEnd () {
+    recordOutageEnd () {
       endedAtMs = clock.monotonicMs()
     },
     isUnavailable: () => failingSinceMs !== undefined,
--- a/src/process/discovery/record-applier.ts
+++ b/src/process/discovery/record-applier.ts
@@ -78,7 +78,7 @@
   /** Begins to apply records of an epoch. Returns whether the store was restored since the last ones. */
   const startEpoch = (epoch: StoreEpoch): boolean => {
     const isRestored = appliedEpoch !== undefined && epoch > appliedEpoch
-    if (isRestored) outages.recordEnd()
+    if (isRestored) outages.recordOutageEnd()
     appliedEpoch = epoch
     return isRestored
   }
@@ -127,7 +127,7 @@
       if (known && range.epoch < known.epoch) return true
       if (known === undefined || !canContinue(known, range.epoch) || range.from > known.next) return false
       // The reads of the reader may have failed for a reason of its own; then this entry has heard of the store from others.
-      if (range.isAfterOutage && position.getAgeMs() >= (sharing?.silentAfterMs ?? 0) * OUTAGE_AGE_FACTOR) outages.recordEnd()
+      if (range.isAfterOutage && position.getAgeMs() >= (sharing?.silentAfterMs ?? 0) * OUTAGE_AGE_FACTOR) outages.recordOutageEnd()
       // The reader has just read the store, so this process need not find out by itself that it is available.
       outages.recordSuccess()
       if (range.next > known.next) {
--- a/src/process/discovery/topic-follower.ts
+++ b/src/process/discovery/topic-follower.ts
@@ -11,12 +11,13 @@
  */
 import type { Result } from 'neverthrow'
 import { measureElapsedMs, readInstant } from '../../clock.ts'
-import type { Clock, Instant } from '../../clock.ts'
+import type { Clock } from '../../clock.ts'
 import type { AppError } from '../../errors.ts'
 import type { KeyedPage, StoreClient } from '../../platform/store-client.ts'
 import type { PartLogger } from '../logger.ts'
 import type { StoreEpoch } from '../../types.ts'
 import { createOutageWatch } from './outage-watch.ts'
+import { computePageAgeMs } from './page-age.ts'
 import { createReadPosition } from './read-position.ts'
 import type { TopicProgress } from './read-position.ts'
 import { createRecordApplier } from './record-applier.ts'
@@ -74,13 +75,6 @@
 /** Time between two reads while the store is unavailable, in ms, before jitter. */
 const RETRY_MS = 150
 
-/** Times of one read. */
-interface ReadTimes {
-  sentAt: Instant
-  /** How long the store was to wait for a record, in ms. */
-  waitMs: number
-}
-
 /** Creates a follower. It does nothing before `start`. */
 export function createTopicFollower (options: TopicFollowerOptions): TopicFollower {
   const { topic, store, clock, random, logger, sharing, postOutageWindowMs = 0 } = options
@@ -120,16 +114,6 @@
     if (from === undefined) return store.readNewest(topic, limits)
     return store.readFrom(topic, from.next, { ...limits, waitMs, signal: stop.signal })
   }
-  /**
-   * Returns how long ago the store held no record beyond a page, in ms; undefined when more records follow. The response may
-   * have been on its way for long, so its arrival says nothing: it was given after the call was sent, and an empty one after
-   * the store has waited.
-   */
-  const computeAgeMs = ({ records, isEnd }: KeyedPage, { sentAt, waitMs }: ReadTimes): number | undefined => {
-    if (!isEnd) return undefined
-    const elapsedMs = measureElapsedMs(clock, sentAt)
-    return records.length === 0 && elapsedMs >= waitMs ? elapsedMs - waitMs : elapsedMs
-  }
   /** Reads once. Returns whether the records were applied. */
   const readOnce = async (): Promise<boolean> => {
     const laterEpoch = position.takeLaterEpoch(store.getEpoch())
@@ -147,7 +131,8 @@
     if (page.value.malformed > 0) logger.warn('Skipped records without a key.', { topic, count: page.value.malformed })
     hasReadRecords = page.value.records.length > 0
     hasMoreRecords = hasReadRecords && !page.value.isEnd
-    const isApplied = applyPage({ page: page.value, from, ageMs: computeAgeMs(page.value, { sentAt, waitMs: from ? waitMs : 0 }) }, store.getEpoch())
+    const ageMs = computePageAgeMs(page.value, { elapsedMs: measureElapsedMs(clock, sentAt), waitMs: from ? waitMs : 0 })
+    const isApplied = applyPage({ page: page.value, from, ageMs }, store.getEpoch())
     if (!isApplied && page.value.epoch >= store.getEpoch()) startInLaterEpoch(page.value.epoch)
     return isApplied
   }
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -120,7 +120,16 @@
     clock,
     logger: logger.forPart('metrics')
   })
-  parts.requests = createGatewayRequests({ state: parts.state, quarantine: parts.quarantine, clock, logger: logger.forPart('request'), metrics: parts.metrics, shutdown: parts.shutdown, bodyBudget: parts.bodyBudget, isCutOff: () => parts.isCutOff })
+  parts.requests = createGatewayRequests({
+    state: parts.state,
+    quarantine: parts.quarantine,
+    clock,
+    logger: logger.forPart('request'),
+    metrics: parts.metrics,
+    shutdown: parts.shutdown,
+    bodyBudget: parts.bodyBudget,
+    isCutOff: () => parts.isCutOff
+  })
   parts.servers = createServers(parts, options)
   return parts
 }
--- a/test/topic-follower.test.ts
+++ b/test/topic-follower.test.ts
@@ -3,6 +3,7 @@
 import { createTestClock } from '../src/clock.ts'
 import { createError } from '../src/errors.ts'
 import type { FollowOptions, StoreClient } from '../src/platform/store-client.ts'
+import { computePageAgeMs } from '../src/process/discovery/page-age.ts'
 import { createTopicFollower } from '../src/process/discovery/topic-follower.ts'
 import { toBrand } from '../src/types.ts'
 import type { StoreEpoch } from '../src/types.ts'
@@ -82,3 +83,13 @@
   expect(state.calls - before).toBeLessThan(20)
   follower.close()
 })
+
+test('a page is as old as its call, an empty one as the end of the wait, and one that more records follow says nothing', () => {
+  const record = { offset: 0, key: 'a', value: undefined }
+  const times = { elapsedMs: 1_150, waitMs: 1_000 }
+  expect(computePageAgeMs({ records: [record], isEnd: true }, times)).toBe(1_150)
+  expect(computePageAgeMs({ records: [], isEnd: true }, times)).toBe(150)
+  // The store responded before the end of its wait, so that nobody knows when.
+  expect(computePageAgeMs({ records: [], isEnd: true }, { elapsedMs: 900, waitMs: 1_000 })).toBe(900)
+  expect(computePageAgeMs({ records: [record], isEnd: false }, times)).toBeUndefined()
+})
