--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -173,7 +173,7 @@
     'platform.keep=300s', 'platform.partMb=200', 'platform.ttlMin=1000ms', extra, ''
   ].join('\n'))
   const child = spawn(process.execPath, ['--max-old-space-size=256', 'target/start.cjs'], { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME, MEDLARCOVE_BOOT: bootFile }, stdio: ['ignore', 'pipe', 'pipe'] })
-  const entry = { child, node, address, port: front, readyPort: ready, directoryPort: directory, peerPort: internal, bootFile, output: '', exit: undefined }
+  const entry = { child, node, zone, address, port: front, readyPort: ready, directoryPort: directory, peerPort: internal, bootFile, output: '', exit: undefined }
   for (const stream of [child.stdout, child.stderr]) stream.on('data', (chunk) => { entry.output += chunk })
   entry.exited = new Promise((resolve) => child.once('exit', (code, signal) => {
     entry.exit = { code, signal, at: now() }
