--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -150,6 +150,20 @@
   return { address: `${address}:${port}`, born, info: { service, version: 'v1', zone, slots }, status: { state, sequence, warmupLeft: '0ms' } }
 }
 
+/** The processes that run, each with its temporary folder; whatever ends the script ends them. */
+const children = new Map()
+process.on('exit', () => {
+  for (const [child, folder] of children) {
+    child.kill('SIGKILL')
+    rmSync(folder, { recursive: true, force: true })
+  }
+})
+for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(2))
+process.on('uncaughtException', (cause) => {
+  console.error(cause)
+  process.exit(2)
+})
+
 /** Starts an entry as the deploy file says and waits until it is ready. */
 export async function startEntry (store, { node, zone = 'kyu-a', address = '127.0.0.1', grace = '6s', memoryMb = 740, bootstrap = false, peerPort, ports, zones = ['kyu-a', 'kyu-b', 'kyu-c', 'kyu-d'], extra = '' }) {
   const folder = mkdtempSync(path.join(tmpdir(), 'medlarcove-review-'))
@@ -175,7 +189,9 @@
   const child = spawn(process.execPath, ['--max-old-space-size=256', 'target/start.cjs'], { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME, MEDLARCOVE_BOOT: bootFile }, stdio: ['ignore', 'pipe', 'pipe'] })
   const entry = { child, node, zone, address, port: front, readyPort: ready, directoryPort: directory, peerPort: internal, bootFile, output: '', exit: undefined }
   for (const stream of [child.stdout, child.stderr]) stream.on('data', (chunk) => { entry.output += chunk })
+  children.set(child, folder)
   entry.exited = new Promise((resolve) => child.once('exit', (code, signal) => {
+    children.delete(child)
     entry.exit = { code, signal, at: now() }
     rmSync(folder, { recursive: true, force: true })
     resolve(entry.exit)
