Tell a failed network from failed targets by asking other entries

Cause: an entry judged alone, by a number of unreachable targets (four), whether the targets or its own network had failed. Below four it never called itself cut off; above, all entries did so when targets failed.

Ruled out: a lower number alone. When the only target of a service fails, every entry would leave the addresses and close its callers' connections.

Change: an entry that cannot reach most targets of a service asks three others every 0.5 s about up to four of them. A target that another entry reaches after this one failed to, and that this one then fails to reach again, is sound; then the entry is cut off. It is so in part, or from all targets; entries cut off from all are left out of the addresses as long as any other is not (before: while a quarter of the fleet was not).

Related paths: targets without load reports are checked by a connection; a pool whose connections all hang no longer prevents the check; rejections for failed targets name 0.2 s or more, since peers that had not noticed yet no longer count as able to serve.

--- a/src/connection/gossip-frames.ts
+++ b/src/connection/gossip-frames.ts
@@ -34,7 +34,7 @@
 
 const MAX_TEXT_LENGTH = 128
 const MAX_UPDATES = 4_096
-const FLAG_BITS: Record<keyof MemberStatus, number> = { isReady: 1, isLeaving: 2, isBusy: 4, canReadStore: 8, isCutOff: 16 }
+const FLAG_BITS: Record<keyof MemberStatus, number> = { isReady: 1, isLeaving: 2, isBusy: 4, canReadStore: 8, isCutOff: 16, isPartlyCutOff: 32 }
 const LIVENESS_CODES: readonly Liveness[] = ['alive', 'suspect', 'dead']
 
 const text = z.string().min(1).max(MAX_TEXT_LENGTH)
@@ -73,7 +73,14 @@
     peerPort,
     run,
     version,
-    status: { isReady: hasFlag('isReady'), isLeaving: hasFlag('isLeaving'), isBusy: hasFlag('isBusy'), canReadStore: hasFlag('canReadStore'), isCutOff: hasFlag('isCutOff') }
+    status: {
+      isReady: hasFlag('isReady'),
+      isLeaving: hasFlag('isLeaving'),
+      isBusy: hasFlag('isBusy'),
+      canReadStore: hasFlag('canReadStore'),
+      isCutOff: hasFlag('isCutOff'),
+      isPartlyCutOff: hasFlag('isPartlyCutOff')
+    }
   }
 }
 
--- a/src/process/gateway/gateway-messages.ts
+++ b/src/process/gateway/gateway-messages.ts
@@ -7,11 +7,12 @@
 import { createError } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
 import { toBrand } from '../../types.ts'
-import type { StoreEpoch, TargetId } from '../../types.ts'
+import type { ServiceId, StoreEpoch, TargetId } from '../../types.ts'
 import type { SharedRecordRange } from '../discovery/shared-range.ts'
 import type { TopicProgress } from '../discovery/read-position.ts'
 import type { RequestFingerprint } from '../../request/request-fingerprint.ts'
 import type { QuarantineMessage } from '../quarantine/quarantine-messages.ts'
+import type { ReachMessage } from '../selection/reach-messages.ts'
 import type { LimitMessage } from '../target-limits/limit-messages.ts'
 
 /** A message to other gateways. */
@@ -24,6 +25,8 @@
   | LimitMessage
   /** Messages that share the crashes of targets and the trials of suspected requests. */
   | QuarantineMessage
+  /** Messages that tell failed targets from a failed network. */
+  | ReachMessage
 
 /** How far the sender has read each topic; rides on each probe. */
 export type ReadProgress = { topic: string, progress: TopicProgress }[]
@@ -33,11 +36,13 @@
 const MAX_TOPICS = 8
 const MAX_CRASHES = 64
 const MAX_RUNS = 256
+const MAX_CHECKED_TARGETS = 16
 
 const text = z.string().min(1).max(MAX_TEXT_LENGTH)
 const counter = z.number().int().nonnegative()
 const duration = z.number().nonnegative()
 const target = text.transform((id) => toBrand<TargetId>(id))
+const service = text.transform((name) => toBrand<ServiceId>(name))
 const limit = z.object({ perSecond: duration.optional(), sentAgoMs: duration, receivedAgoMs: duration })
 const answer = z.object({ isGranted: z.boolean(), waitMs: duration })
 const request = text.transform((fingerprint) => toBrand<RequestFingerprint>(fingerprint))
@@ -53,6 +58,8 @@
   z.object({ type: z.literal('trial-request'), sequence: counter, request, forMs: duration }),
   z.object({ type: z.literal('trial-response'), sequence: counter, isGranted: z.boolean() }),
   z.object({ type: z.literal('trial-end'), request }),
+  z.object({ type: z.literal('reach-request'), sequence: counter, service, targets: z.array(z.object({ target, unreachedForMs: duration })).max(MAX_CHECKED_TARGETS) }),
+  z.object({ type: z.literal('reach-response'), sequence: counter, reached: z.array(z.object({ target, agoMs: duration })).max(MAX_CHECKED_TARGETS) }),
   z.object({
     type: z.literal('topic-range'),
     range: z.object({
--- a/src/process/gateway/gateway-metrics.ts
+++ b/src/process/gateway/gateway-metrics.ts
@@ -6,6 +6,7 @@
 import type { RequestRecord } from '../../request/gateway/request-record.ts'
 import type { QuarantineCounts } from '../quarantine/request-quarantine.ts'
 import type { LimiterCounts } from '../target-limits/target-limiter.ts'
+import type { CutOff } from '../selection/reach-checks.ts'
 import type { ServiceMetrics } from './gateway-services.ts'
 
 const MS_PER_SECOND = 1000
@@ -21,6 +22,8 @@
   /** Version of the configuration in effect; 0 for none. */
   version: number
   isReady: boolean
+  /** From which services the network of this entry is cut off. */
+  cutOff: CutOff
   limiter: LimiterCounts
   quarantine: QuarantineCounts
   /** Crashes of targets found since the start. */
@@ -56,6 +59,7 @@
     storeEpoch: new Gauge({ name: 'medlarcove_store_epoch', help: 'Epoch of the store: one more each time it was restored from a copy.', registers }),
     version: new Gauge({ name: 'medlarcove_configuration_version', help: 'Version of the configuration in force.', registers }),
     ready: new Gauge({ name: 'medlarcove_ready', help: '1 while the entry is ready.', registers }),
+    cutOff: new Gauge({ name: 'medlarcove_cut_off', help: '1 while the entry is cut off from targets that other entries reach, by extent: of some services (partial), or of all (total).', labelNames: ['extent'], registers }),
     limitedTargets: new Gauge({ name: 'medlarcove_limited_targets', help: 'Targets that advertise a rate limit, as far as this entry knows.', registers }),
     permits: new Gauge({ name: 'medlarcove_target_permits_total', help: 'Permits for requests to targets that advertise a rate limit; issued: by this entry to any entry, the others: requests of this entry for one.', labelNames: ['outcome'], registers }),
     suspects: new Gauge({ name: 'medlarcove_suspected_requests', help: 'Requests that were running at a target that crashed and have not completed since, by state: suspected, or quarantined and rejected.', labelNames: ['state'], registers }),
@@ -83,6 +87,7 @@
   metrics.storeEpoch.set(values.storeEpoch)
   metrics.version.set(values.version)
   metrics.ready.set(Number(values.isReady))
+  for (const extent of ['partial', 'total'] as const) metrics.cutOff.set({ extent }, Number(values.cutOff === extent))
   metrics.limitedTargets.set(values.limiter.limitedTargets)
   for (const outcome of ['granted', 'denied', 'unanswered', 'issued'] as const) metrics.permits.set({ outcome }, values.limiter[outcome])
   const { suspected, quarantined, trials, unleasedTrials, rejected } = values.quarantine
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -9,7 +9,7 @@
 import { createByteBudget } from '../byte-budget.ts'
 import { createDeferredMetrics } from './deferred-metrics.ts'
 import { createGatewayFollowers } from './gateway-followers.ts'
-import { computeMaxRetryTokens, createContacts, createLimiter, createMembership, createQuarantine, createSharing, isReady, publishStatus, USED_SHARE } from './gateway-peers.ts'
+import { computeMaxRetryTokens, createContacts, createLimiter, createMembership, createQuarantine, createReachChecksOf, createSharing, isReady, publishStatus, USED_SHARE } from './gateway-peers.ts'
 import { createGatewayRequests } from './gateway-requests.ts'
 import { createGatewayServers, METRICS_PORT } from './gateway-servers.ts'
 import type { GatewayServers } from './gateway-servers.ts'
@@ -39,7 +39,6 @@
     getLoadProbesPerSecond: () => parts.settings.maxLoadProbesPerSecond * USED_SHARE / parts.membership.countMembers(),
     maxConnections: MAX_CONNECTIONS_PER_TARGET,
     limiter: parts.limiter,
-    hasConnectedPeer: () => parts.membership.listMembers().some(({ isSelf, state, status }) => !isSelf && state === 'live' && status.isReady && !status.isCutOff),
     handleConfiguration ({ limits }) {
       parts.servers.setIdleTimeout(limits.idleTimeoutMs)
       publishStatus(parts)
@@ -71,6 +70,7 @@
       storeEpoch: parts.store.getEpoch(),
       version: state.getInEffect()?.configuration.version ?? 0,
       isReady: isReady(parts),
+      cutOff: parts.cutOff,
       limiter: parts.limiter.report(),
       quarantine: parts.quarantine.report(),
       targetCrashes: state.countCrashes(),
@@ -104,7 +104,7 @@
   const { settings, clock, logger, random = Math.random } = options
   const run = clock.wallMs()
   const incarnation = toBrand<Incarnation>(`${run.toString().padStart(15, '0')}-${randomBytes(4).toString('hex')}`)
-  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, isCutOff: false, hasMembershipChanged: true }
+  const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, cutOff: 'none' as const, hasMembershipChanged: true }
   const parts = { ...base } as GatewayParts
   parts.shutdown = createShutdown(clock)
   parts.bodyBudget = createByteBudget(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE)
@@ -113,6 +113,7 @@
   parts.quarantine = createQuarantine(parts)
   parts.membership = createMembership(parts, run)
   parts.state = createState(parts)
+  parts.reachChecks = createReachChecksOf(parts)
   parts.followers = createGatewayFollowers({ ...parts, logger: logger.forPart('store'), sharing: createSharing(parts) })
   parts.contacts = createContacts(parts, run)
   parts.metrics = createDeferredMetrics({
@@ -128,7 +129,7 @@
     metrics: parts.metrics,
     shutdown: parts.shutdown,
     bodyBudget: parts.bodyBudget,
-    isCutOff: () => parts.isCutOff
+    isCutOff: () => parts.cutOff !== 'none'
   })
   parts.servers = createServers(parts, options)
   return parts
--- a/src/process/gateway/gateway-peers.ts
+++ b/src/process/gateway/gateway-peers.ts
@@ -9,6 +9,8 @@
 import type { PeerMessaging } from '../peer-messaging.ts'
 import { createRequestQuarantine } from '../quarantine/request-quarantine.ts'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.ts'
+import { createReachChecks } from '../selection/reach-checks.ts'
+import type { ReachChecks } from '../selection/reach-checks.ts'
 import { createTargetLimiter } from '../target-limits/target-limiter.ts'
 import type { TargetLimiter } from '../target-limits/target-limiter.ts'
 import { createEntryContacts } from './entry-contacts.ts'
@@ -35,7 +37,7 @@
     peerPort: settings.internalPorts[0],
     run,
     version: 0,
-    status: { isReady: false, isLeaving: false, isBusy: false, canReadStore: true, isCutOff: false }
+    status: { isReady: false, isLeaving: false, isBusy: false, canReadStore: true, isCutOff: false, isPartlyCutOff: false }
   }
 }
 
@@ -73,6 +75,8 @@
     case 'trial-request':
     case 'trial-response':
     case 'trial-end': return parts.quarantine.handleMessage(from, message)
+    case 'reach-request':
+    case 'reach-response': return parts.reachChecks.handleMessage(from, message)
   }
 }
 
@@ -98,6 +102,24 @@
   return createRequestQuarantine({ ...createMessaging(parts), logger: parts.logger.forPart('quarantine') })
 }
 
+/** Lists the other entries that serve callers; those that are not cut off from targets themselves, if there are any. */
+function listHelpers ({ membership }: GatewayParts): EntryId[] {
+  const live = membership.listMembers().filter(({ isSelf, state, status }) => !isSelf && state === 'live' && status.isReady)
+  const connected = live.filter(({ status }) => !status.isCutOff && !status.isPartlyCutOff)
+  return (connected.length > 0 ? connected : live).map(({ id }) => id)
+}
+
+/** Creates the checks of whether targets, or the network of this entry, have failed. */
+export function createReachChecksOf (parts: GatewayParts): ReachChecks {
+  const { state } = parts
+  return createReachChecks({
+    ...createMessaging(parts),
+    listServices: state.listServices,
+    getService: state.getService,
+    listHelpers: () => listHelpers(parts)
+  })
+}
+
 /** Creates the membership; it does nothing before its start. */
 export function createMembership (parts: GatewayParts, run: number): GatewayMembership {
   const { settings, clock, random, logger } = parts
@@ -131,8 +153,15 @@
 
 /** Announces the status of this entry if it has changed. */
 export function publishStatus (parts: GatewayParts): void {
-  const { membership, followers, isBusy, isCutOff, isStopping } = parts
-  membership.setStatus({ isReady: isReady(parts), isLeaving: isStopping, isBusy, canReadStore: !followers.hasLostStore(), isCutOff })
+  const { membership, followers, isBusy, cutOff, isStopping } = parts
+  membership.setStatus({
+    isReady: isReady(parts),
+    isLeaving: isStopping,
+    isBusy,
+    canReadStore: !followers.hasLostStore(),
+    isCutOff: cutOff === 'total',
+    isPartlyCutOff: cutOff === 'partial'
+  })
 }
 
 /** Creates the search for other entries in the store. */
--- a/src/process/gateway/gateway-services.ts
+++ b/src/process/gateway/gateway-services.ts
@@ -36,8 +36,8 @@
   get(name: ServiceId): GatewayService
   /** Changes the retry burst of each service, in requests. */
   updateMaxRetryTokens(maxTokens: number): void
-  /** Whether this entry cannot reach most targets of a service; call it periodically, since it probes them again. */
-  checkCutOff(): boolean
+  /** Returns the services that have been used. */
+  list(): GatewayService[]
   /** Returns the number of crashes of targets that this process has found. */
   countCrashes(): number
   /** Returns the metric values of all services that have been used. */
@@ -56,8 +56,6 @@
   getLoadProbesPerSecond(): number
   /** Keeps the requests within the rate limits that targets advertise. */
   limiter: TargetLimiter
-  /** Whether another entry can reach targets. */
-  hasConnectedPeer(): boolean
   /** Called when this process detects that a target is leaving, so that the peers can be notified. */
   handleLeaving(service: ServiceId, target: TargetId): void
 }
@@ -114,11 +112,7 @@
       maxRetryTokens = maxTokens
       for (const { retryBudget } of services.values()) retryBudget.updateMaxTokens(maxTokens)
     },
-    checkCutOff () {
-      const cutOff = [...services.values()].filter(({ selector }) => selector.isCutOff())
-      for (const { selector } of cutOff) selector.probeTargets()
-      return cutOff.length > 0
-    },
+    list: () => [...services.values()],
     countCrashes: crashChecks.countCrashes,
     listMetrics: () => [...services.values()].map(({ name, selector, retryBudget }) => ({
       service: name,
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -28,11 +28,13 @@
 }
 
 /** The local view of a gateway. */
-export interface GatewayState extends Pick<GatewayServices, 'updateMaxRetryTokens' | 'checkCutOff' | 'countCrashes' | 'listMetrics'> {
+export interface GatewayState extends Pick<GatewayServices, 'updateMaxRetryTokens' | 'countCrashes' | 'listMetrics'> {
   /** Returns the configuration in effect; undefined before the first. */
   getInEffect(): ConfigurationInEffect | undefined
   /** Returns a service; creates it on first use. */
   getService(name: ServiceId): GatewayService
+  /** Returns the services that have been used. */
+  listServices(): GatewayService[]
   /** Applies records of the operator topic; returns those that changed the configuration. */
   applyConfigurationRecords(records: readonly KeyedRecord[]): KeyedRecord[]
   /** Applies records of the targets topic; returns those that changed something, without periodic reports of an unchanged target. */
@@ -124,6 +126,7 @@
   return {
     getInEffect: () => inEffect,
     getService: services.get,
+    listServices: services.list,
     applyConfigurationRecords: (records) => records.filter(applyConfiguration),
     applyTargetRecords (records, { isFullRead, isAfterOutage }) {
       if (isFullRead) applyAllTargets(records, isAfterOutage)
@@ -143,7 +146,6 @@
       if (isStoreUnavailable) registry.extendExpiry(nowMs + 1)
       for (const target of registry.removeExpired(nowMs)) logger.info('Removed a target.', { target, because: 'its registration expired and was not renewed' })
     },
-    checkCutOff: services.checkCutOff,
     hasReadTargets: () => hasReadTargets,
     countCrashes: services.countCrashes,
     listMetrics: services.listMetrics,
--- a/src/process/gateway/gateway-types.ts
+++ b/src/process/gateway/gateway-types.ts
@@ -8,6 +8,7 @@
 import type { ByteBudget } from '../byte-budget.ts'
 import type { Logger, PartLogger } from '../logger.ts'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.ts'
+import type { CutOff, ReachChecks } from '../selection/reach-checks.ts'
 import type { TargetLimiter } from '../target-limits/target-limiter.ts'
 import type { DeferredMetrics } from './deferred-metrics.ts'
 import type { EntryContacts } from './entry-contacts.ts'
@@ -43,6 +44,7 @@
   membership: GatewayMembership
   limiter: TargetLimiter
   quarantine: RequestQuarantine
+  reachChecks: ReachChecks
   state: GatewayState
   requests: GatewayRequests
   metrics: DeferredMetrics
@@ -52,8 +54,8 @@
   isStopping: boolean
   /** Whether this process is overloaded, by the lateness of its event loop. */
   isBusy: boolean
-  /** Whether this entry cannot reach most targets of a service. */
-  isCutOff: boolean
+  /** From which services the network of this entry is cut off. */
+  cutOff: CutOff
   /** Whether a member has appeared, changed or is gone since `applyMembershipChanges` was last called. */
   hasMembershipChanged: boolean
   shutdown: Shutdown
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -58,9 +58,12 @@
 
 /** Checks whether this entry can reach the targets; callers are sent to other entries while it cannot. */
 function updateCutOff (parts: GatewayParts): void {
-  const isCutOff = parts.state.checkCutOff()
-  if (isCutOff !== parts.isCutOff) parts.log.warn(isCutOff ? 'Cut off from targets: callers are sent to other entries.' : 'No longer cut off from targets.')
-  parts.isCutOff = isCutOff
+  parts.reachChecks.runMaintenance()
+  const cutOff = parts.reachChecks.getCutOff()
+  if (cutOff === parts.cutOff) return
+  parts.cutOff = cutOff
+  if (cutOff === 'none') parts.log.warn('No longer cut off from targets.')
+  else parts.log.warn('Cut off from targets: callers are sent to other entries.', { extent: cutOff, because: 'other entries reach them' })
 }
 
 /** Closes everything that the gateway holds open. */
--- a/src/process/gateway/select-addresses.ts
+++ b/src/process/gateway/select-addresses.ts
@@ -17,15 +17,20 @@
 
 /** If more than this share of the entries is overloaded, the whole fleet is loaded and no entry is left out. */
 const MAX_BUSY_SHARE = 1 / 3
-/** Entries that are cut off from targets are left out as long as the others are at least this share of all; else the targets have failed. */
+/** Entries that are cut off from some services are left out as long as the others are at least this share, so that these can take the load. */
 const MIN_CONNECTED_SHARE = 1 / 4
 /** An address response names at most this number of entries. */
 const MAX_ADDRESSES = 64
 
-/** Returns the entries without those that are cut off from targets, or all entries if too few are left. */
+/**
+ * Returns the entries that can serve: none that is cut off from all targets, unless all are, and none that is cut off from some
+ * services, unless most are.
+ */
 function dropCutOff (entries: readonly MemberView[]): readonly MemberView[] {
-  const connected = entries.filter(({ status }) => !status.isCutOff)
-  return connected.length > 0 && connected.length >= entries.length * MIN_CONNECTED_SHARE ? connected : entries
+  const serving = entries.filter(({ status }) => !status.isCutOff)
+  const usable = serving.length > 0 ? serving : entries
+  const connected = usable.filter(({ status }) => !status.isPartlyCutOff)
+  return connected.length > 0 && connected.length >= usable.length * MIN_CONNECTED_SHARE ? connected : usable
 }
 
 /** Returns the entries without the overloaded ones, or all entries if too many are. */
--- a/src/process/gossip/member-record.ts
+++ b/src/process/gossip/member-record.ts
@@ -30,8 +30,10 @@
   isBusy: boolean
   /** Whether the member's last read of the store succeeded. */
   canReadStore: boolean
-  /** Whether the member cannot reach most targets of a service. */
+  /** Whether the member can reach no targets, while other members do. */
   isCutOff: boolean
+  /** Whether the member cannot reach most targets of some service, while other members do. */
+  isPartlyCutOff: boolean
 }
 
 /** What the failure detector says about a member. */
--- a/src/process/selection/load-prober.ts
+++ b/src/process/selection/load-prober.ts
@@ -3,8 +3,10 @@
  * probe, a response or a failure. Targets that fail are ejected for a limited time.
  */
 import type { Clock } from '../../clock.ts'
+import { checkForCrash } from '../../connection/check-for-crash.ts'
 import { sendLoadProbe } from '../../connection/send-load-probe.ts'
 import type { LoadProbeResult } from '../../connection/send-load-probe.ts'
+import type { TargetConnection } from '../../connection/target-pool.ts'
 import { tryAcquireToken } from '../../request/balancing/token-bucket.ts'
 import { estimateTarget } from '../../request/selection/estimate-target.ts'
 import type { Estimate } from '../../request/selection/estimate-target.ts'
@@ -20,9 +22,10 @@
 
 /**
  * How a request ended at a target: `answered`; `failed` for a server error or a rejection; `unreachable` before anything
- * was sent; `broken` for a connection that failed after the request was sent.
+ * was sent; `broken` for a connection that failed after the request was sent; `unanswered` when the request ended before the
+ * target had responded.
  */
-export type RequestOutcome = 'answered' | 'failed' | 'unreachable' | 'broken'
+export type RequestOutcome = 'answered' | 'failed' | 'unreachable' | 'broken' | 'unanswered'
 
 /** Options of `createLoadProber`. */
 export interface LoadProberOptions {
@@ -38,6 +41,8 @@
   recordNotices(state: TargetState, notices: TargetNotices, sentAtMs: number): void
   /** Sends one load probe; tests replace it to need no network. */
   sendLoadProbe?: typeof sendLoadProbe
+  /** Opens a connection to a target; tests replace it to need no network. */
+  checkForCrash?: typeof checkForCrash
 }
 
 /** Sends load probes to the targets of one service and tracks their state. */
@@ -53,12 +58,14 @@
   estimate(state: TargetState, workMs: number, sentBefore: number): Estimate
   /** Records the load report of a response. */
   recordReport(state: TargetState, report: LoadReport): void
-  /** Records how a request ended at a target; ejects the target when it fails too often. */
-  recordOutcome(state: TargetState, outcome: RequestOutcome): void
+  /** Records how a request that was started at `startedAtMs` ended at a target; ejects the target when it fails too often. */
+  recordOutcome(state: TargetState, outcome: RequestOutcome, startedAtMs: number): void
+  /** Finds out whether these targets, at most `size`, can be reached, as far as their rate limits allow. */
+  checkReachable(ordered: readonly TargetState[], size: number): void
   /** Whether the targets of this service report their load; undefined until one has been probed. */
   hasLoadReports(): boolean | undefined
   /** Whether the targets can be reached. */
-  reachability: Pick<Reachability, 'hasLostAll' | 'hasLostMost'>
+  reachability: Reachability
   /** Returns the number of load probes sent since the start. */
   countProbes(): number
 }
@@ -67,6 +74,8 @@
 const ROUND_TIMEOUT_MS = 12
 /** A load probe without a response for this long counts as a failure of the target, in ms. */
 const LOAD_PROBE_TIMEOUT_MS = 250
+/** Time between two connections that are opened to one target only to find out whether it can be reached, in ms. */
+const CONNECTION_CHECK_INTERVAL_MS = 500
 /** Load probes that may be sent to one target at once. */
 const LOAD_PROBE_BURST = 6
 /** First ejection time in ms; each further consecutive failure doubles it. */
@@ -85,7 +94,7 @@
 
 /** Creates the load prober of one service. */
 export function createLoadProber (options: LoadProberOptions): LoadProber {
-  const { clock, logger, sendLoadProbe: sendProbe = sendLoadProbe } = options
+  const { clock, logger, sendLoadProbe: sendProbe = sendLoadProbe, checkForCrash: openConnection = checkForCrash } = options
   let isReportingLoad: boolean | undefined
   const reachability = createReachability(clock)
   let probeCount = 0
@@ -103,13 +112,31 @@
     state.ejectedUntilMs = clock.monotonicMs() + ejectionMs
     logger.info('Ejected a target.', { target: state.registered.report.id, because: evidence, forMs: ejectionMs, failuresInRow: state.consecutiveFailures })
   }
-  const recordRequestOutcome = (state: TargetState, outcome: RequestOutcome): void => {
+  /**
+   * Opens a connection to a target. Where targets report load, a connection that works says little, since what is sent on it may
+   * still get no response; where they do not, the health endpoint may wait for a slot, and a connection is all there is.
+   */
+  const checkConnection = async (state: TargetState): Promise<void> => {
+    const startedAtMs = clock.monotonicMs()
+    state.connectionCheckedAtMs = startedAtMs
+    const { id } = state.registered.report
+    const finding = await openConnection(state.registered.report, clock)
+    if (finding !== 'alive') reachability.recordUnreached(id, startedAtMs)
+    else if (isReportingLoad === false) reachability.recordReached(id)
+  }
+  /** Whether a target has not been heard for as long as a load probe waits, although a request was sent to it. */
+  const isSilentSince = (state: TargetState, startedAtMs: number): boolean =>
+    clock.monotonicMs() - startedAtMs >= LOAD_PROBE_TIMEOUT_MS && (reachability.getReachedAtMs(state.registered.report.id) ?? -Infinity) < startedAtMs
+  const recordRequestOutcome = (state: TargetState, outcome: RequestOutcome, startedAtMs: number): void => {
+    const hasResponded = outcome === 'answered' || outcome === 'failed'
+    if (hasResponded) reachability.recordReached(state.registered.report.id)
+    else if (outcome === 'unreachable') reachability.recordUnreached(state.registered.report.id, startedAtMs)
+    else if (isSilentSince(state, startedAtMs)) startReachCheck(state)
+    if (outcome === 'unanswered') return
     if (outcome === 'unreachable') {
-      reachability.recordUnreached(state.registered.report.id)
       recordFailure(state, 'no connection could be made')
       return
     }
-    if (outcome !== 'broken') reachability.recordReached(state.registered.report.id)
     state.failureRate += FAILURE_RATE_WEIGHT * (Number(outcome !== 'answered') - state.failureRate)
     if (state.failureRate < MAX_FAILURE_RATE) return
     state.failureRate = MAX_FAILURE_RATE / 2
@@ -119,8 +146,8 @@
     if (state.consecutiveFailures > 0) logger.info('A target succeeded after failures.', { target: state.registered.report.id, failuresInRow: state.consecutiveFailures })
     state.consecutiveFailures = 0
   }
-  const applyProbeResult = (state: TargetState, result: LoadProbeResult, sentBefore: number): void => {
-    if (result.kind === 'silent' || result.kind === 'unreachable') reachability.recordUnreached(state.registered.report.id)
+  const applyProbeResult = (state: TargetState, result: LoadProbeResult, sentBefore: number, sentAtMs: number): void => {
+    if (result.kind === 'silent' || result.kind === 'unreachable') reachability.recordUnreached(state.registered.report.id, sentAtMs)
     else reachability.recordReached(state.registered.report.id)
     switch (result.kind) {
       case 'load':
@@ -153,11 +180,8 @@
     isWarming: state.registered.warmupEndsAtMs > clock.monotonicMs(),
     workMs
   })
-  /** Sends a load probe to one target; undefined when the target is unusable or no probe can be sent. */
-  const probe = async (state: TargetState, workMs: number): Promise<EstimatedTarget | undefined> => {
-    const path = options.getHealthPath()
-    const connection = path === undefined ? undefined : state.pool.acquireConnection({ requiresLiveness: false })
-    if (path === undefined || !connection) return undefined
+  /** Sends a load probe on a connection to a target; resolves with undefined when the target is unusable. */
+  const sendProbeOn = async (state: TargetState, connection: TargetConnection, path: string, workMs: number): Promise<EstimatedTarget | undefined> => {
     probeCount += 1
     state.probesInFlight += 1
     const sentBefore = state.sentCount
@@ -165,21 +189,42 @@
     const { id, address, port } = state.registered.report
     const result = await sendProbe(connection, { target: id, host: `${address}:${port}`, path, timeoutMs: LOAD_PROBE_TIMEOUT_MS, clock })
     state.probesInFlight -= 1
-    applyProbeResult(state, result, sentBefore)
+    applyProbeResult(state, result, sentBefore, sentAtMs)
     if ('notices' in result) options.recordNotices(state, result.notices, sentAtMs)
     if (result.kind !== 'load' && result.kind !== 'healthy') return undefined
     const candidate = { state, estimate: estimate(state, workMs, sentBefore) }
     state.isReportUnsuitable = !candidate.estimate.isSuitable
     return candidate
   }
+  /** Starts a load probe to one target; undefined when no probe can be sent. */
+  const startProbe = (state: TargetState, workMs: number): Promise<EstimatedTarget | undefined> | undefined => {
+    const path = options.getHealthPath()
+    const connection = path === undefined ? undefined : state.pool.acquireConnection({ requiresLiveness: false })
+    return path === undefined || !connection ? undefined : sendProbeOn(state, connection, path, workMs)
+  }
+  const acquireProbes = (ordered: readonly TargetState[], size: number): TargetState[] => {
+    const acquired: TargetState[] = []
+    for (const state of ordered) {
+      if (acquired.length >= size) break
+      if (acquireProbe(state)) acquired.push(state)
+    }
+    return acquired
+  }
+  /** Starts to find out whether a target can be reached; returns whether its rate limits allow that now. */
+  const startReachCheck = (state: TargetState): boolean => {
+    const probe = isReportingLoad !== false && acquireProbe(state) ? startProbe(state, 0) : undefined
+    const isDue = clock.monotonicMs() - state.connectionCheckedAtMs >= CONNECTION_CHECK_INTERVAL_MS
+    const check = probe ?? (isDue ? checkConnection(state) : undefined)
+    check?.catch((cause: unknown) => logger.error('Checking whether a target can be reached failed.', { target: state.registered.report.id, err: cause }))
+    return check !== undefined
+  }
   return {
-    acquireProbes (ordered, size) {
-      const acquired: TargetState[] = []
+    acquireProbes,
+    checkReachable (ordered, size) {
+      let startedCount = 0
       for (const state of ordered) {
-        if (acquired.length >= size) break
-        if (acquireProbe(state)) acquired.push(state)
+        if (startedCount < size && startReachCheck(state)) startedCount += 1
       }
-      return acquired
     },
     probeCandidates: (candidates, workMs) => new Promise((resolve) => {
       let best: EstimatedTarget | undefined
@@ -192,7 +237,7 @@
         cancelTimer()
         resolve(candidate?.estimate.isSuitable ? candidate : best)
       }
-      for (const state of candidates) probe(state, workMs).then(settle, () => settle(undefined))
+      for (const state of candidates) (startProbe(state, workMs) ?? Promise.resolve(undefined)).then(settle, () => settle(undefined))
     }),
     estimate,
     recordReport,
--- a/src/process/selection/service-selector.ts
+++ b/src/process/selection/service-selector.ts
@@ -9,8 +9,10 @@
 import type { AppError } from '../../errors.ts'
 import type { LoadReport } from '../../request/selection/load-report.ts'
 import { canMeetLatencyTarget, createRequestQueue } from '../../request/selection/request-queue.ts'
+import type { TargetId } from '../../types.ts'
 import { createLoadProber } from './load-prober.ts'
 import type { EstimatedTarget, RequestOutcome } from './load-prober.ts'
+import type { Reachability } from './reachability.ts'
 import { createTargetSearch } from './target-search.ts'
 import type { SelectionRequest, TargetSearchOptions, TargetSelection } from './target-search.ts'
 import { isProven } from './target-states.ts'
@@ -27,12 +29,12 @@
   release(state: TargetState, report: LoadReport | undefined): void
   /** Undoes a selection whose request was not sent. */
   cancel(selection: TargetSelection): void
-  /** Records how a request ended at a target, for ejection. */
-  recordOutcome(state: TargetState, outcome: RequestOutcome): void
-  /** Whether this entry cannot reach most targets of this service. */
-  isCutOff(): boolean
-  /** Probes some targets, to find out whether they can be reached again. Call it periodically while `isCutOff`. */
-  probeTargets(): void
+  /** Records how a request that was started at `startedAtMs` ended at a target, for ejection. */
+  recordOutcome(state: TargetState, outcome: RequestOutcome, startedAtMs: number): void
+  /** Whether the targets can be reached, from here and from other entries. */
+  reachability: Reachability
+  /** Finds out whether these targets can be reached; without them, whether some can. */
+  checkReachable(targets?: readonly TargetId[]): void
   /** Returns the number of queued requests. */
   countWaiting(): number
   /** Returns the totals since the start. */
@@ -55,6 +57,8 @@
 const MIN_RETRY_AFTER_S = 0.2
 /** `Retry-After` of a request that another entry can serve at once, in s. */
 const CUT_OFF_RETRY_AFTER_S = 0.01
+/** Targets checked at a time for whether they can be reached. */
+const MAX_REACH_CHECKS = 3
 
 interface QueueItem {
   request: SelectionRequest
@@ -68,6 +72,8 @@
   const { service, limiter, clock, random, logger } = options
   const prober = createLoadProber(options)
   const targets = createTargetSearch(options, prober)
+  const { reachability } = prober
+  const isCheckOpen = (state: TargetState): boolean => reachability.isCheckOpen(state.registered.report.id)
   const queue = createRequestQueue<QueueItem>()
   const counts = { queued: 0, rejected: 0 }
   let isDispatching = false
@@ -97,13 +103,13 @@
     for (const item of queue.removeLate(nowMs)) settle(item, reject('queue-full', 'The request would miss its latency target while other queued requests can still meet theirs.'))
   }
   const rejectCutOff = (): Result<TargetSelection, AppError> => {
-    if (!options.hasConnectedPeer()) return reject('no-target', `No entry can reach the targets of service ${service} at present.`)
+    if (!reachability.isCutOff()) return reject('no-target', `No entry is known to reach the targets of service ${service} at present.`)
     return reject('no-target', `This entry cannot reach the targets of service ${service} at present; use another entry.`, CUT_OFF_RETRY_AFTER_S)
   }
   const dispatch = async (): Promise<void> => {
     for (;;) {
       rejectLate()
-      if (prober.reachability.hasLostAll()) for (const item of queue.removeAll()) settle(item, rejectCutOff())
+      if (reachability.hasLostAll()) for (const item of queue.removeAll()) settle(item, rejectCutOff())
       const head = queue.peek(clock.monotonicMs())
       if (!head) {
         // Reset before the promise resolves: a request queued between resolution and its callback would start no dispatch.
@@ -150,7 +156,7 @@
   }
   const selectTarget = async (request: SelectionRequest): Promise<Result<TargetSelection, AppError>> => {
     const startedAtMs = clock.monotonicMs()
-    if (prober.reachability.hasLostAll()) return rejectCutOff()
+    if (reachability.hasLostAll()) return rejectCutOff()
     const usable = targets.listUsable(request)
     if (usable.length === 0) return waitForPaused(request, startedAtMs)
     const permitAtMs = targets.getPermitAtMs(usable)
@@ -194,10 +200,13 @@
     },
     cancel: targets.cancel,
     recordOutcome: prober.recordOutcome,
-    isCutOff: prober.reachability.hasLostMost,
-    probeTargets () {
-      const candidates = prober.acquireProbes(targets.listRegistered(), PROBES_PER_QUEUE_ROUND)
-      if (candidates.length > 0) prober.probeCandidates(candidates, 0).catch((cause: unknown) => logger.error('Probing targets failed.', { service, err: cause }))
+    reachability,
+    checkReachable (wanted) {
+      const registered = targets.listRegistered()
+      const ordered = wanted
+        ? registered.filter((state) => wanted.includes(state.registered.report.id))
+        : registered.sort((a, b) => Number(isCheckOpen(b)) - Number(isCheckOpen(a)))
+      prober.checkReachable(ordered, wanted?.length ?? MAX_REACH_CHECKS)
     },
     countWaiting: () => queue.count(),
     report: () => ({ ...counts, loadProbes: prober.countProbes() })
--- a/src/process/selection/target-search.ts
+++ b/src/process/selection/target-search.ts
@@ -76,8 +76,6 @@
   states: TargetStates
   limiter: Pick<TargetLimiter, 'getPerSecond' | 'getAvailableAtMs' | 'isAvailable' | 'acquire' | 'release'>
   random: () => number
-  /** Whether another entry can reach targets, so that callers are served there while this one cannot. */
-  hasConnectedPeer(): boolean
 }
 
 /** A load report up to this age makes a probe unnecessary, in ms. */
--- a/src/process/selection/target-states.ts
+++ b/src/process/selection/target-states.ts
@@ -39,6 +39,8 @@
   pausedUntilMs: number
   /** Rate limit of the load probes. */
   probeBucket: TokenBucket
+  /** When a connection was last opened only to find out whether the target can be reached. */
+  connectionCheckedAtMs: number
 }
 
 /** Whether a target has answered requests and runs no trial, so that a crash during a trial is hardly a coincidence. */
@@ -85,7 +87,8 @@
     failureRate: 0,
     ejectedUntilMs: -Infinity,
     pausedUntilMs: -Infinity,
-    probeBucket: { tokens: 0, filledAtMs: -Infinity }
+    probeBucket: { tokens: 0, filledAtMs: -Infinity },
+    connectionCheckedAtMs: -Infinity
   })
   return {
     get (registered) {
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -120,7 +120,7 @@
     record.end = outcome.kind
     record.status = head.status
     if (isMisdirected(head.status, head.headers)) service.handleLeaving(state, 'another target at its address rejected the request as misdirected')
-    service.selector.recordOutcome(state, outcome.kind === 'answered' ? 'answered' : 'failed')
+    service.selector.recordOutcome(state, outcome.kind === 'answered' ? 'answered' : 'failed', startedAtMs)
     if (outcome.kind === 'answered') {
       state.answeredCount += 1
       call.workMeter.record(route.name, clock.monotonicMs() - startedAtMs, slowdown)
@@ -129,10 +129,11 @@
     return outcome
   }
   const recordLoss = async (): Promise<void> => {
+    const checkedAtMs = clock.monotonicMs()
     record.finding = await service.checkCrash(state)
     call.record.fingerprint = call.getFingerprint()
     if (record.finding !== 'crashed') return
-    service.selector.recordOutcome(state, 'unreachable')
+    service.selector.recordOutcome(state, 'unreachable', checkedAtMs)
     call.admission.recordCrash(id, runKind)
   }
   const readOutcome = async (): Promise<AttemptOutcome> => {
@@ -140,8 +141,8 @@
     if (head.isOk()) return handleHead(head.value)
     release()
     const isOwnEnd = isCancelled || call.caller.isDisconnected()
-    if (!isOwnEnd) service.selector.recordOutcome(state, exchange.wasSent() ? 'broken' : 'unreachable')
     const kind = exchange.wasSent() ? 'broken' : 'unsent'
+    service.selector.recordOutcome(state, isOwnEnd ? 'unanswered' : kind === 'broken' ? 'broken' : 'unreachable', startedAtMs)
     record.end = isCancelled ? 'cancelled' : `${kind}: ${head.error.message}`
     if (!isOwnEnd && kind === 'broken' && head.error.kind === 'target-broken') await recordLoss()
     return { kind, error: head.error }
--- /dev/null
+++ b/test/support/partitioned-gateway.ts
@@ -0,0 +1,80 @@
+import { spawn } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
+import type { BootSettings } from '../../src/platform/boot-file.ts'
+import { toBrand } from '../../src/types.ts'
+import type { EntryId } from '../../src/types.ts'
+import { formatBootText } from '../../stand-ins/platform-boot.ts'
+import type { PlatformStore } from '../../stand-ins/platform-store.ts'
+import type { PlatformTarget } from '../../stand-ins/platform-target.ts'
+import { startFaultRelay } from './fault-relay.ts'
+import type { FaultRelay } from './fault-relay.ts'
+import { PLATFORM_PROGRAM } from './gateway-program.ts'
+import { buildSettings, findFreePort, waitFor } from './gateway-system.ts'
+
+/** A gateway as a process that reaches the targets on paths of its own, which can be cut. */
+export interface PartitionedGateway {
+  settings: BootSettings
+  getOutput(): string
+  /** Cuts the process off from all targets. Open connections hang; new ones hang too, or are closed at once. */
+  cut(newConnections: 'hang' | 'close'): void
+  heal(): void
+  close(): Promise<void>
+}
+
+const ADDRESS = '127.0.0.1'
+/** Redirects the connections of a process from the ports of targets to those of relays. */
+const PRELOAD = `
+const net = require('node:net')
+const ports = JSON.parse(process.env.REDIRECTED_PORTS)
+const { connect } = net
+net.connect = (options, ...rest) => connect(ports[options.port] ? { ...options, port: ports[options.port] } : options, ...rest)
+`
+
+/** Starts a gateway beside others that use the same store, and waits until it is ready. */
+export async function startPartitionedGateway (store: PlatformStore, targets: readonly PlatformTarget[]): Promise<PartitionedGateway> {
+  const ports: Record<string, number> = {}
+  const relays: FaultRelay[] = []
+  for (const target of targets) {
+    const port = await findFreePort()
+    ports[target.port] = port
+    relays.push(await startFaultRelay({ address: ADDRESS, port }, { address: ADDRESS, port: target.port }))
+  }
+  const settings = await buildSettings(store, { entry: toBrand<EntryId>('front-cut') })
+  const folder = mkdtempSync(path.join(tmpdir(), 'medlarcove-partition-'))
+  const [bootFile, preload] = [path.join(folder, 'boot.conf'), path.join(folder, 'redirect-ports.cjs')]
+  writeFileSync(bootFile, formatBootText(settings))
+  writeFileSync(preload, PRELOAD)
+  const env = { ...process.env, MEDLARCOVE_BOOT: bootFile, REDIRECTED_PORTS: JSON.stringify(ports) }
+  const child = spawn(process.execPath, ['--require', preload, ...PLATFORM_PROGRAM], { env, stdio: ['ignore', 'pipe', 'pipe'] })
+  let output = ''
+  for (const stream of [child.stdout, child.stderr]) stream.on('data', (chunk: Buffer) => { output += chunk.toString() })
+  const exited = new Promise((resolve) => { child.once('exit', resolve) })
+  const isReady = () => fetch(`http://${ADDRESS}:${settings.listen.ready.port}/ready`).then(({ status }) => status === 200, () => false)
+  await waitFor(async () => child.exitCode !== null || await isReady())
+  return {
+    settings,
+    getOutput: () => output,
+    cut (newConnections) {
+      for (const relay of relays) {
+        relay.freezeOpen()
+        if (newConnections === 'hang') relay.setFreezing(true)
+        else relay.setRefusing(true)
+      }
+    },
+    heal () {
+      for (const relay of relays) {
+        relay.setFreezing(false)
+        relay.setRefusing(false)
+        relay.closeFrozen()
+      }
+    },
+    async close () {
+      child.kill('SIGKILL')
+      await exited
+      for (const relay of relays) await relay.close()
+      rmSync(folder, { recursive: true })
+    }
+  }
+}
