Pass no status on that promises 'not run' unless the target states it

Cause: the table of what a status promises covered the entry's own errors only; toOutcome made `failed` or `answered` of every target's response.

Ruled out: converting by the signature (a target signs these responses), and doing it where the response is relayed (four ways lead there).

Change: an outcome `misleading` for 408, 421, 429 and 503 on routes that must not run twice, without the target's header; it ends the request with 502 `target-failed`, unsigned. What is learnt of the target stays as it was.

--- a/src/errors.ts
+++ b/src/errors.ts
@@ -50,6 +50,7 @@
   'target-timeout': { status: 504, fate: 'unknown', advice: 'The target did not respond in time; check whether the request took effect before trying again.' },
   'route-timeout': { status: 504, fate: 'unknown', advice: 'The target did not respond within the timeout of the route; check whether the request took effect before trying again.' },
   'entry-stopped': { status: 502, fate: 'unknown', advice: 'This entry shut down before a target responded; check whether the request took effect before trying again.' },
+  'target-failed': { status: 502, fate: 'unknown', advice: 'The target failed and may have run the request; check whether it took effect before trying again.' },
   'answer-mismatched': { status: 502, fate: 'unknown', advice: 'The response belongs to another request; check whether the request took effect before trying again.' },
   'answer-truncated': { status: 502, fate: 'unknown', advice: 'The response was truncated; check whether the request took effect before trying again.' },
   'claim-elsewhere': { status: 409, fate: 'unknown', advice: 'Another attempt with this key was accepted; check whether it took effect.' },
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -35,6 +35,8 @@
 const STATUS_MISDIRECTED = 421
 const DECIMAL_PATTERN = /^\d+(\.\d+)?$/
 const STATUS_UNAVAILABLE = 503
+/** Statuses by which an entry promises to a caller that a request did not run. Of a target they promise nothing by themselves. */
+const NOT_RUN_STATUSES = new Set([408, STATUS_MISDIRECTED, 429, STATUS_UNAVAILABLE])
 const PERCENT = 100
 const MS_PER_SECOND = 1_000
 
@@ -60,6 +62,11 @@
   return headers[NOT_EXECUTED_HEADER] !== undefined || (status === STATUS_MISDIRECTED && headers[SIGNATURE_HEADER] === undefined)
 }
 
+/** Returns whether a status promises to a caller that its request did not run and never will. */
+export function isNotRunStatus (status: number): boolean {
+  return NOT_RUN_STATUSES.has(status)
+}
+
 /** Returns whether a response came from a target other than the intended one. */
 export function isMisdirected (status: number, headers: IncomingHttpHeaders): boolean {
   return status === STATUS_MISDIRECTED && headers[SIGNATURE_HEADER] === undefined
--- a/src/request/gateway/run-attempts.ts
+++ b/src/request/gateway/run-attempts.ts
@@ -45,11 +45,17 @@
     case 'answered': return false
     case 'not-executed':
     case 'unsent': return true
+    case 'misleading': return false
     case 'failed':
     case 'broken': return isIdempotentRequest
   }
 }
 
+/** Returns whether the target may have run the request, when nothing of its response is passed on. */
+function hasMaybeRun ({ kind }: AttemptOutcome): boolean {
+  return kind === 'broken' || kind === 'failed' || kind === 'misleading'
+}
+
 function createSelectionRequest (call: GatewayCall, excluded: ReadonlySet<TargetId>): SelectionRequest {
   const { route } = call
   return {
@@ -170,7 +176,7 @@
   /** Records the outcome of an attempt without a response to relay, and returns it as an error. */
   const recordOutcome = (attempt: TargetAttempt, outcome: Exclude<AttemptOutcome, { kind: 'answered' }>): AppError => {
     running.delete(attempt)
-    if (outcome.kind === 'broken' || outcome.kind === 'failed') mayHaveRun = true
+    if (hasMaybeRun(outcome)) mayHaveRun = true
     if (outcome.kind !== 'failed') return outcome.error
     lastFailedResponse?.attempt.cancel()
     lastFailedResponse = { attempt, head: outcome.head }
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -1,7 +1,7 @@
 /**
  * One attempt of a request at the target selected for it.
  */
-import { decodeLoadReport, decodeTargetNotices, getAttemptId, isMisdirected, isNotExecuted, isUnsignedSuccess } from '../../platform/wire-names.ts'
+import { decodeLoadReport, decodeTargetNotices, getAttemptId, isMisdirected, isNotExecuted, isNotRunStatus, isUnsignedSuccess } from '../../platform/wire-names.ts'
 import type { TargetSelection } from '../../process/selection/target-search.ts'
 import type { RunKind } from '../../process/quarantine/crash-history.ts'
 import { isProven } from '../../process/selection/target-states.ts'
@@ -9,6 +9,7 @@
 import { createError } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
 import { isIdempotent } from '../../version/configuration.ts'
+import type { Route } from '../../version/configuration.ts'
 import { isServerError } from '../response-status.ts'
 import { drainResponse } from '../drain-response.ts'
 import { startExchange } from '../exchange.ts'
@@ -25,6 +26,8 @@
   | { kind: 'failed', head: ResponseHead }
   /** The target did not run the request and never will. */
   | { kind: 'not-executed', error: AppError }
+  /** The target may have run the request, and its status would tell the caller that it did not. */
+  | { kind: 'misleading', error: AppError }
   /** No byte was sent. */
   | { kind: 'unsent', error: AppError }
   /** The connection failed after the request was sent; the target may have run it. */
@@ -54,9 +57,12 @@
   return echoedId === undefined ? isMisdirected(status, headers) : echoedId === call.id
 }
 
-function toOutcome (head: ResponseHead): AttemptOutcome {
+function toOutcome (head: ResponseHead, route: Route): AttemptOutcome {
   const { status, headers } = head
   if (isNotExecuted(status, headers)) return { kind: 'not-executed', error: createError('target-shed', `The target rejected the request with status ${status} before running it.`) }
+  if (!isIdempotent(route.kind) && isNotRunStatus(status)) {
+    return { kind: 'misleading', error: createError('target-failed', `The target responded with status ${status}, by which the caller would take the request for not run, without stating that it did not run it.`) }
+  }
   return isServerError(status) ? { kind: 'failed', head } : { kind: 'answered', head }
 }
 
@@ -116,16 +122,17 @@
   const handleHead = (head: ResponseHead): AttemptOutcome => {
     release(head)
     service.recordNotices(state, decodeTargetNotices(head.status, head.headers), startedAtMs)
-    const outcome = toOutcome(head)
+    const outcome = toOutcome(head, route)
     record.end = outcome.kind
     record.status = head.status
     if (isMisdirected(head.status, head.headers)) service.handleLeaving(state, 'another target at its address rejected the request as misdirected')
-    service.selector.recordOutcome(state, outcome.kind === 'answered' ? 'answered' : 'failed', startedAtMs)
-    if (outcome.kind === 'answered') {
+    const hasAnswered = !isServerError(head.status) && outcome.kind !== 'not-executed'
+    service.selector.recordOutcome(state, hasAnswered ? 'answered' : 'failed', startedAtMs)
+    if (hasAnswered) {
       state.answeredCount += 1
       call.workMeter.record(route.name, clock.monotonicMs() - startedAtMs, slowdown)
     }
-    if (outcome.kind === 'not-executed') drainResponse(exchange, clock).catch(() => exchange.cancel())
+    if ('error' in outcome) drainResponse(exchange, clock).catch(() => exchange.cancel())
     return outcome
   }
   const recordLoss = async (): Promise<void> => {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -74,6 +74,55 @@
   while (broken.receivedAttempts.length === reachedBefore) expect((await send(system, '/safe/a')).status).toBe(200)
 })
 
+// Guards against a caller that runs its request again since the target's status made it believe that it had not run (review/6).
+for (const status of [408, 421, 429, 503]) {
+  test(`a request that ran and failed with ${status} without the target's word that it did not run gets 502 if it must not run twice, and that response otherwise`, async () => {
+    const targets = await Promise.all(['i-1', 'i-2'].map((id) => startPlatformTarget(id, (_, incoming, outgoing) => {
+      outgoing.writeHead(status, { 'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'], 'medlarcove-response-signature': id }).end('failed')
+    })))
+    const system = await setup(targets)
+    const unsafe = await send(system, '/unsafe/a', { method: 'POST' })
+    expect(unsafe.status).toBe(502)
+    expect(unsafe.text).toContain('"fate":"unknown"')
+    expect(unsafe.text).not.toContain('medlarcove-response-signature')
+    expect(targets.flatMap(({ receivedAttempts }) => receivedAttempts)).toEqual([unsafe.id])
+    const safe = await send(system, '/safe/a')
+    expect(safe.status).toBe(status)
+    expect(safe.text).toContain('medlarcove-response-signature')
+  })
+}
+
+test('a request that one target rejected unrun and another ran and failed with 503 gets 502', async () => {
+  const unsafeAttempts: string[] = []
+  const targets = await Promise.all(['i-1', 'i-2'].map((id) => startPlatformTarget(id, (target, incoming, outgoing) => {
+    if (incoming.method !== 'POST') {
+      sendCompleteResponse(target, incoming, outgoing)
+      return
+    }
+    unsafeAttempts.push(id)
+    const said = unsafeAttempts.length === 1 ? { 'medlarcove-not-executed': '1' } : { 'medlarcove-response-signature': id }
+    outgoing.writeHead(503, { 'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'], ...said }).end()
+  })))
+  const system = await setup(targets)
+  // They refill the retry budget.
+  for (let round = 0; round < 12; round++) await send(system, '/safe/a')
+  const response = await send(system, '/unsafe/a', { method: 'POST' })
+  expect(unsafeAttempts.toSorted()).toEqual(['i-1', 'i-2'])
+  expect(response.status).toBe(502)
+})
+
+test('a target that fails a request with 503 and Retry-After gets no more requests until then, although that response is not passed on', async () => {
+  const target = await startPlatformTarget('i-1', (_, incoming, outgoing) => {
+    outgoing.writeHead(503, { 'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'], 'medlarcove-response-signature': 'i-1', 'retry-after': '30' }).end()
+  })
+  const system = await setup([target])
+  const failed = await send(system, '/unsafe/a', { method: 'POST' })
+  expect(failed.status).toBe(502)
+  expect(failed.text).not.toContain('retry-after')
+  expect((await send(system, '/unsafe/b', { method: 'POST' })).status).toBe(503)
+  expect(target.receivedAttempts).toEqual([failed.id])
+})
+
 test('an unsafe request that all targets reject before running it gets 503 with a short Retry-After', async () => {
   const rejectUnrun = (_: PlatformTarget, incoming: IncomingMessage, outgoing: ServerResponse): void => {
     outgoing.writeHead(503, { 'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'], 'medlarcove-not-executed': '1' }).end()
