Count a truncated response as a failure of its target

A target that answers with a good head and then sends trailers, or a body, without end, or breaks off, was selected again and again: its head counted as a success, the end of its response as nothing.

Cause: the outcome for the ejection was recorded with the head.

Change: the head says only that the target can be reached; a relayed response counts when it ends, as answered or as broken. A response with a declared length that its caller reads too slowly counts as answered.

Ruled out: recording 'broken' on top of the success of the head, by which the failure rate of a target that truncates everything takes three responses to its ejection instead of two.

--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -133,7 +133,9 @@
     }
     const end = await relayResponse(call, response.value, outgoing)
     recordRelay(call, response.value, end, outgoing)
-    if ('error' in end && end.error.kind === 'answer-truncated') await response.value.attempt.recordLoss()
+    const isTruncated = 'error' in end && end.error.kind === 'answer-truncated'
+    response.value.attempt.recordTransfer(isTruncated)
+    if (isTruncated) await response.value.attempt.recordLoss()
     call.admission.finish(end.kind === 'whole')
   }
   /** Whether the request gets its response before the process ends, even if it takes until its deadline. */
--- a/src/process/selection/load-prober.ts
+++ b/src/process/selection/load-prober.ts
@@ -21,11 +21,12 @@
 export interface EstimatedTarget { state: TargetState, estimate: Estimate }
 
 /**
- * How a request ended at a target: `answered`; `failed` for a server error or a rejection; `unreachable` before anything
- * was sent; `broken` for a connection that failed after the request was sent; `unanswered` when the request ended before the
- * target had responded.
+ * How a request ended at a target: `answered` with a complete response; `failed` for a server error or a rejection;
+ * `unreachable` before anything was sent; `broken` for a connection that failed after the request was sent, or a response that
+ * was truncated; `unanswered` when the request ended before the target had responded. `responded`, when the head of a response
+ * has come, is followed by another outcome.
  */
-export type RequestOutcome = 'answered' | 'failed' | 'unreachable' | 'broken' | 'unanswered'
+export type RequestOutcome = 'responded' | 'answered' | 'failed' | 'unreachable' | 'broken' | 'unanswered'
 
 /** Options of `createLoadProber`. */
 export interface LoadProberOptions {
@@ -128,11 +129,11 @@
   const isSilentSince = (state: TargetState, startedAtMs: number): boolean =>
     clock.monotonicMs() - startedAtMs >= LOAD_PROBE_TIMEOUT_MS && (reachability.getReachedAtMs(state.registered.report.id) ?? -Infinity) < startedAtMs
   const recordRequestOutcome = (state: TargetState, outcome: RequestOutcome, startedAtMs: number): void => {
-    const hasResponded = outcome === 'answered' || outcome === 'failed'
+    const hasResponded = outcome === 'responded' || outcome === 'answered' || outcome === 'failed'
     if (hasResponded) reachability.recordReached(state.registered.report.id)
     else if (outcome === 'unreachable') reachability.recordUnreached(state.registered.report.id, startedAtMs)
     else if (isSilentSince(state, startedAtMs)) startReachCheck(state)
-    if (outcome === 'unanswered') return
+    if (outcome === 'unanswered' || outcome === 'responded') return
     if (outcome === 'unreachable') {
       recordFailure(state, 'no connection could be made')
       return
--- a/src/request/gateway/relay-response.ts
+++ b/src/request/gateway/relay-response.ts
@@ -28,6 +28,7 @@
 /** Relays a response that has started; resolves when the relay has ended. */
 export function relayResponse (call: GatewayCall, { attempt, head }: StartedResponse, outgoing: ServerResponse): Promise<RelayOutcome> {
   const { clock, deadlineAtMs } = call
+  const hasLength = head.headers['content-length'] !== undefined
   const endsByMs = call.startedAtMs + call.route.timeoutMs + MAX_LATE_MS
   return new Promise((resolve) => {
     const { exchange } = attempt
@@ -62,7 +63,7 @@
       const pauseEndsAtMs = Math.max(deadlineAtMs, lastChunkAtMs + MAX_LATE_PAUSE_MS)
       const isCallerSlow = outgoing.writableNeedDrain
       if (nowMs >= pauseEndsAtMs && !hasSentHead) fail(createError('route-timeout', 'The target sent the head of its response, but no body before the deadline.'))
-      else if (nowMs >= endsByMs) fail(createError('answer-truncated', 'The response did not end within the timeout of its route.'))
+      else if (nowMs >= endsByMs) fail(createError(isCallerSlow && hasLength ? 'route-timeout' : 'answer-truncated', 'The response did not end within the timeout of its route.'))
       else if (nowMs >= pauseEndsAtMs && !isCallerSlow) fail(createError('answer-truncated', 'The target stopped sending in the middle of its response.'))
       else cancelWatch = clock.startTimer(Math.min(endsByMs - nowMs, Math.max(MAX_LATE_PAUSE_MS, pauseEndsAtMs - nowMs)), watchTime)
     }
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -5,6 +5,7 @@
 import type { TargetSelection } from '../../process/selection/target-search.ts'
 import type { RunKind } from '../../process/quarantine/crash-history.ts'
 import { isProven } from '../../process/selection/target-states.ts'
+import type { RequestOutcome } from '../../process/selection/load-prober.ts'
 import type { TargetState } from '../../process/selection/target-states.ts'
 import { createError } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
@@ -42,6 +43,8 @@
   exchange: Exchange | undefined
   /** Finds out why the connection ended early, and records it if the target has crashed. */
   recordLoss(): Promise<void>
+  /** Records how the response ended when it was relayed: whether the target truncated it. */
+  recordTransfer(isTruncated: boolean): void
   /** Cancels the attempt, and with it the work at the target. */
   cancel(): void
 }
@@ -66,6 +69,12 @@
   return isServerError(status) ? { kind: 'failed', head } : { kind: 'answered', head }
 }
 
+/** Returns what the head of a response tells about the target; of one that is relayed, its end tells the rest. */
+function toRequestOutcome (hasAnswered: boolean, { kind }: AttemptOutcome): RequestOutcome {
+  if (!hasAnswered) return 'failed'
+  return kind === 'answered' ? 'responded' : 'answered'
+}
+
 function describeRun (state: TargetState, isTrial: boolean): RunKind {
   if (!isTrial) return 'ordinary'
   return isProven(state) ? 'isolated' : 'trial'
@@ -106,7 +115,7 @@
     release()
     record.end = 'no connection left'
     const error = createError('target-unreachable', 'All connections to the target are in use.')
-    return { selection, outcome: Promise.resolve({ kind: 'unsent', error }), exchange: undefined, recordLoss: () => Promise.resolve(), cancel: () => undefined }
+    return { selection, outcome: Promise.resolve({ kind: 'unsent', error }), exchange: undefined, recordLoss: () => Promise.resolve(), recordTransfer: () => undefined, cancel: () => undefined }
   }
   const exchange = startExchange(connection, {
     id: call.id,
@@ -127,7 +136,7 @@
     record.status = head.status
     if (isMisdirected(head.status, head.headers)) service.handleLeaving(state, 'another target at its address rejected the request as misdirected')
     const hasAnswered = !isServerError(head.status) && outcome.kind !== 'not-executed'
-    service.selector.recordOutcome(state, hasAnswered ? 'answered' : 'failed', startedAtMs)
+    service.selector.recordOutcome(state, toRequestOutcome(hasAnswered, outcome), startedAtMs)
     if (hasAnswered) {
       state.answeredCount += 1
       call.workMeter.record(route.name, clock.monotonicMs() - startedAtMs, slowdown)
@@ -159,6 +168,7 @@
     outcome: readOutcome(),
     exchange,
     recordLoss,
+    recordTransfer: (isTruncated) => service.selector.recordOutcome(state, isTruncated ? 'broken' : 'answered', startedAtMs),
     cancel () {
       isCancelled = true
       exchange.cancel()
