Close a connection on which bytes without end are no part of a body

Cause: the HTTP client limits heads and trailers, but not what stands between the chunks of a body; no data came, so nothing here noticed.

Change: more than 64 KB in a row without a part of a body, counted anew for each response on a connection, destroy it. 64 KB are four heads at their limit, or informational responses and the trailers.

--- a/src/connection/bounded-reads.ts
+++ b/src/connection/bounded-reads.ts
@@ -1,9 +1,10 @@
 /**
- * Hands the bytes of a connection to an HTTP client in parts of limited size.
+ * Hands the bytes of a connection to an HTTP client in parts of limited size, and closes a connection on which bytes go on coming
+ * that are no part of a body.
  *
  * After the head or the trailers of a response have passed their size limit, the HTTP client (undici) parses the rest of the part
  * that it has read, and creates an error for each further line. Small parts bound that work, and nothing is handed on after the
- * client has destroyed the connection. A body in many tiny
+ * client has destroyed the connection. The client has no limit for what stands between the chunks of a body. A body in many tiny
  * chunks costs much more time than its size tells; other connections get their turn after each part of it.
  */
 import type { Socket } from 'node:net'
@@ -16,29 +17,37 @@
 const MAX_CHUNKED_PART_BYTES = MAX_HEAD_BYTES
 /** The same after one that held a part of another body, which has no trailers. */
 const MAX_BODY_PART_BYTES = 65_536
+/** Bytes in a row of which none is part of a body: a few heads of informational responses, or the trailers. */
+const MAX_OTHER_BYTES = 65_536
 /** After a part with more chunks than this, other connections get their turn. */
 const MAX_CHUNKS_PER_TURN = 256
 
 /** The reads of one connection. */
 export interface BoundedReads {
+  /** Begins to count anew, for the next response on the connection. */
+  startResponse(): void
   /** Records that the latest part held a chunk of a body. */
   recordBody(isChunked: boolean): void
 }
 
 /** The methods of a socket that are used. */
-type ReadableSocket = Pick<Socket, 'read' | 'destroyed' | 'emit' | 'readableLength'>
+type ReadableSocket = Pick<Socket, 'read' | 'destroy' | 'destroyed' | 'emit' | 'readableLength'>
 
 /** Bounds the parts in which a connection is read; call it before the HTTP client uses the connection. */
 export function createBoundedReads (socket: ReadableSocket): BoundedReads {
   const read = socket.read.bind(socket)
   let maxPartBytes = MAX_HEAD_PART_BYTES
+  let otherBytes = 0
   let chunkCount = 0
   let isYielding = false
 
   const readPart = (): unknown => {
     const partBytes = Math.min(maxPartBytes, socket.readableLength)
     maxPartBytes = MAX_HEAD_PART_BYTES
-    return partBytes > 0 ? read(partBytes) : read()
+    otherBytes += partBytes
+    if (otherBytes <= MAX_OTHER_BYTES) return partBytes > 0 ? read(partBytes) : read()
+    socket.destroy(new Error(`The target sent more than ${MAX_OTHER_BYTES} bytes that are no part of a body.`))
+    return null
   }
   const resume = (): void => {
     isYielding = false
@@ -58,7 +67,9 @@
     return sizeBytes === undefined ? readPart() : read(sizeBytes)
   }
   return {
+    startResponse () { otherBytes = 0 },
     recordBody (isChunked) {
+      otherBytes = 0
       chunkCount += 1
       maxPartBytes = isChunked ? MAX_CHUNKED_PART_BYTES : MAX_BODY_PART_BYTES
     }
--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -148,6 +148,7 @@
   }
   const toConnection = (pooled: PooledClient, isNew: boolean): TargetConnection => {
     let isAcquired = true
+    pooled.reads?.startResponse()
     const finish = (): boolean => {
       const wasAcquired = isAcquired
       isAcquired = false
--- a/test/bounded-reads.test.ts
+++ b/test/bounded-reads.test.ts
@@ -55,6 +55,21 @@
   }
 })
 
+// Guards against an extension of a chunk without end, for which the HTTP client has no limit.
+test('a connection on which bytes go on coming that are no part of a body is closed, however the responses before it were', () => {
+  const connection = createSocket(0)
+  for (let response = 0; response < 1_000; response++) {
+    connection.reads.startResponse()
+    connection.socket.readableLength = 300
+    expect(readAll(connection)).toEqual([300])
+  }
+  connection.reads.startResponse()
+  connection.socket.readableLength = 1_000_000
+  readAll(connection)
+  expect(connection.socket.errors).toEqual(['The target sent more than 65536 bytes that are no part of a body.'])
+  expect(connection.socket.readableLength).toBeGreaterThan(900_000)
+})
+
 // Guards against a body in tiny chunks that keeps other connections from their turn.
 test('after a part in many tiny chunks other connections get their turn before the rest is read', async () => {
   const connection = createSocket(100_000)
--- a/test/endless-bytes.test.ts
+++ b/test/endless-bytes.test.ts
@@ -1,7 +1,7 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
-import { describeTarget, ROUTE_HOST, startPlatformTarget } from '../stand-ins/platform-target.ts'
+import { describeConfiguration, describeTarget, ROUTE_HOST, startPlatformTarget } from '../stand-ins/platform-target.ts'
 import { sendRaw, startGatewaySystem, waitFor } from './support/gateway-system.ts'
 import type { GatewaySystem } from './support/gateway-system.ts'
 
@@ -132,6 +132,19 @@
   })
 }
 
+// Guards against a chunk extension that holds a caller and a slot until the timeout of the route.
+test('a chunk extension without end ends the request long before its deadline', async () => {
+  const flooding = await startFloodingTarget('i-flood', (id) => ({
+    head: `HTTP/1.1 200 OK\r\nMedlarcove-Attempt-Id: ${id}\r\nMedlarcove-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5;ext=`, repeated: CHUNK
+  }))
+  const system = await setup(flooding, true)
+  system.store.put('keyed.op', 'config', describeConfiguration(2, { timeout: '60s' }))
+  await waitFor(() => system.gateway.countInProgress() === 0 && system.log.some(({ message, fields }) => message === 'A configuration is in effect.' && fields.version === 2))
+  const text = `POST /unsafe/a HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nMedlarcove-Attempt-Id: a-1\r\nMedlarcove-Deadline-Ms: 60000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`
+  const response = await sendRaw(system.settings.listen.front.port, text, 20_000)
+  expect(getStatus(response.text)).toBe('502')
+})
+
 for (const [name, framing, repeated] of [
   ['in chunks', 'Transfer-Encoding: chunked', Buffer.concat([Buffer.from('4000\r\n'), CHUNK, Buffer.from('\r\n')])],
   ['in chunks of one byte', 'Transfer-Encoding: chunked', '1\r\nx\r\n'.repeat(2_000)],
