Count a cancelled attempt as running at its target until it must be over

Cause: a request was related to a crash by the end of its own connection only, and an entry that cancels an attempt ends that connection itself.

Ruled out: keeping the connection open until the deadline (targets that drop a request with its connection would run it to the end), and a check of each target after each cancelled attempt (a connection for each caller that leaves).

Change: a cancelled attempt counts as running until 0.5 s after its deadline. A crash counts against it that is found by another attempt, by an idle connection that ends, or by a load probe without a response; where no connection is idle, a load probe leaves one. A cancelled isolated trial counts as one that was not isolated, so that a bystander is not condemned by one coincidence. Bounds: 64 runs at each of 256 targets.

--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -54,6 +54,8 @@
   /** Maximum number of connections of this process to the target. */
   maxConnections: number
   clock: Clock
+  /** Called when an idle connection has ended. */
+  handleDisconnect?(): void
 }
 
 interface PooledClient { client: Client, lastResponseAtMs: number, isEnded: boolean, isDropped: boolean, wasReset: boolean, handleEnd: () => void, reads: BoundedReads | undefined }
@@ -95,11 +97,13 @@
     openCount -= 1
     pooled.client.destroy().catch(() => undefined)
   }
-  const removeIdle = (pooled: PooledClient): void => {
+  /** Closes an idle connection. Returns false if it is not idle. */
+  const removeIdle = (pooled: PooledClient): boolean => {
     const index = idle.indexOf(pooled)
-    if (index < 0) return
+    if (index < 0) return false
     idle.splice(index, 1)
     destroyClient(pooled)
+    return true
   }
   const openClient = (): PooledClient => {
     const client = new Client(`http://${target.address}:${target.port}`, {
@@ -117,7 +121,7 @@
     const pooled: PooledClient = { client, lastResponseAtMs: -Infinity, isEnded: false, isDropped: false, wasReset: false, handleEnd: () => undefined, reads: undefined }
     client.on('disconnect', () => {
       pooled.isEnded = true
-      removeIdle(pooled)
+      if (removeIdle(pooled)) options.handleDisconnect?.()
     })
     openCount += 1
     return pooled
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -39,6 +39,7 @@
     getLoadProbesPerSecond: () => parts.settings.maxLoadProbesPerSecond * USED_SHARE / parts.membership.countMembers(),
     maxConnections: MAX_CONNECTIONS_PER_TARGET,
     limiter: parts.limiter,
+    quarantine: parts.quarantine,
     handleConfiguration ({ limits }) {
       parts.servers.setIdleTimeout(limits.idleTimeoutMs)
       publishStatus(parts)
--- a/src/process/gateway/gateway-services.ts
+++ b/src/process/gateway/gateway-services.ts
@@ -8,6 +8,7 @@
 import type { ServiceId, TargetId, ZoneId } from '../../types.ts'
 import type { TargetRegistry } from '../discovery/target-registry.ts'
 import type { PartLogger } from '../logger.ts'
+import type { RequestQuarantine } from '../quarantine/request-quarantine.ts'
 import { createCrashChecks } from '../selection/crash-checks.ts'
 import { createServiceSelector } from '../selection/service-selector.ts'
 import type { TargetState, TargetStates } from '../selection/target-states.ts'
@@ -38,6 +39,8 @@
   updateMaxRetryTokens(maxTokens: number): void
   /** Returns the services that have been used. */
   list(): GatewayService[]
+  /** Finds out whether a target has crashed while it may have gone on with requests that this entry had cancelled. */
+  checkAbandoned(state: TargetState): void
   /** Returns the number of crashes of targets that this process has found. */
   countCrashes(): number
   /** Returns the metric values of all services that have been used. */
@@ -54,6 +57,8 @@
   retryBudget: { share: number, maxTokens: number }
   /** Returns how many load probes this process may send to one target per second. */
   getLoadProbesPerSecond(): number
+  /** Keeps requests from crashing target after target. */
+  quarantine: Pick<RequestQuarantine, 'hasAbandoned' | 'recordLostTarget'>
   /** Keeps the requests within the rate limits that targets advertise. */
   limiter: TargetLimiter
   /** Called when this process detects that a target is leaving, so that the peers can be notified. */
@@ -86,6 +91,14 @@
     if (state.pausedUntilMs <= nowMs) logger.info('A target rejects requests for a while; it gets none.', { target: state.registered.report.id, forMs: Math.round(pauseMs) })
     state.pausedUntilMs = Math.max(state.pausedUntilMs, nowMs + pauseMs)
   }
+  const findLostTarget = async (state: TargetState): Promise<void> => {
+    const finding = await crashChecks.check(state)
+    if (finding === 'crashed') options.quarantine.recordLostTarget(state.registered.report.id)
+  }
+  const checkAbandoned = (state: TargetState): void => {
+    if (!options.quarantine.hasAbandoned(state.registered.report.id)) return
+    findLostTarget(state).catch((cause: unknown) => logger.error('Checking a target for a crash failed.', { target: state.registered.report.id, err: cause }))
+  }
   const createService = (name: ServiceId): GatewayService => {
     const handleLeaving = (state: TargetState, evidence: string): void => markLeaving(name, state, evidence)
     const recordNotices = (state: TargetState, { limit, isLeaving, pauseMs }: TargetNotices, sentAtMs: number): void => {
@@ -93,13 +106,16 @@
       if (isLeaving) handleLeaving(state, 'a response of it says so')
       if (pauseMs !== undefined) pauseTarget(state, pauseMs)
     }
+    const selector = createServiceSelector({ ...options, service: name, getHealthPath: () => options.getHealthPath(name), handleLeaving, recordNotices, handleUnreached: checkAbandoned })
     return {
       name,
+      selector,
+      // An idle connection ends with the target's process; a probe leaves one behind.
+      watchTarget ({ pool, registered }) { if (pool.countConnections().idle === 0) selector.checkReachable([registered.report.id]) },
       retryBudget: createRatioBudget({ share: options.retryBudget.share, maxTokens: maxRetryTokens }),
       handleLeaving,
       recordNotices,
-      checkCrash: crashChecks.check,
-      selector: createServiceSelector({ ...options, service: name, getHealthPath: () => options.getHealthPath(name), handleLeaving, recordNotices })
+      checkCrash: crashChecks.check
     }
   }
   return {
@@ -113,6 +129,7 @@
       for (const { retryBudget } of services.values()) retryBudget.updateMaxTokens(maxTokens)
     },
     list: () => [...services.values()],
+    checkAbandoned,
     countCrashes: crashChecks.countCrashes,
     listMetrics: () => [...services.values()].map(({ name, selector, retryBudget }) => ({
       service: name,
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -76,7 +76,7 @@
 export function createGatewayState (options: GatewayStateOptions): GatewayState {
   const { clock, random, logger, limiter } = options
   const registry = createTargetRegistry()
-  const states = createTargetStates({ clock, maxConnections: options.maxConnections })
+  const states = createTargetStates({ clock, maxConnections: options.maxConnections, handleDisconnect: (state) => services.checkAbandoned(state) })
   let inEffect: ConfigurationInEffect | undefined
   let hasReadTargets = false
   const services = createGatewayServices({
--- a/src/process/quarantine/request-quarantine.ts
+++ b/src/process/quarantine/request-quarantine.ts
@@ -12,6 +12,7 @@
 import type { PartLogger } from '../logger.ts'
 import type { PeerMessaging } from '../peer-messaging.ts'
 import { createPendingResponses } from '../pending-responses.ts'
+import { createAbandonedRuns } from './abandoned-runs.ts'
 import { createCrashHistory } from './crash-history.ts'
 import type { CrashedRun, Suspicion, TargetCrash } from './crash-history.ts'
 import type { QuarantineMessage, SharedCrash } from './quarantine-messages.ts'
@@ -62,6 +63,12 @@
   acquire(request: RequestFingerprint, options: AdmissionOptions): Promise<Admission>
   /** Records that a target has crashed while it ran a request of this entry. */
   recordCrash(target: TargetId, run: CrashedRun): void
+  /** Records a run that this entry has cancelled, and with which its target may go on until `untilMs` of the monotonic clock. */
+  recordAbandoned(target: TargetId, run: CrashedRun, untilMs: number): void
+  /** Whether a target may go on with a run that this entry has cancelled. */
+  hasAbandoned(target: TargetId): boolean
+  /** Records that a target has crashed while it may have gone on with runs that this entry had cancelled. */
+  recordLostTarget(target: TargetId): void
   /** Records that a request has completed. */
   recordCompletion(request: RequestFingerprint): void
   /** Handles a message of another entry. */
@@ -99,6 +106,7 @@
   const { self, clock, random, logger } = options
   const history = createCrashHistory(clock)
   const leases = createTrialLeases(clock)
+  const abandoned = createAbandonedRuns(clock)
   const pending = createPendingResponses<boolean>({ clock, random, timeoutMs: RESPONSE_TIMEOUT_MS })
   const counts = { trials: 0, unleasedTrials: 0, rejected: 0 }
   /** The latest crash that this entry has found at each target, by the monotonic clock in ms. */
@@ -189,22 +197,32 @@
     if (isCleared && before.kind !== 'none') logger.info('A suspected request has completed; it is free of suspicion.', { request, crashCount: before.crashCount })
     return isCleared
   }
+  /** Records a crash of a target with the runs of this entry there, and tells the other entries. */
+  const recordOwnCrash = (target: TargetId, runs: CrashedRun[]): void => {
+    if (hasManyOwnCrashes(target)) {
+      logger.warn('Many targets crashed at once, or this entry cannot reach them; no request is suspected for it.', { target, crashCount: ownCrashes.size })
+      return
+    }
+    const crash: TargetCrash = { target, atMs: clock.monotonicMs(), runs }
+    for (const { request, kind } of runs) logger.info('A request was running at a target that crashed.', { target, request, run: kind })
+    applyCrash(crash)
+    const message: QuarantineMessage = { type: 'target-crashes', crashes: [toShared(crash)] }
+    const granters = new Set(runs.map(({ request }) => getGranter(request)))
+    for (const granter of granters) if (granter !== self) options.send(granter, message)
+    options.broadcast(message)
+  }
   return {
     isIdle: history.isEmpty,
     isSuspected: (request) => history.getSuspicion(request).kind !== 'none',
     acquire,
     recordCrash (target, run) {
-      if (hasManyOwnCrashes(target)) {
-        logger.warn('Many targets crashed at once, or this entry cannot reach them; no request is suspected for it.', { target, crashCount: ownCrashes.size })
-        return
-      }
-      const crash: TargetCrash = { target, atMs: clock.monotonicMs(), runs: [run] }
-      logger.info('A request was running at a target that crashed.', { target, request: run.request, run: run.kind })
-      applyCrash(crash)
-      const message: QuarantineMessage = { type: 'target-crashes', crashes: [toShared(crash)] }
-      const granter = getGranter(run.request)
-      if (granter !== self) options.send(granter, message)
-      options.broadcast(message)
+      recordOwnCrash(target, [run, ...abandoned.take(target)])
+    },
+    recordAbandoned: abandoned.add,
+    hasAbandoned: abandoned.has,
+    recordLostTarget (target) {
+      const runs = abandoned.take(target)
+      if (runs.length > 0) recordOwnCrash(target, runs)
     },
     recordCompletion (request) {
       if (recordCompleted(request, clock.monotonicMs())) options.broadcast({ type: 'request-completed', request, agoMs: 0 })
@@ -235,6 +253,7 @@
       if (nowMs - repeatedAtMs < REPEAT_INTERVAL_MS) return
       repeatedAtMs = nowMs
       history.removeExpired()
+      abandoned.removeExpired()
       const others = live.filter((id) => id !== self)
       const to = others[Math.floor(random() * others.length)]
       if (to !== undefined) sendCrashes(to, history.takeNext(CRASHES_PER_MESSAGE))
--- a/src/process/selection/load-prober.ts
+++ b/src/process/selection/load-prober.ts
@@ -40,6 +40,8 @@
   handleLeaving(state: TargetState, evidence: string): void
   /** Called with what the target says about itself on the response to a load probe that was sent at `sentAtMs`. */
   recordNotices(state: TargetState, notices: TargetNotices, sentAtMs: number): void
+  /** Called when a load probe got no response. */
+  handleUnreached?(state: TargetState): void
   /** Sends one load probe; tests replace it to need no network. */
   sendLoadProbe?: typeof sendLoadProbe
   /** Opens a connection to a target; tests replace it to need no network. */
@@ -170,6 +172,7 @@
       case 'silent':
       case 'unreachable':
         recordFailure(state, `a load probe found it ${result.kind}`)
+        options.handleUnreached?.(state)
         break
     }
   }
--- a/src/process/selection/target-states.ts
+++ b/src/process/selection/target-states.ts
@@ -63,17 +63,16 @@
   clock: Clock
   /** Maximum number of connections of this process to one target. */
   maxConnections: number
+  /** Called when an idle connection to a target has ended. */
+  handleDisconnect?(state: TargetState): void
   /** Creates the connection pool of a target; tests replace it to need no network. */
   createPool?: typeof createTargetPool
 }
 
-/** Creates an empty set of target states. */
-export function createTargetStates (options: TargetStatesOptions): TargetStates {
-  const { clock, maxConnections, createPool = createTargetPool } = options
-  const states = new Map<TargetId, TargetState>()
-  const create = (registered: RegisteredTarget): TargetState => ({
+function createState (registered: RegisteredTarget, pool: TargetPool): TargetState {
+  return {
     registered,
-    pool: createPool({ target: registered.report, maxConnections, clock }),
+    pool,
     inFlight: 0,
     probesInFlight: 0,
     trialCount: 0,
@@ -89,7 +88,18 @@
     pausedUntilMs: -Infinity,
     probeBucket: { tokens: 0, filledAtMs: -Infinity },
     connectionCheckedAtMs: -Infinity
-  })
+  }
+}
+
+/** Creates an empty set of target states. */
+export function createTargetStates (options: TargetStatesOptions): TargetStates {
+  const { clock, maxConnections, createPool = createTargetPool } = options
+  const states = new Map<TargetId, TargetState>()
+  const create = (registered: RegisteredTarget): TargetState => {
+    const handleDisconnect = (): void => options.handleDisconnect?.(state)
+    const state = createState(registered, createPool({ target: registered.report, maxConnections, clock, handleDisconnect }))
+    return state
+  }
   return {
     get (registered) {
       const known = states.get(registered.report.id)
--- a/src/request/gateway/gateway-call.ts
+++ b/src/request/gateway/gateway-call.ts
@@ -25,6 +25,8 @@
   handleLeaving(state: TargetState, evidence: string): void
   /** Called with what the target says about itself on the response to a request that was sent at `sentAtMs`. */
   recordNotices(state: TargetState, notices: TargetNotices, sentAtMs: number): void
+  /** Makes sure that a crash of a target is noticed, although no request of this entry is in flight there. */
+  watchTarget(state: TargetState): void
   /** Finds out why a target closed a connection without a response. */
   checkCrash(state: TargetState): Promise<CrashFinding>
 }
--- a/src/request/gateway/request-admission.ts
+++ b/src/request/gateway/request-admission.ts
@@ -22,6 +22,8 @@
   isSuspected(): boolean
   /** Records that a target crashed while it ran an attempt. */
   recordCrash(target: TargetId, kind: RunKind): void
+  /** Records an attempt that was cancelled before the target had completed it: the target may go on with it until the deadline. */
+  recordAbandoned(target: TargetId, kind: RunKind): void
   /** Ends the admission; `isComplete` tells whether a complete response has come. */
   finish(isComplete: boolean): void
 }
@@ -39,6 +41,8 @@
 const MS_PER_SECOND = 1_000
 /** A trial must not end later than this after the deadline, in ms, when its lease expires. */
 const LEASE_MARGIN_MS = 200
+/** A target's crash is found this long after it at most, in ms. */
+const ABANDONED_MARGIN_MS = 500
 
 /** Creates the admission of one request. */
 export function createRequestAdmission (options: RequestAdmissionOptions): RequestAdmission {
@@ -77,6 +81,11 @@
       quarantine.recordCrash(target, { request: getFingerprint(), kind })
       releaseTrial()
     },
+    recordAbandoned (target, kind) {
+      // With others there, such a trial proves less than one that was watched to its end.
+      const run = { request: getFingerprint(), kind: kind === 'isolated' ? 'trial' as const : kind }
+      quarantine.recordAbandoned(target, run, deadlineAtMs + ABANDONED_MARGIN_MS)
+    },
     finish (isComplete) {
       isFinished = true
       if (isComplete && !quarantine.isIdle() && quarantine.isSuspected(getFingerprint())) quarantine.recordCompletion(getFingerprint())
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -104,6 +104,7 @@
   if (runKind !== 'ordinary') state.trialCount += 1
   let isReleased = false
   let isCancelled = false
+  let hasFailed = false
   const release = (head?: ResponseHead): void => {
     if (isReleased) return
     isReleased = true
@@ -133,6 +134,7 @@
     service.recordNotices(state, decodeTargetNotices(head.status, head.headers), startedAtMs)
     const outcome = toOutcome(head, route)
     record.end = outcome.kind
+    hasFailed = outcome.kind !== 'answered'
     record.status = head.status
     if (isMisdirected(head.status, head.headers)) service.handleLeaving(state, 'another target at its address rejected the request as misdirected')
     const hasAnswered = !isServerError(head.status) && outcome.kind !== 'not-executed'
@@ -158,6 +160,7 @@
     release()
     const isOwnEnd = isCancelled || call.caller.isDisconnected()
     const kind = exchange.wasSent() ? 'broken' : 'unsent'
+    hasFailed = true
     service.selector.recordOutcome(state, isOwnEnd ? 'unanswered' : kind === 'broken' ? 'broken' : 'unreachable', startedAtMs)
     record.end = isCancelled ? 'cancelled' : `${kind}: ${head.error.message}`
     if (!isOwnEnd && kind === 'broken' && head.error.kind === 'target-broken') await recordLoss()
@@ -170,9 +173,13 @@
     recordLoss,
     recordTransfer: (isTruncated) => service.selector.recordOutcome(state, isTruncated ? 'broken' : 'answered', startedAtMs),
     cancel () {
+      const isAbandoned = !isCancelled && !hasFailed && exchange.wasSent()
       isCancelled = true
       exchange.cancel()
       release()
+      if (!isAbandoned) return
+      call.admission.recordAbandoned(id, runKind)
+      service.watchTarget(state)
     }
   }
 }
--- a/test/deadly-request.test.ts
+++ b/test/deadly-request.test.ts
@@ -1,8 +1,9 @@
 import { afterEach, expect, test } from 'vitest'
-import { sendCompleteResponse, startPlatformTarget } from '../stand-ins/platform-target.ts'
+import { ROUTE_HOST, sendCompleteResponse, startPlatformTarget } from '../stand-ins/platform-target.ts'
 import type { PlatformTarget } from '../stand-ins/platform-target.ts'
 import { sendTo, startGatewayFleet } from './support/gateway-fleet.ts'
 import type { FleetEntry, GatewayFleet } from './support/gateway-fleet.ts'
+import { sendRaw } from './support/gateway-system.ts'
 
 const RUN_MS = 30
 
@@ -54,6 +55,22 @@
   })
 }
 
+// Guards against a deadly request that is never put in quarantine, since its callers leave before it crashes the target (review/7).
+test('a request whose callers leave before it crashes its target ends at most four targets, over all entries', async () => {
+  const targets = await startFragileTargets(12)
+  const { entries } = await startFleet(targets, 3)
+  await sendMany(entries, Array.from({ length: 60 }, (_, index) => `/safe/first-${index}`), 5)
+  for (let index = 0; index < 12; index++) {
+    const before = countCrashed(targets)
+    const { settings } = select(entries, index)
+    await sendRaw(settings.listen.front.port, `GET /safe/deadly HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nMedlarcove-Attempt-Id: left-${index}\r\n\r\n`, RUN_MS / 2)
+    await new Promise((resolve) => setTimeout(resolve, 4 * RUN_MS))
+    if (index > 4) expect(countCrashed(targets)).toBe(before)
+  }
+  expect(countCrashed(targets)).toBeLessThanOrEqual(4)
+  expect(countCrashed(targets)).toBeGreaterThan(0)
+})
+
 /** Sends safe requests to all entries in turn, `gapMs` apart, and resolves with the responses. */
 async function sendMany (entries: readonly FleetEntry[], paths: readonly string[], gapMs: number): Promise<{ status: number, text: string }[]> {
   const responses = paths.map(async (path, index) => {
--- a/test/request-quarantine.test.ts
+++ b/test/request-quarantine.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
 import { createTestClock } from '../src/clock.ts'
+import { createAbandonedRuns } from '../src/process/quarantine/abandoned-runs.ts'
 import { createCrashHistory } from '../src/process/quarantine/crash-history.ts'
 import { createTrialLeases } from '../src/process/quarantine/trial-leases.ts'
 import { createCallerConnection } from '../src/request/caller-connection.ts'
@@ -49,6 +50,22 @@
     })
   }
 
+  // Guards against a deadly request that is never put in quarantine, since its callers leave before it crashes the target (review/7).
+  test(`a deadly request whose callers leave ends at most five targets over ${size} entries, and no other request is rejected, although callers of others leave too`, async () => {
+    for (const seed of [1, 2, 3]) {
+      const fleet = createQuarantineFleet({ size, targetCount, seed })
+      const createRequest = (index: number): SimulatedRequest => {
+        const request = createMix(40)(index)
+        return request.isDeadly || index % 3 === 1 ? { ...request, leavesAfterMs: 90 } : request
+      }
+      const ended = await fleet.runLoad({ perSecond: 100, lengthMs: 20_000, createRequest })
+      // One run, two trials, and one more of each that begins before the entries know.
+      expect(fleet.counts.crashes).toBeLessThanOrEqual(MAX_CRASHES_OF_ONE_REQUEST + 1)
+      expect(countOutcomes(ended, 'rejected', isInnocent)).toBe(0)
+      expect(countOutcomes(ended, 'rejected', ({ isDeadly }) => isDeadly === true)).toBeGreaterThan(40)
+    }
+  })
+
   test(`a deadly request in flight at three of ${size} entries at once ends no more targets than these and one more`, async () => {
     const fleet = createQuarantineFleet({ size, targetCount })
     const outcomes = Promise.all(fleet.entries.slice(0, 3).map((entry) => fleet.sendRequest(entry, DEADLY)))
@@ -244,3 +261,19 @@
   await clock.advance(501)
   expect(leases.tryGrant(request, second, 500)).toBe(true)
 })
+
+test('a cancelled run counts at its target until it is over, once, and there is a bound for them', async () => {
+  const clock = createTestClock()
+  const runs = createAbandonedRuns(clock)
+  runs.add(toTarget('i-1'), { request: toFingerprint('a'), kind: 'ordinary' }, clock.monotonicMs() + 500)
+  runs.add(toTarget('i-1'), { request: toFingerprint('b'), kind: 'trial' }, clock.monotonicMs() + 1_000)
+  await clock.advance(600)
+  expect(runs.take(toTarget('i-1'))).toEqual([{ request: 'b', kind: 'trial' }])
+  expect(runs.has(toTarget('i-1'))).toBe(false)
+  for (let index = 0; index < 10_000; index++) runs.add(toTarget(`i-${index % 1_000}`), { request: toFingerprint(`r-${index}`), kind: 'ordinary' }, clock.monotonicMs() + 1_000)
+  for (let index = 0; index < 100; index++) runs.add(toTarget('i-999'), { request: toFingerprint(`s-${index}`), kind: 'ordinary' }, clock.monotonicMs() + 1_000)
+  expect(Array.from({ length: 1_000 }, (_, index) => runs.has(toTarget(`i-${index}`))).filter(Boolean).length).toBe(256)
+  expect(runs.take(toTarget('i-999')).length).toBe(64)
+  await clock.advance(2_000)
+  expect(runs.has(toTarget('i-998'))).toBe(false)
+})
--- a/test/support/quarantine-fleet.ts
+++ b/test/support/quarantine-fleet.ts
@@ -26,10 +26,12 @@
   name: string
   isDeadly?: boolean
   isIdempotent?: boolean
+  /** When its caller leaves, in ms after the request was sent to a target; the target goes on with it. */
+  leavesAfterMs?: number
 }
 
 /** How a simulated request ended for its caller. */
-export type SimulatedOutcome = 'completed' | 'failed' | 'rejected'
+export type SimulatedOutcome = 'completed' | 'failed' | 'rejected' | 'left'
 
 /** Options of the fleet. */
 export interface QuarantineFleetOptions { size: number, targetCount: number, seed?: number, lossShare?: number }
@@ -92,6 +94,7 @@
     target.crashCount += 1
     counts.crashes += 1
     for (const run of target.runs) run.end('crashed')
+    for (const { quarantine, isStopped } of entries) if (!isStopped && quarantine.hasAbandoned(target.id)) quarantine.recordLostTarget(target.id)
     clock.startTimer(DOWN_MS, () => {
       target.isUp = true
       target.completedCount = 0
@@ -122,8 +125,11 @@
       else run.end('completed')
     })
   })
+  /** Waits for the end of a run, or until its caller leaves. */
+  const waitForOutcome = <T>(running: Promise<T>, leavesAfterMs: number): Promise<T | 'left'> =>
+    leavesAfterMs === Infinity ? running : Promise.race([running, clock.wait(leavesAfterMs).then(() => 'left' as const)])
   /** Sends a request through an entry, as a gateway does; resolves with what its caller gets. */
-  const sendRequest = async (entry: QuarantineEntry, { name, isDeadly = false, isIdempotent = true }: SimulatedRequest): Promise<SimulatedOutcome> => {
+  const sendRequest = async (entry: QuarantineEntry, { name, isDeadly = false, isIdempotent = true, leavesAfterMs = Infinity }: SimulatedRequest): Promise<SimulatedOutcome> => {
     const admission = createRequestAdmission({
       quarantine: entry.quarantine,
       getFingerprint: () => toFingerprint(name),
@@ -140,7 +146,12 @@
       tried.add(target)
       const kind = !admission.isTrial() ? 'ordinary' : isProven(target) ? 'isolated' : 'trial'
       const { id } = target
-      const outcome = await runAt(target, kind, isDeadly)
+      const outcome = await waitForOutcome(runAt(target, kind, isDeadly), leavesAfterMs)
+      if (outcome === 'left') {
+        if (!entry.isStopped) admission.recordAbandoned(id, kind)
+        admission.finish(false)
+        return 'left'
+      }
       if (outcome === 'completed') {
         admission.finish(true)
         return 'completed'
