Keep the mark of a leaving run, whether or not its record is there

Cause: markLeaving needed a registered target. A response that says that the target leaves, after its record has gone, marked nothing, and the record came back, late or with the copy of the store. The mark named an id and no run: a late response of an earlier run could take a sound one out.

Change: the mark belongs to a run (id and start), outlives the record, is ignored for an earlier run, and waits for a run that is not known yet. The message to the other entries names the start of the run.

--- a/src/process/discovery/target-registry.ts
+++ b/src/process/discovery/target-registry.ts
@@ -57,8 +57,12 @@
   apply(change: TargetChange, nowMs: number, isOutage: boolean): ChangeOutcome
   /** Applies a full read. Targets that it does not contain are removed, but for those in `unreadable`, whose records could not be decoded. */
   replaceAll(reports: readonly TargetReport[], unreadable: readonly TargetId[], nowMs: number, isOutage: boolean): void
-  /** Marks a target's present run as leaving without a report of its own. Returns whether that changed anything. */
-  markLeaving(id: TargetId): boolean
+  /**
+   * Marks a run of a target as leaving without a report of its own, also when its record is gone: it may come back late, or with
+   * a store that is restored from a copy. `bornMs` is the start of the run that was seen leaving; by default the latest run.
+   * Returns whether that changed anything.
+   */
+  markLeaving(id: TargetId, bornMs?: number): boolean
   /** Removes the targets whose record expired and that did not report again in time. Returns their ids. */
   removeExpired(nowMs: number): TargetId[]
   /** Postpones the removal of expiring targets to at least `untilMs`, while the store stays unavailable. */
@@ -151,12 +155,19 @@
       for (const report of reports) applyReport(report, nowMs)
       for (const id of [...targets.keys()]) if (!named.has(id)) applyRemoval(id, nowMs, isOutage)
     },
-    markLeaving (id) {
-      const known = targets.get(id)
-      if (!known || known.isLeaving) return false
-      known.isLeaving = true
+    markLeaving (id, bornMs) {
       const mark = marks.get(id)
-      if (mark) mark.isLeaving = true
+      const runMs = bornMs ?? mark?.bornMs
+      if (runMs === undefined || (mark && runMs < mark.bornMs)) return false
+      if (!mark || runMs > mark.bornMs) {
+        // No record of this run has come yet.
+        marks.set(id, { bornMs: runMs, sequence: -Infinity, isRemoved: false, isLeaving: true })
+        return true
+      }
+      if (mark.isLeaving) return false
+      mark.isLeaving = true
+      const known = targets.get(id)
+      if (known?.report.bornMs === runMs) known.isLeaving = true
       return true
     },
     removeExpired (nowMs) {
--- a/src/process/gateway/gateway-messages.ts
+++ b/src/process/gateway/gateway-messages.ts
@@ -17,8 +17,8 @@
 
 /** A message to other gateways. */
 export type GatewayMessage =
-  /** The sender has found that a target is leaving. */
-  | { type: 'target-leaving', target: TargetId }
+  /** The sender has found that the run of a target which started at `bornMs` is leaving. */
+  | { type: 'target-leaving', target: TargetId, bornMs?: number | undefined }
   /** Records that the sender has read from a topic of the store. */
   | { type: 'topic-range', range: SharedRecordRange }
   /** Messages that share the rate limits of targets. */
@@ -49,7 +49,7 @@
 const runs = z.array(z.object({ request, kind: z.enum(['ordinary', 'trial', 'isolated']) })).max(MAX_RUNS)
 const epoch = counter.transform((value) => toBrand<StoreEpoch>(value))
 const messageSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('target-leaving'), target }),
+  z.object({ type: z.literal('target-leaving'), target, bornMs: z.number().int().optional() }),
   z.object({ type: z.literal('target-limit'), target, limit }),
   z.object({ type: z.literal('permit-request'), sequence: counter, target, limit }),
   z.object({ type: z.literal('permit-response'), sequence: counter, target, answer, limit }),
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -45,7 +45,7 @@
       publishStatus(parts)
     },
     handleTargetsRead: () => publishStatus(parts),
-    handleLeaving: (_, target) => parts.membership.broadcast({ type: 'target-leaving', target })
+    handleLeaving: (target, bornMs) => parts.membership.broadcast({ type: 'target-leaving', target, bornMs })
   })
 }
 
--- a/src/process/gateway/gateway-peers.ts
+++ b/src/process/gateway/gateway-peers.ts
@@ -65,7 +65,7 @@
 /** Applies a message of another entry. */
 function applyMessage (parts: GatewayParts, from: EntryId, message: GatewayMessage): void {
   switch (message.type) {
-    case 'target-leaving': return parts.state.markLeaving(message.target)
+    case 'target-leaving': return parts.state.markLeaving(message.target, message.bornMs)
     case 'topic-range': return parts.followers.find(message.range.topic)?.applyShared(message.range)
     case 'target-limit':
     case 'permit-request':
--- a/src/process/gateway/gateway-services.ts
+++ b/src/process/gateway/gateway-services.ts
@@ -61,8 +61,8 @@
   quarantine: Pick<RequestQuarantine, 'hasAbandoned' | 'recordLostTarget'>
   /** Keeps the requests within the rate limits that targets advertise. */
   limiter: TargetLimiter
-  /** Called when this process detects that a target is leaving, so that the peers can be notified. */
-  handleLeaving(service: ServiceId, target: TargetId): void
+  /** Called when this process detects that a run of a target is leaving, so that the peers can be notified. */
+  handleLeaving(target: TargetId, bornMs: number): void
 }
 
 /** Options of `createGatewayServices`. */
@@ -81,10 +81,10 @@
   let maxRetryTokens = options.retryBudget.maxTokens
 
   const markLeaving = (service: ServiceId, state: TargetState, evidence: string): void => {
-    const { id } = state.registered.report
-    if (!registry.markLeaving(id)) return
+    const { id, bornMs } = state.registered.report
+    if (!registry.markLeaving(id, bornMs)) return
     logger.info('Marked a target as leaving.', { target: id, service, because: evidence })
-    options.handleLeaving(service, id)
+    options.handleLeaving(id, bornMs)
   }
   const pauseTarget = (state: TargetState, pauseMs: number): void => {
     const nowMs = clock.monotonicMs()
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -39,8 +39,8 @@
   applyConfigurationRecords(records: readonly KeyedRecord[]): KeyedRecord[]
   /** Applies records of the targets topic; returns those that changed something, without periodic reports of an unchanged target. */
   applyTargetRecords(records: readonly KeyedRecord[], context: PageContext): KeyedRecord[]
-  /** Applies a peer's message that a target is leaving. */
-  markLeaving(target: TargetId): void
+  /** Applies a peer's message that a run of a target is leaving; an older peer does not name the run. */
+  markLeaving(target: TargetId, bornMs: number | undefined): void
   /** Removes targets whose registration has expired, but none while the store is unavailable. Call it periodically. */
   removeExpired(isStoreUnavailable: boolean): void
   /** Whether the targets topic has been read. */
@@ -137,8 +137,8 @@
       limiter.removeUnregistered((target) => registry.get(target) !== undefined)
       return changed
     },
-    markLeaving (target) {
-      if (registry.markLeaving(target)) logger.info('Marked a target as leaving.', { target, because: 'reported by a peer' })
+    markLeaving (target, bornMs) {
+      if (registry.markLeaving(target, bornMs)) logger.info('Marked a target as leaving.', { target, because: 'reported by a peer' })
     },
     updateMaxRetryTokens: services.updateMaxRetryTokens,
     removeExpired (isStoreUnavailable) {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -217,6 +217,26 @@
   })
 }
 
+// Guards against bookings at a target that has left, when its record comes back late or with a restored store (review/8).
+test('a target whose response says that it is leaving when its record is gone already gets no requests after the record has come back', async () => {
+  let finish: () => void = () => undefined
+  const leaving = await startPlatformTarget('i-1', (target, incoming, outgoing) => { finish = () => sendCompleteResponse(target, incoming, outgoing) })
+  const system = await setup([leaving])
+  const running = send(system, '/unsafe/a', { method: 'POST', deadlineMs: 60_000 })
+  await waitFor(() => leaving.receivedAttempts.length === 1)
+  system.store.put('keyed.servers', 'i-2', describeTarget(await startPlatformTarget('i-2')))
+  system.store.put('keyed.servers', 'i-1')
+  await waitFor(() => system.log.some(({ message }) => message === 'A target is removed.'))
+  leaving.responseHeaders = { 'server-leaving': '1' }
+  finish()
+  expect((await running).status).toBe(200)
+  const addedBefore = system.log.filter(({ message }) => message === 'A target is added.').length
+  system.store.put('keyed.servers', 'i-1', describeTarget(leaving, { sequence: 5 }))
+  await waitFor(() => system.log.filter(({ message }) => message === 'A target is added.').length > addedBefore)
+  for (let round = 0; round < 6; round++) expect((await send(system, '/safe/a')).status).toBe(200)
+  expect(leaving.receivedAttempts.length).toBe(1)
+})
+
 test('a target that rejects with Retry-After gets neither requests nor load probes until that time is over', async () => {
   const targets = [await startPlatformTarget('i-1'), await startPlatformTarget('i-2')]
   const [paused, other] = targets as [PlatformTarget, PlatformTarget]
--- a/test/target-registry.test.ts
+++ b/test/target-registry.test.ts
@@ -89,11 +89,36 @@
   expect(listIds(registry)).toEqual(['i-2'])
 })
 
+// Guards against a target that gets requests again when its record comes back after its responses said that it leaves (review/8).
+test('a run that was seen leaving when its record was gone already stays so when the record comes back', () => {
+  const registry = createTargetRegistry()
+  registry.apply({ type: 'report', report: buildReport({ sequence: 1 }) }, 0, false)
+  registry.apply({ type: 'removal', id: toId('i-1') }, 1, false)
+  expect(registry.markLeaving(toId('i-1'), 1)).toBe(true)
+  expect(registry.markLeaving(toId('i-1'), 1)).toBe(false)
+  registry.apply({ type: 'report', report: buildReport({ sequence: 3 }) }, 2, true)
+  registry.replaceAll([buildReport({ sequence: 4 })], [], 3, true)
+  expect(listIds(registry)).toEqual([])
+  registry.apply({ type: 'report', report: buildReport({ bornMs: 2 }) }, 4, false)
+  expect(listIds(registry)).toEqual(['i-1'])
+})
+
+// Guards against a late response of an earlier run that takes a sound one out of service.
+test('what says that one run is leaving says nothing of a later one, and holds for one that is not known yet', () => {
+  const registry = createTargetRegistry()
+  registry.apply({ type: 'report', report: buildReport({ bornMs: 2 }) }, 0, false)
+  expect(registry.markLeaving(toId('i-1'), 1)).toBe(false)
+  expect(listIds(registry)).toEqual(['i-1'])
+  expect(registry.markLeaving(toId('i-1'), 3)).toBe(true)
+  registry.apply({ type: 'report', report: buildReport({ bornMs: 3 }) }, 1, false)
+  expect(listIds(registry)).toEqual([])
+})
+
 test('a run that was seen leaving never accepts work again, under random histories', () => {
   const step = fc.record({
     born: fc.integer({ min: 1, max: 3 }),
     sequence: fc.integer({ min: 0, max: 6 }),
-    kind: fc.constantFrom('ready', 'draining', 'removal', 'full', 'expiry'),
+    kind: fc.constantFrom('ready', 'draining', 'removal', 'full', 'expiry', 'mark'),
     isOutage: fc.boolean()
   })
   const seed = Number(process.env.MODEL_SEED ?? 7)
@@ -108,6 +133,9 @@
       const known = registry.get(toId('i-1'))
       if (kind === 'removal') {
         if (registry.apply({ type: 'removal', id: toId('i-1') }, nowMs, isOutage) === 'removed' && known) leftRuns.add(known.report.bornMs * 100 + known.report.sequence)
+      } else if (kind === 'mark') {
+        registry.markLeaving(toId('i-1'), born)
+        leftRuns.add(-born)
       } else if (kind === 'expiry') registry.removeExpired(nowMs)
       else if (kind === 'full') registry.replaceAll([report], [], nowMs, isOutage)
       else if (registry.apply({ type: 'report', report }, nowMs, isOutage) === 'leaving') leftRuns.add(-born)
