After a quarantine, wait again when a trial was cancelled

Cause: a trial that is cancelled changes nothing, so the next one begins.

Change: a trial after a quarantine that is cancelled before its end lets the next one wait for 30 s, as for a first quarantine; all entries are told. Suspects that were never in quarantine are not affected.

--- a/src/process/gateway/gateway-messages.ts
+++ b/src/process/gateway/gateway-messages.ts
@@ -55,6 +55,7 @@
   z.object({ type: z.literal('permit-response'), sequence: counter, target, answer, limit }),
   z.object({ type: z.literal('target-crashes'), crashes: z.array(z.object({ target, agoMs: duration, runs })).max(MAX_CRASHES) }),
   z.object({ type: z.literal('request-completed'), request, agoMs: duration }),
+  z.object({ type: z.literal('trial-unfinished'), request, agoMs: duration }),
   z.object({ type: z.literal('trial-request'), sequence: counter, request, forMs: duration }),
   z.object({ type: z.literal('trial-response'), sequence: counter, isGranted: z.boolean() }),
   z.object({ type: z.literal('trial-end'), request }),
--- a/src/process/gateway/gateway-peers.ts
+++ b/src/process/gateway/gateway-peers.ts
@@ -70,13 +70,10 @@
     case 'target-limit':
     case 'permit-request':
     case 'permit-response': return parts.limiter.handleMessage(from, message)
-    case 'target-crashes':
-    case 'request-completed':
-    case 'trial-request':
-    case 'trial-response':
-    case 'trial-end': return parts.quarantine.handleMessage(from, message)
     case 'reach-request':
     case 'reach-response': return parts.reachChecks.handleMessage(from, message)
+    // All others are messages of the quarantine; the compiler makes sure of it.
+    default: return parts.quarantine.handleMessage(from, message)
   }
 }
 
--- a/src/process/quarantine/crash-history.ts
+++ b/src/process/quarantine/crash-history.ts
@@ -38,6 +38,11 @@
   add(crash: TargetCrash): boolean
   /** Records that a request completed at `atMs`: earlier crashes no longer count against it. Returns whether any did. */
   clear(request: RequestFingerprint, atMs: number): boolean
+  /**
+   * Records that a trial was cancelled at `atMs` before its end. After a quarantine the next trial then has to wait as for a first
+   * quarantine. Returns false, and records nothing, if there has been no quarantine.
+   */
+  recordUnfinishedTrial(request: RequestFingerprint, atMs: number): boolean
   /** Returns what is concluded about a request. */
   getSuspicion(request: RequestFingerprint): Suspicion
   /** Lists the crashes that count against a request, in the order of time. */
@@ -86,6 +91,8 @@
   const byRequest = new Map<RequestFingerprint, TargetCrash[]>()
   /** When requests completed, so that a late report of an earlier crash does not count. */
   const clearedAtMs = new Map<RequestFingerprint, number>()
+  /** When the latest trial after a quarantine was cancelled. */
+  const unfinishedAtMs = new Map<RequestFingerprint, number>()
   let nextIndex = 0
 
   const listCrashes = (request: RequestFingerprint): readonly TargetCrash[] => byRequest.get(request) ?? []
@@ -108,7 +115,10 @@
     const trials = own.filter((crash) => getRunKind(crash, request) !== 'ordinary')
     const start = trials.findIndex((crash, index) => index + 1 >= MAX_CRASHED_TRIALS || isConclusive(crash, request))
     const last = own.at(-1)
-    return start < 0 || !last ? undefined : last.atMs + getQuarantineMs(trials.length - 1 - start)
+    if (start < 0 || !last) return undefined
+    const endMs = last.atMs + getQuarantineMs(trials.length - 1 - start)
+    const unfinishedMs = unfinishedAtMs.get(request) ?? -Infinity
+    return unfinishedMs >= endMs ? unfinishedMs + getQuarantineMs(0) : endMs
   }
   const getSuspicion = (request: RequestFingerprint): Suspicion => {
     const crashCount = listCrashes(request).length
@@ -174,6 +184,7 @@
     },
     clear (request, atMs) {
       recordCleared(request, atMs)
+      unfinishedAtMs.delete(request)
       const counting = listCrashes(request).filter((crash) => crash.atMs <= atMs)
       for (const crash of counting) {
         crash.runs = crash.runs.filter((run) => run.request !== request)
@@ -181,6 +192,12 @@
       }
       return counting.length > 0
     },
+    recordUnfinishedTrial (request, atMs) {
+      const endMs = findQuarantineEnd(request)
+      if (endMs === undefined || atMs < endMs) return false
+      unfinishedAtMs.set(request, atMs)
+      return true
+    },
     getSuspicion,
     listCrashes,
     list,
@@ -193,6 +210,7 @@
     removeExpired () {
       const nowMs = clock.monotonicMs()
       for (const crash of crashes) if (getExpiryMs(crash) < nowMs) remove(crash)
+      for (const request of unfinishedAtMs.keys()) if (!byRequest.has(request)) unfinishedAtMs.delete(request)
       for (const [request, atMs] of clearedAtMs) if (atMs + MEMORY_MS < nowMs) clearedAtMs.delete(request)
     },
     count () {
--- a/src/process/quarantine/quarantine-messages.ts
+++ b/src/process/quarantine/quarantine-messages.ts
@@ -14,6 +14,8 @@
   | { type: 'target-crashes', crashes: SharedCrash[] }
   /** Tells that a suspected request has completed. */
   | { type: 'request-completed', request: RequestFingerprint, agoMs: number }
+  /** Tells that a trial after a quarantine was cancelled before its end. */
+  | { type: 'trial-unfinished', request: RequestFingerprint, agoMs: number }
   /** Asks for the lease on the trial of a request, for at most `forMs`. */
   | { type: 'trial-request', sequence: number, request: RequestFingerprint, forMs: number }
   /** Answers the request with the same sequence number. */
--- a/src/process/quarantine/request-quarantine.ts
+++ b/src/process/quarantine/request-quarantine.ts
@@ -218,7 +218,11 @@
     recordCrash (target, run) {
       recordOwnCrash(target, [run, ...abandoned.take(target)])
     },
-    recordAbandoned: abandoned.add,
+    recordAbandoned (target, run, untilMs) {
+      abandoned.add(target, run, untilMs)
+      if (run.kind === 'ordinary' || !history.recordUnfinishedTrial(run.request, clock.monotonicMs())) return
+      options.broadcast({ type: 'trial-unfinished', request: run.request, agoMs: 0 })
+    },
     hasAbandoned: abandoned.has,
     recordLostTarget (target) {
       const runs = abandoned.take(target)
@@ -233,6 +237,9 @@
         case 'request-completed':
           recordCompleted(message.request, clock.monotonicMs() - message.agoMs)
           return
+        case 'trial-unfinished':
+          history.recordUnfinishedTrial(message.request, clock.monotonicMs() - message.agoMs)
+          return
         case 'trial-request': return handleTrialRequest(from, message)
         case 'trial-response':
           pending.settle(message.sequence, message.isGranted)
--- a/test/request-quarantine.test.ts
+++ b/test/request-quarantine.test.ts
@@ -277,3 +277,23 @@
   await clock.advance(2_000)
   expect(runs.has(toTarget('i-998'))).toBe(false)
 })
+
+// Guards against a deadly request that reaches target after target when its quarantine is over, since its callers leave before its trials show anything.
+test('after a quarantine, a trial whose caller leaves is followed by the next one only after as long as the first quarantine', async () => {
+  const fleet = createQuarantineFleet({ size: 7, targetCount: 28 })
+  const countRuns = () => fleet.targets.reduce((sum, { runCount }) => sum + runCount, 0)
+  for (let index = 0; index < 6; index++) {
+    fleet.sendRequest(fleet.entries[index % 7]!, { ...DEADLY, leavesAfterMs: 90 }).catch((cause: unknown) => { throw cause })
+    await fleet.clock.advance(1_000)
+  }
+  await fleet.clock.advance(31_000)
+  const [runsBefore, crashesBefore] = [countRuns(), fleet.counts.crashes]
+  // From now on its targets drop it when its callers leave.
+  for (let index = 0; index < 50; index++) {
+    fleet.sendRequest(fleet.entries[index % 7]!, { name: DEADLY.name, leavesAfterMs: 90 }).catch((cause: unknown) => { throw cause })
+    await fleet.clock.advance(1_000)
+  }
+  expect(fleet.counts.crashes).toBe(crashesBefore)
+  expect(countRuns() - runsBefore).toBeGreaterThanOrEqual(1)
+  expect(countRuns() - runsBefore).toBeLessThanOrEqual(2)
+})
--- a/test/support/quarantine-fleet.ts
+++ b/test/support/quarantine-fleet.ts
@@ -19,7 +19,7 @@
 interface Run { kind: RunKind, end(outcome: 'completed' | 'crashed'): void }
 
 /** A simulated target; after a crash it is back under a new id. */
-export interface FragileTarget { id: TargetId, isUp: boolean, runs: Set<Run>, completedCount: number, crashCount: number }
+export interface FragileTarget { id: TargetId, isUp: boolean, runs: Set<Run>, completedCount: number, crashCount: number, runCount: number }
 
 /** What a request does to the target that runs it. */
 export interface SimulatedRequest {
@@ -53,7 +53,7 @@
   const random = createRandom(seed)
   const counts = { messages: 0, crashes: 0 }
   const entries: QuarantineEntry[] = []
-  const targets = Array.from({ length: targetCount }, (_, index): FragileTarget => ({ id: toBrand<TargetId>(`i-${index}`), isUp: true, runs: new Set(), completedCount: 1, crashCount: 0 }))
+  const targets = Array.from({ length: targetCount }, (_, index): FragileTarget => ({ id: toBrand<TargetId>(`i-${index}`), isUp: true, runs: new Set(), completedCount: 1, crashCount: 0, runCount: 0 }))
 
   const send = (from: QuarantineEntry, to: QuarantineEntry, message: QuarantineMessage): void => {
     counts.messages += 1
@@ -118,6 +118,7 @@
       }
     }
     target.runs.add(run)
+    target.runCount += 1
     const runMs = RUN_MS.shortest + random() * (RUN_MS.longest - RUN_MS.shortest)
     clock.startTimer(runMs, () => {
       if (!target.runs.has(run)) return
