Count a relayed failure once, and a response without a body as a failure

Seen while reading the diff, before any landing: since the end of a relayed response counts, a relayed 500 counted as a failure with its head and as a success at its end, so that a target that always fails was ejected after three requests instead of two; and a head whose body never came counted as answered.

Change: the end of a failed response adds nothing. A relay that could pass nothing on counts against the target, unless this entry stopped.

Evidence: 'a target that fails each request is ejected, although its responses are relayed whole' fails without the first change.

--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -63,6 +63,16 @@
   return { ...call, body, getFingerprint, admission: createRequestAdmission({ ...call, quarantine, getFingerprint }) }
 }
 
+/** Whether a relay failed because of the target: it truncated its response, or sent nothing that could be passed on. */
+function isTargetFault (end: RelayOutcome): boolean {
+  switch (end.kind) {
+    case 'whole':
+    case 'caller-gone': return false
+    case 'broken': return end.error.kind === 'answer-truncated'
+    case 'unsent': return end.error.kind !== 'entry-stopped'
+  }
+}
+
 /** Creates the request handling. */
 export function createGatewayRequests (options: GatewayRequestsOptions): GatewayRequests {
   const { state, clock, logger, metrics, shutdown } = options
@@ -133,9 +143,8 @@
     }
     const end = await relayResponse(call, response.value, outgoing)
     recordRelay(call, response.value, end, outgoing)
-    const isTruncated = 'error' in end && end.error.kind === 'answer-truncated'
-    response.value.attempt.recordTransfer(isTruncated)
-    if (isTruncated) await response.value.attempt.recordLoss()
+    response.value.attempt.recordTransfer(isTargetFault(end))
+    if ('error' in end && end.error.kind === 'answer-truncated') await response.value.attempt.recordLoss()
     call.admission.finish(end.kind === 'whole')
   }
   /** Whether the request gets its response before the process ends, even if it takes until its deadline. */
--- a/src/process/selection/reach-checks.ts
+++ b/src/process/selection/reach-checks.ts
@@ -49,6 +49,7 @@
 const MAX_REACHED_AGE_MS = 1_000
 /** Requests of other entries that are open here at most; further ones are answered at once or not at all. */
 const MAX_OPEN_REQUESTS = 256
+const MAX_FIRST_SEQUENCE = 0x3fff_ffff
 
 interface SentRequest { service: ServiceId, sentAtMs: number }
 
@@ -67,7 +68,8 @@
   const sent = new Map<number, SentRequest>()
   const askedAtMs = new Map<ServiceId, number>()
   let open: OpenRequest[] = []
-  let sequence = Math.floor(random() * 0x3fff_ffff)
+  // Random, so that a late response to an earlier process answers nothing.
+  let sequence = Math.floor(random() * MAX_FIRST_SEQUENCE)
 
   const sendRequest = ({ name, selector }: CheckedService, nowMs: number): void => {
     if (nowMs - (askedAtMs.get(name) ?? -Infinity) < REQUEST_INTERVAL_MS) return
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -171,7 +171,10 @@
     outcome: readOutcome(),
     exchange,
     recordLoss,
-    recordTransfer: (isTruncated) => service.selector.recordOutcome(state, isTruncated ? 'broken' : 'answered', startedAtMs),
+    recordTransfer (isTruncated) {
+      // A failure that is relayed has been recorded with its head.
+      if (!hasFailed) service.selector.recordOutcome(state, isTruncated ? 'broken' : 'answered', startedAtMs)
+    },
     cancel () {
       const isAbandoned = !isCancelled && !hasFailed && exchange.wasSent()
       isCancelled = true
--- a/test/target-statuses.test.ts
+++ b/test/target-statuses.test.ts
@@ -64,6 +64,15 @@
   expect(target.receivedAttempts).toEqual([failed.id])
 })
 
+test('a target that fails each request is ejected, although its responses are relayed whole', async () => {
+  const failing = await startPlatformTarget('i-1', (target, incoming, outgoing) => {
+    outgoing.writeHead(500, { 'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'], 'medlarcove-response-signature': target.id }).end('failed')
+  })
+  const system = await setup([failing])
+  for (let round = 0; round < 2; round++) expect((await sendRequest(system, '/unsafe/a', { method: 'POST' })).status).toBe(500)
+  expect(system.log.some(({ message, fields }) => message === 'Ejected a target.' && fields.because === 'too many of its recent requests failed')).toBe(true)
+})
+
 test('a target that rejects with Retry-After gets neither requests nor load probes until that time is over', async () => {
   const targets = [await startPlatformTarget('i-1'), await startPlatformTarget('i-2')]
   const [paused, other] = targets as [PlatformTarget, PlatformTarget]
