Add a soak: entries as processes, with faults drawn from a seed

`npm run soak` draws a deployment, callers and 13 kinds of faults from a seed, plays them with the program as processes and the stand-ins, and checks 11 rules from what callers and targets saw. No scenario is written for a known fault. Each check counts how often its premise came about.

Evidence: test/soak checks that a seed gives the same plan, that every kind of fault is drawn, and that each of the 11 checks finds a broken rule.

Not in it yet: time lines, shrinking, callers' broken heads and bodies, odd records and frames, LIMIT and CONFIG versions, memory and descriptors.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,7 +13,8 @@
   'stand-in-target': 'stand-ins/target-main.ts',
   replay: 'replay/main.ts',
   demo: 'replay/demo-main.ts',
-  bench: 'bench/main.ts'
+  bench: 'bench/main.ts',
+  soak: 'soak/main.ts'
 }
 const isPlatform = process.argv.includes('--platform')
 const ENTRY_POINTS = isPlatform ? PLATFORM_ENTRY_POINTS : ALL_ENTRY_POINTS
--- /dev/null
+++ b/soak/play.ts
@@ -0,0 +1,149 @@
+/**
+ * Plays one run: the system, its callers and its faults. Returns what was seen.
+ */
+import { setTimeout as wait } from 'node:timers/promises'
+import { createRandom } from '../replay/random.ts'
+import type { StoreCopy } from '../stand-ins/platform-store.ts'
+import { runCaller } from './callers.ts'
+import { createEventLog } from './events.ts'
+import type { EventLog, SoakEvent } from './events.ts'
+import type { FaultPlan, SoakPlan } from './plan.ts'
+import { startSystem } from './system.ts'
+import type { SoakEntry, SoakSystem } from './system.ts'
+
+const SETTLE_MS = 1_500
+const SECOND_SIGNAL_AFTER_MS = 100
+const MAX_PAUSE_MS = 2_000
+const DOWN_MS = 1_000
+const RESTORE_AWAY_MS = 500
+const COPY_INTERVAL_MS = 500
+const DEADLY_GAP_MS = 800
+/** What was done to an entry excuses what it does for this long afterwards, in ms. */
+const EXCUSED_AFTER_MS = 3_000
+const DEADLINE_MS = 1_500
+
+/** What the parts of a run share. */
+interface Run { plan: SoakPlan, system: SoakSystem, events: EventLog, copies: { atMs: number, copy: StoreCopy }[], random: () => number }
+
+function recordDisturbance ({ events }: Run, entry: number, forMs: number, what: string): void {
+  const atMs = events.nowMs()
+  events.add({ type: 'disturbed', atMs, untilMs: atMs + forMs + EXCUSED_AFTER_MS, entry, what })
+}
+
+async function runRestart (entry: SoakEntry, end: () => Promise<void>): Promise<void> {
+  entry.setExpectedEnd(true)
+  await end()
+  await entry.waitForExit()
+  await wait(DOWN_MS)
+  await entry.start()
+}
+
+async function stopBySignals (entry: SoakEntry, count: number): Promise<void> {
+  for (let sent = 0; sent < count; sent++) {
+    entry.signal('SIGTERM')
+    await wait(SECOND_SIGNAL_AFTER_MS)
+  }
+}
+
+async function playEntryFault (run: Run, { fault, forMs }: FaultPlan): Promise<void> {
+  if (!('entry' in fault)) return
+  const entry = run.system.entries[fault.entry]!
+  recordDisturbance(run, fault.entry, forMs, fault.kind)
+  switch (fault.kind) {
+    case 'entry-partition':
+      for (const relay of entry.relays) {
+        relay.freezeOpen()
+        if (fault.newConnections === 'hang') relay.setFreezing(true)
+        else relay.setRefusing(true)
+      }
+      await wait(forMs)
+      for (const relay of entry.relays) {
+        relay.setFreezing(false)
+        relay.setRefusing(false)
+        relay.closeFrozen()
+      }
+      return
+    case 'entry-pause':
+      entry.signal('SIGSTOP')
+      await wait(Math.min(forMs, MAX_PAUSE_MS))
+      entry.signal('SIGCONT')
+      return
+    case 'entry-kill': return runRestart(entry, async () => entry.signal('SIGKILL'))
+    case 'entry-stop': return runRestart(entry, () => stopBySignals(entry, fault.signalCount))
+  }
+}
+
+async function playStoreFault ({ system: { store }, events, copies }: Run, { fault, forMs }: FaultPlan): Promise<void> {
+  if (fault.kind === 'store-fault') {
+    store.setFault(fault.fault)
+    await wait(forMs)
+    store.setFault('none')
+  } else if (fault.kind === 'store-restore') {
+    const copy = copies.findLast(({ atMs }) => atMs <= events.nowMs() - fault.ageMs)
+    if (!copy) return
+    store.setFault('reset')
+    await wait(RESTORE_AWAY_MS)
+    store.restore(copy.copy)
+    store.setFault('none')
+  }
+}
+
+function sendDeadly ({ plan, system, events, random }: Run, service: number, forMs: number, hasLeavingCallers: boolean): Promise<void> {
+  return runCaller({
+    index: plan.callers.length,
+    plan: { service, habit: hasLeavingCallers ? 'leaver' : 'ordinary', keepsConnection: false, isIdempotent: true, gapMs: DEADLY_GAP_MS, deadlineMs: DEADLINE_MS },
+    services: plan.services,
+    entries: system.entries,
+    events,
+    random,
+    endsAtMs: Math.min(plan.lengthMs, events.nowMs() + forMs),
+    isDeadly: true
+  })
+}
+
+async function playFault (run: Run, planned: FaultPlan): Promise<void> {
+  const { fault, forMs, atMs } = planned
+  await wait(Math.max(0, atMs - run.events.nowMs()))
+  switch (fault.kind) {
+    case 'entry-partition':
+    case 'entry-pause':
+    case 'entry-kill':
+    case 'entry-stop': return playEntryFault(run, planned)
+    case 'store-fault':
+    case 'store-restore': return playStoreFault(run, planned)
+    case 'deadly-request': return sendDeadly(run, fault.service, forMs, fault.hasLeavingCallers)
+    case 'target-crash':
+    case 'target-leave':
+    case 'target-status':
+    case 'target-retry-after':
+    case 'target-flood':
+    case 'target-truncate': return run.system.targets[fault.target]!.play(fault, forMs)
+  }
+}
+
+/** Copies the store now and then, for faults that bring an earlier state back. */
+async function keepCopies ({ events, copies, plan, system }: Run): Promise<void> {
+  while (events.nowMs() < plan.lengthMs) {
+    copies.push({ atMs: events.nowMs(), copy: system.store.takeCopy() })
+    await wait(COPY_INTERVAL_MS)
+  }
+}
+
+/** Plays a plan with the build in a folder. Rejects if the system cannot be started. */
+export async function playRun (plan: SoakPlan, buildFolder: string): Promise<readonly SoakEvent[]> {
+  const random = createRandom(plan.seed + 1)
+  const events = createEventLog()
+  const system = await startSystem(plan, { buildFolder, events, random })
+  const run: Run = { plan, system, events, copies: [], random }
+  try {
+    await wait(SETTLE_MS)
+    const startMs = events.nowMs()
+    const moved = { ...plan, lengthMs: startMs + plan.lengthMs, faults: plan.faults.map((fault) => ({ ...fault, atMs: fault.atMs + startMs })) }
+    run.plan = moved
+    const callers = plan.callers.map((caller, index) => runCaller({ index, plan: caller, services: plan.services, entries: system.entries, events, random, endsAtMs: moved.lengthMs }))
+    await Promise.all([...callers, ...moved.faults.map((fault) => playFault(run, fault)), keepCopies(run)])
+  } finally {
+    await system.close()
+  }
+  return events.list()
+}
--- /dev/null
+++ b/soak/system.ts
@@ -0,0 +1,161 @@
+/**
+ * The system of a run: a store, targets, and entries as processes, each with paths of its own to the targets that can be cut.
+ */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
+import { setTimeout as wait } from 'node:timers/promises'
+import { startFaultRelay } from '../stand-ins/fault-relay.ts'
+import type { FaultRelay } from '../stand-ins/fault-relay.ts'
+import { formatBootText } from '../stand-ins/platform-boot.ts'
+import { startPlatformStore } from '../stand-ins/platform-store.ts'
+import type { PlatformStore } from '../stand-ins/platform-store.ts'
+import { ROUTE_HOST } from '../stand-ins/platform-target.ts'
+import { toBrand } from '../src/types.ts'
+import type { EventLog } from './events.ts'
+import type { SoakPlan } from './plan.ts'
+import { startTarget } from './targets.ts'
+import type { SoakTarget } from './targets.ts'
+
+/** An entry as a process. */
+export interface SoakEntry {
+  frontPort: number
+  directoryPort: number
+  /** The paths of this entry to the targets. */
+  relays: FaultRelay[]
+  /** Starts the process, and resolves when it is ready. */
+  start(): Promise<void>
+  signal(signal: NodeJS.Signals): void
+  /** Resolves when the process has ended. */
+  waitForExit(): Promise<void>
+  /** Says whether the process is expected to end, so that its end is no finding. */
+  setExpectedEnd(isExpected: boolean): void
+}
+
+/** A running system. */
+export interface SoakSystem {
+  store: PlatformStore
+  targets: SoakTarget[]
+  entries: SoakEntry[]
+  close(): Promise<void>
+}
+
+const ADDRESS = '127.0.0.1'
+const GRACE_MS = 6_000
+const READY_TIMEOUT_MS = 15_000
+const POLL_MS = 30
+const MAX_OUTPUT_CHARACTERS = 2_000
+/** Redirects the connections of a process from the ports of targets to those of its own paths. */
+const PRELOAD = `
+const net = require('node:net')
+const ports = JSON.parse(process.env.REDIRECTED_PORTS)
+const { connect } = net
+net.connect = (options, ...rest) => connect(ports[options.port] ? { ...options, port: ports[options.port] } : options, ...rest)
+`
+
+async function findFreePorts (count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  await Promise.all(servers.map((server) => new Promise<void>((resolve) => { server.listen(0, ADDRESS, resolve) })))
+  const ports = servers.map((server) => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map((server) => new Promise((resolve) => { server.close(resolve) })))
+  return ports
+}
+
+function describeConfiguration ({ services }: SoakPlan) {
+  const columns = ['name', 'host', 'pathPrefix', 'kind', 'timeout', 'targetLatency', 'priority', 'split', 'maxAttempts', 'service']
+  const rows = services.flatMap(({ name, timeoutMs }) => (['safe', 'unsafe'] as const).map((kind) =>
+    [`${name}-${kind}`, ROUTE_HOST, `/${name}/${kind}/`, kind, `${timeoutMs}ms`, `${timeoutMs / 2}ms`, 1, null, 2, name]))
+  return {
+    version: 1,
+    routes: { columns, rows },
+    services: { columns: ['name', 'healthPath', 'maxConnections', 'protocol', 'tls'], rows: services.map(({ name }) => [name, '/health', 260, 'h1', false]) },
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeout: '3000ms', idleTimeout: '15000ms' }
+  }
+}
+
+/** Options of `createEntry`. */
+interface EntryOptions {
+  index: number
+  /** Folder with the build of the program. */
+  buildFolder: string
+  folder: string
+  store: PlatformStore
+  targets: readonly SoakTarget[]
+  events: EventLog
+}
+
+async function createEntry ({ index, buildFolder, folder, store, targets, events }: EntryOptions): Promise<SoakEntry> {
+  const [frontPort = 0, readyPort = 0, directoryPort = 0, peerPort = 0, ...relayPorts] = await findFreePorts(4 + targets.length)
+  const relays = await Promise.all(targets.map(({ port }, target) => startFaultRelay({ address: ADDRESS, port: relayPorts[target]! }, { address: ADDRESS, port })))
+  const redirected = Object.fromEntries(targets.map(({ port }, target) => [port, relayPorts[target]]))
+  const bootFile = path.join(folder, `entry-${index}.conf`)
+  const listen = { front: { address: ADDRESS, port: frontPort }, ready: { address: ADDRESS, port: readyPort }, directory: { address: ADDRESS, port: directoryPort } }
+  writeFileSync(bootFile, formatBootText({ entry: toBrand(`front-${index}`), zone: toBrand(`zone-${index}`), address: ADDRESS, listen, internalPorts: [peerPort, peerPort], store: { address: ADDRESS, port: store.port }, graceMs: GRACE_MS }))
+  const preload = path.join(folder, 'redirect-ports.cjs')
+  writeFileSync(preload, PRELOAD)
+  let child: ChildProcess | undefined
+  let isExpectedEnd = false
+  let output = ''
+
+  const isReady = () => fetch(`http://${ADDRESS}:${readyPort}/ready`).then(({ status }) => status === 200, () => false)
+  const watchOutput = (chunk: Buffer): void => { output = (output + chunk.toString()).slice(-MAX_OUTPUT_CHARACTERS) }
+  return {
+    frontPort,
+    directoryPort,
+    relays,
+    async start () {
+      isExpectedEnd = false
+      const env = { PATH: process.env.PATH, HOME: process.env.HOME, MEDLARCOVE_BOOT: bootFile, REDIRECTED_PORTS: JSON.stringify(redirected) }
+      const started = spawn(process.execPath, ['--require', preload, '--max-old-space-size=256', 'target/start.cjs'], { cwd: buildFolder, env, stdio: ['ignore', 'pipe', 'pipe'] })
+      child = started
+      for (const stream of [started.stdout, started.stderr]) stream.on('data', watchOutput)
+      started.on('exit', (code, signal) => {
+        if (!isExpectedEnd) events.add({ type: 'entry-ended', atMs: events.nowMs(), entry: index, detail: `exit code ${code}, signal ${signal}: ${output}` })
+      })
+      const endMs = performance.now() + READY_TIMEOUT_MS
+      while (!await isReady() && performance.now() < endMs && started.exitCode === null) await wait(POLL_MS)
+    },
+    signal: (signal) => { child?.kill(signal) },
+    async waitForExit () {
+      const started = child
+      if (started && started.exitCode === null && started.signalCode === null) await once(started, 'exit')
+    },
+    setExpectedEnd (isExpected) { isExpectedEnd = isExpected }
+  }
+}
+
+/** Starts the system of a plan with the build in a folder. */
+export async function startSystem (plan: SoakPlan, options: { buildFolder: string, events: EventLog, random: () => number }): Promise<SoakSystem> {
+  const { buildFolder, events, random } = options
+  const store = await startPlatformStore()
+  const folder = mkdtempSync(path.join(tmpdir(), 'medlarcove-soak-'))
+  store.put('keyed.op', 'config', describeConfiguration(plan))
+  const targets: SoakTarget[] = []
+  for (const [service, each] of plan.services.entries()) {
+    for (let count = 0; count < each.targetCount; count++) targets.push(await startTarget({ index: targets.length, service, plan: each, store, events, random }))
+  }
+  const entries: SoakEntry[] = []
+  for (let index = 0; index < plan.entryCount; index++) entries.push(await createEntry({ index, buildFolder, folder, store, targets, events }))
+  await Promise.all(entries.map((entry) => entry.start()))
+  return {
+    store,
+    targets,
+    entries,
+    async close () {
+      for (const entry of entries) {
+        entry.setExpectedEnd(true)
+        entry.signal('SIGKILL')
+      }
+      await Promise.all(entries.map((entry) => entry.waitForExit()))
+      for (const target of targets) target.close()
+      await Promise.all(entries.flatMap(({ relays }) => relays.map((relay) => relay.close())))
+      store.close()
+      rmSync(folder, { recursive: true, force: true })
+    }
+  }
+}
--- a/test/peer-mesh.test.ts
+++ b/test/peer-mesh.test.ts
@@ -8,8 +8,8 @@
 import type { TcpPeerMesh } from '../src/process/membership/tcp-peer-mesh.ts'
 import { toBrand } from '../src/types.ts'
 import type { Offset } from '../src/types.ts'
-import { startFaultRelay } from './support/fault-relay.ts'
-import type { FaultRelay } from './support/fault-relay.ts'
+import { startFaultRelay } from '../stand-ins/fault-relay.ts'
+import type { FaultRelay } from '../stand-ins/fault-relay.ts'
 import { createFakeHostList, createIdentity, createTestMesh, PEER_PORT, toListed } from './support/mesh.ts'
 
 const LISTEN_OFFSET = 20
--- /dev/null
+++ b/test/soak.test.ts
@@ -0,0 +1,84 @@
+import { expect, test } from 'vitest'
+import { checkRun } from '../soak/checkers.ts'
+import type { RequestEnd, SentRequest, SoakEvent } from '../soak/events.ts'
+import { createPlan, FAULT_KINDS } from '../soak/plan.ts'
+import { formatBody } from '../soak/targets.ts'
+
+const TARGET = 'i-0-0'
+
+function createSent (changes: Partial<SentRequest>): SentRequest {
+  return { id: 'a', atMs: 0, entry: 0, service: 0, isIdempotent: false, isDeadly: false, isFirst: true, isReused: true, timeoutMs: 1_200, ...changes }
+}
+
+/** The events of one request: sent, run by targets, and ended. */
+function createRequest (changes: Partial<SentRequest>, end: RequestEnd, tookMs = 100, targets: readonly string[] = [TARGET]): SoakEvent[] {
+  const request = createSent(changes)
+  return [
+    { type: 'sent', atMs: request.atMs, request },
+    ...targets.map((target): SoakEvent => ({ type: 'run', atMs: request.atMs, id: request.id, target, service: request.service })),
+    { type: 'ended', atMs: request.atMs + tookMs, id: request.id, end }
+  ]
+}
+
+function answer (id: string, changes: Partial<RequestEnd & { kind: 'answered' }> = {}): RequestEnd {
+  return { kind: 'answered', status: 200, body: formatBody(id, TARGET), signature: `${TARGET} ${id}`, isLeaving: false, target: TARGET, ...changes }
+}
+
+function listBroken (events: readonly SoakEvent[]): string[] {
+  return checkRun(events).filter(({ broken }) => broken.length > 0).map(({ name }) => name)
+}
+
+function createMany (count: number, create: (id: string, index: number) => SoakEvent[]): SoakEvent[] {
+  return Array.from({ length: count }, (_, index) => create(`r${index}`, index)).flat()
+}
+
+test('the same seed gives the same plan, and 200 seeds draw every kind of fault', () => {
+  expect(createPlan(7)).toEqual(createPlan(7))
+  const drawn = new Set(Array.from({ length: 200 }, (_, seed) => createPlan(seed).faults.map(({ fault }) => fault.kind)).flat())
+  expect([...drawn].toSorted()).toEqual([...FAULT_KINDS].toSorted())
+})
+
+test('a sound run breaks no rule', () => {
+  expect(listBroken(createMany(50, (id, index) => createRequest({ id, atMs: index * 100 }, answer(id))))).toEqual([])
+})
+
+test.each<{ rule: string, events: SoakEvent[] }>([
+  { rule: 'once', events: createRequest({}, { kind: 'closed' }, 100, [TARGET, 'i-1-0']) },
+  { rule: 'refused', events: createRequest({}, answer('a', { status: 503 })) },
+  { rule: 'whole', events: createRequest({}, answer('a', { body: 'half' })) },
+  { rule: 'whole', events: createRequest({ isIdempotent: true }, answer('a', { signature: `${TARGET} other` })) },
+  { rule: 'route', events: [...createRequest({ isIdempotent: true }, answer('a')), { type: 'run', atMs: 0, id: 'a', target: TARGET, service: 1 }] },
+  { rule: 'final', events: createMany(8, (id) => createRequest({ id }, { kind: 'given-up' }, 2_000)) },
+  { rule: 'drain', events: [...createRequest({}, answer('a', { isLeaving: true })), ...createRequest({ id: 'b', atMs: 2_200 }, answer('b'))] },
+  {
+    rule: 'deadly',
+    events: [
+      ...[100, 200, 300].map((atMs): SoakEvent => ({ type: 'crashed', atMs, target: TARGET, isByRequest: true })),
+      ...createMany(4, (id) => createRequest({ id, atMs: 4_000, isDeadly: true, isIdempotent: true }, { kind: 'left' }))
+    ]
+  },
+  {
+    rule: 'retry-after',
+    events: createMany(4, (id, index) => [
+      ...createRequest({ id, atMs: index * 600 }, answer(id, { status: 503 }), 10, []),
+      { type: 'paused', atMs: index * 600, id, target: TARGET, untilMs: 3_000 }
+    ])
+  },
+  { rule: 'lost', events: createMany(4, (id) => createRequest({ id }, { kind: 'closed' })) },
+  { rule: 'processes', events: [{ type: 'entry-ended', atMs: 10, entry: 0, detail: 'exit code 134' }] },
+  {
+    rule: 'recover',
+    events: [
+      { type: 'disturbed', atMs: 0, untilMs: 13_000, entry: 0, what: 'entry-partition' },
+      ...createMany(40, (id, index) => createRequest({ id, atMs: 3_100 + index * 100, entry: index % 2, isReused: false }, index % 2 === 0 ? { kind: 'closed' } : answer(id)))
+    ]
+  }
+])('the soak finds a broken rule: $rule', ({ rule, events }) => {
+  expect(listBroken(events)).toEqual([rule])
+})
+
+test('what was done to an entry or a target excuses what follows from it', () => {
+  const disturbed: SoakEvent = { type: 'disturbed', atMs: 0, untilMs: 5_000, entry: 0, what: 'entry-pause' }
+  expect(listBroken([disturbed, ...createMany(8, (id) => createRequest({ id }, { kind: 'given-up' }, 2_000))])).toEqual([])
+  expect(listBroken([{ ...disturbed, entry: undefined, target: TARGET } as SoakEvent, ...createMany(4, (id) => createRequest({ id }, { kind: 'closed' }))])).toEqual([])
+})
