Redirect the ports of a process in one place

The soak and a test of partitioned entries each had the module that sends a process's connections to paths of its own.

--- a/soak/system.ts
+++ b/soak/system.ts
@@ -16,6 +16,7 @@
 import { startPlatformStore } from '../stand-ins/platform-store.ts'
 import type { PlatformStore } from '../stand-ins/platform-store.ts'
 import { ROUTE_HOST } from '../stand-ins/platform-target.ts'
+import { writePortRedirection } from '../stand-ins/port-redirection.ts'
 import { toBrand } from '../src/types.ts'
 import type { EventLog } from './events.ts'
 import type { SoakPlan } from './plan.ts'
@@ -50,14 +51,6 @@
 const READY_TIMEOUT_MS = 15_000
 const POLL_MS = 30
 const MAX_OUTPUT_CHARACTERS = 2_000
-/** Redirects the connections of a process from the ports of targets to those of its own paths. */
-const PRELOAD = `
-const net = require('node:net')
-const ports = JSON.parse(process.env.REDIRECTED_PORTS)
-const { connect } = net
-net.connect = (options, ...rest) => connect(ports[options.port] ? { ...options, port: ports[options.port] } : options, ...rest)
-`
-
 async function findFreePorts (count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer())
   await Promise.all(servers.map((server) => new Promise<void>((resolve) => { server.listen(0, ADDRESS, resolve) })))
@@ -92,12 +85,11 @@
 async function createEntry ({ index, buildFolder, folder, store, targets, events }: EntryOptions): Promise<SoakEntry> {
   const [frontPort = 0, readyPort = 0, directoryPort = 0, peerPort = 0, ...relayPorts] = await findFreePorts(4 + targets.length)
   const relays = await Promise.all(targets.map(({ port }, target) => startFaultRelay({ address: ADDRESS, port: relayPorts[target]! }, { address: ADDRESS, port })))
-  const redirected = Object.fromEntries(targets.map(({ port }, target) => [port, relayPorts[target]]))
+  const redirected = Object.fromEntries(targets.map(({ port }, target) => [port, relayPorts[target]!]))
   const bootFile = path.join(folder, `entry-${index}.conf`)
   const listen = { front: { address: ADDRESS, port: frontPort }, ready: { address: ADDRESS, port: readyPort }, directory: { address: ADDRESS, port: directoryPort } }
   writeFileSync(bootFile, formatBootText({ entry: toBrand(`front-${index}`), zone: toBrand(`zone-${index}`), address: ADDRESS, listen, internalPorts: [peerPort, peerPort], store: { address: ADDRESS, port: store.port }, graceMs: GRACE_MS }))
-  const preload = path.join(folder, 'redirect-ports.cjs')
-  writeFileSync(preload, PRELOAD)
+  const redirection = writePortRedirection(folder, redirected)
   let child: ChildProcess | undefined
   let isExpectedEnd = false
   let output = ''
@@ -110,8 +102,8 @@
     relays,
     async start () {
       isExpectedEnd = false
-      const env = { PATH: process.env.PATH, HOME: process.env.HOME, MEDLARCOVE_BOOT: bootFile, REDIRECTED_PORTS: JSON.stringify(redirected) }
-      const started = spawn(process.execPath, ['--require', preload, '--max-old-space-size=256', 'target/start.cjs'], { cwd: buildFolder, env, stdio: ['ignore', 'pipe', 'pipe'] })
+      const env = { PATH: process.env.PATH, HOME: process.env.HOME, MEDLARCOVE_BOOT: bootFile, ...redirection.env }
+      const started = spawn(process.execPath, [...redirection.args, '--max-old-space-size=256', 'target/start.cjs'], { cwd: buildFolder, env, stdio: ['ignore', 'pipe', 'pipe'] })
       child = started
       for (const stream of [started.stdout, started.stderr]) stream.on('data', watchOutput)
       started.on('exit', (code, signal) => {
--- a/test/support/partitioned-gateway.ts
+++ b/test/support/partitioned-gateway.ts
@@ -8,6 +8,7 @@
 import { formatBootText } from '../../stand-ins/platform-boot.ts'
 import type { PlatformStore } from '../../stand-ins/platform-store.ts'
 import type { PlatformTarget } from '../../stand-ins/platform-target.ts'
+import { writePortRedirection } from '../../stand-ins/port-redirection.ts'
 import { startFaultRelay } from '../../stand-ins/fault-relay.ts'
 import type { FaultRelay } from '../../stand-ins/fault-relay.ts'
 import { PLATFORM_PROGRAM } from './gateway-program.ts'
@@ -24,17 +25,9 @@
 }
 
 const ADDRESS = '127.0.0.1'
-/** Redirects the connections of a process from the ports of targets to those of relays. */
-const PRELOAD = `
-const net = require('node:net')
-const ports = JSON.parse(process.env.REDIRECTED_PORTS)
-const { connect } = net
-net.connect = (options, ...rest) => connect(ports[options.port] ? { ...options, port: ports[options.port] } : options, ...rest)
-`
-
 /** Starts a gateway beside others that use the same store, and waits until it is ready. */
 export async function startPartitionedGateway (store: PlatformStore, targets: readonly PlatformTarget[]): Promise<PartitionedGateway> {
-  const ports: Record<string, number> = {}
+  const ports: Record<number, number> = {}
   const relays: FaultRelay[] = []
   for (const target of targets) {
     const port = await findFreePort()
@@ -43,11 +36,11 @@
   }
   const settings = await buildSettings(store, { entry: toBrand<EntryId>('front-cut') })
   const folder = mkdtempSync(path.join(tmpdir(), 'medlarcove-partition-'))
-  const [bootFile, preload] = [path.join(folder, 'boot.conf'), path.join(folder, 'redirect-ports.cjs')]
+  const bootFile = path.join(folder, 'boot.conf')
   writeFileSync(bootFile, formatBootText(settings))
-  writeFileSync(preload, PRELOAD)
-  const env = { ...process.env, MEDLARCOVE_BOOT: bootFile, REDIRECTED_PORTS: JSON.stringify(ports) }
-  const child = spawn(process.execPath, ['--require', preload, ...PLATFORM_PROGRAM], { env, stdio: ['ignore', 'pipe', 'pipe'] })
+  const redirection = writePortRedirection(folder, ports)
+  const env = { ...process.env, MEDLARCOVE_BOOT: bootFile, ...redirection.env }
+  const child = spawn(process.execPath, [...redirection.args, ...PLATFORM_PROGRAM], { env, stdio: ['ignore', 'pipe', 'pipe'] })
   let output = ''
   for (const stream of [child.stdout, child.stderr]) stream.on('data', (chunk: Buffer) => { output += chunk.toString() })
   const exited = new Promise((resolve) => { child.once('exit', resolve) })
