--- a/soak/main.ts
+++ b/soak/main.ts
@@ -29,6 +29,7 @@
 const MAX_SEED = 2 ** 31
 const MAX_PRINTED = 3
 const EXIT_BROKEN = 1
+const EXIT_STOPPED = 130
 
 function printPlan ({ seed, entryCount, services, callers, faults }: SoakPlan): void {
   console.log(`seed ${seed}: ${entryCount} entries, ${callers.length} callers, services ${services.map(({ targetCount, slots, workMs, hasLoadReports }) => `${targetCount} x ${slots} slots, ${workMs} ms${hasLoadReports ? '' : ', no load reports'}`).join('; ')}`)
@@ -85,6 +86,8 @@
   return all.flat().some(({ broken }) => broken.length > 0) ? EXIT_BROKEN : 0
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(EXIT_STOPPED))
+
 runSoak(process.argv.slice(2)).then((exitCode) => { process.exitCode = exitCode }, (cause: unknown) => {
   console.error(cause instanceof Error ? cause.message : cause)
   console.error(HELP)
--- a/soak/play.ts
+++ b/soak/play.ts
@@ -23,19 +23,33 @@
 const DEADLINE_MS = 1_500
 
 /** What the parts of a run share. */
-interface Run { plan: SoakPlan, system: SoakSystem, events: EventLog, copies: { atMs: number, copy: StoreCopy }[], random: () => number }
+interface Run {
+  plan: SoakPlan
+  system: SoakSystem
+  events: EventLog
+  copies: { atMs: number, copy: StoreCopy }[]
+  random: () => number
+  /** The restarts of each entry, which follow each other. */
+  restarts: Map<SoakEntry, Promise<void>>
+}
 
 function recordDisturbance ({ events }: Run, entry: number, forMs: number, what: string): void {
   const atMs = events.nowMs()
   events.add({ type: 'disturbed', atMs, untilMs: atMs + forMs + EXCUSED_AFTER_MS, entry, what })
 }
 
-async function runRestart (entry: SoakEntry, end: () => Promise<void>): Promise<void> {
-  entry.setExpectedEnd(true)
-  await end()
-  await entry.waitForExit()
-  await wait(DOWN_MS)
-  await entry.start()
+/** Ends the process of an entry and starts it again, after an earlier restart of it. */
+function runRestart ({ restarts }: Run, entry: SoakEntry, stopProcess: () => Promise<void>): Promise<void> {
+  const run = async (): Promise<void> => {
+    entry.setExpectedEnd(true)
+    await stopProcess()
+    await entry.waitForExit()
+    await wait(DOWN_MS)
+    await entry.start()
+  }
+  const restarted = (restarts.get(entry) ?? Promise.resolve()).then(run)
+  restarts.set(entry, restarted)
+  return restarted
 }
 
 async function stopBySignals (entry: SoakEntry, count: number): Promise<void> {
@@ -68,8 +82,8 @@
       await wait(Math.min(forMs, MAX_PAUSE_MS))
       entry.signal('SIGCONT')
       return
-    case 'entry-kill': return runRestart(entry, async () => entry.signal('SIGKILL'))
-    case 'entry-stop': return runRestart(entry, () => stopBySignals(entry, fault.signalCount))
+    case 'entry-kill': return runRestart(run, entry, async () => entry.signal('SIGKILL'))
+    case 'entry-stop': return runRestart(run, entry, () => stopBySignals(entry, fault.signalCount))
   }
 }
 
@@ -88,15 +102,15 @@
   }
 }
 
-function sendDeadly ({ plan, system, events, random }: Run, service: number, forMs: number, hasLeavingCallers: boolean): Promise<void> {
+function sendDeadly ({ plan, system, events, random }: Run, planned: FaultPlan, service: number, hasLeavingCallers: boolean): Promise<void> {
   return runCaller({
-    index: plan.callers.length,
+    index: plan.callers.length + plan.faults.indexOf(planned),
     plan: { service, habit: hasLeavingCallers ? 'leaver' : 'ordinary', keepsConnection: false, isIdempotent: true, gapMs: DEADLY_GAP_MS, deadlineMs: DEADLINE_MS },
     services: plan.services,
     entries: system.entries,
     events,
     random,
-    endsAtMs: Math.min(plan.lengthMs, events.nowMs() + forMs),
+    endsAtMs: Math.min(plan.lengthMs, events.nowMs() + planned.forMs),
     isDeadly: true
   })
 }
@@ -111,7 +125,7 @@
     case 'entry-stop': return playEntryFault(run, planned)
     case 'store-fault':
     case 'store-restore': return playStoreFault(run, planned)
-    case 'deadly-request': return sendDeadly(run, fault.service, forMs, fault.hasLeavingCallers)
+    case 'deadly-request': return sendDeadly(run, planned, fault.service, fault.hasLeavingCallers)
     case 'target-crash':
     case 'target-leave':
     case 'target-status':
@@ -134,7 +148,7 @@
   const random = createRandom(plan.seed + 1)
   const events = createEventLog()
   const system = await startSystem(plan, { buildFolder, events, random })
-  const run: Run = { plan, system, events, copies: [], random }
+  const run: Run = { plan, system, events, copies: [], random, restarts: new Map() }
   try {
     await wait(SETTLE_MS)
     const startMs = events.nowMs()
--- a/soak/system.ts
+++ b/soak/system.ts
@@ -5,11 +5,10 @@
 import type { ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { setTimeout as wait } from 'node:timers/promises'
+import { createPortFinder } from '../stand-ins/free-ports.ts'
 import { startFaultRelay } from '../stand-ins/fault-relay.ts'
 import type { FaultRelay } from '../stand-ins/fault-relay.ts'
 import { formatBootText } from '../stand-ins/platform-boot.ts'
@@ -47,18 +46,11 @@
 }
 
 const ADDRESS = '127.0.0.1'
+const findFreePort = createPortFinder({ firstPort: 12_000, portsPerProcess: 500, processCount: 40 })
 const GRACE_MS = 6_000
 const READY_TIMEOUT_MS = 15_000
 const POLL_MS = 30
 const MAX_OUTPUT_CHARACTERS = 2_000
-async function findFreePorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  await Promise.all(servers.map((server) => new Promise<void>((resolve) => { server.listen(0, ADDRESS, resolve) })))
-  const ports = servers.map((server) => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => { server.close(resolve) })))
-  return ports
-}
-
 function describeConfiguration ({ services }: SoakPlan) {
   const columns = ['name', 'host', 'pathPrefix', 'kind', 'timeout', 'targetLatency', 'priority', 'split', 'maxAttempts', 'service']
   const rows = services.flatMap(({ name, timeoutMs }) => (['safe', 'unsafe'] as const).map((kind) =>
@@ -71,6 +63,10 @@
   }
 }
 
+/** The processes that run; they end with this one. */
+const running = new Set<ChildProcess>()
+process.on('exit', () => { for (const child of running) child.kill('SIGKILL') })
+
 /** Options of `createEntry`. */
 interface EntryOptions {
   index: number
@@ -83,9 +79,14 @@
 }
 
 async function createEntry ({ index, buildFolder, folder, store, targets, events }: EntryOptions): Promise<SoakEntry> {
-  const [frontPort = 0, readyPort = 0, directoryPort = 0, peerPort = 0, ...relayPorts] = await findFreePorts(4 + targets.length)
-  const relays = await Promise.all(targets.map(({ port }, target) => startFaultRelay({ address: ADDRESS, port: relayPorts[target]! }, { address: ADDRESS, port })))
-  const redirected = Object.fromEntries(targets.map(({ port }, target) => [port, relayPorts[target]!]))
+  const [frontPort, readyPort, directoryPort, peerPort] = [await findFreePort(), await findFreePort(), await findFreePort(), await findFreePort()]
+  const relays: FaultRelay[] = []
+  const redirected: Record<number, number> = {}
+  for (const { port } of targets) {
+    const relayPort = await findFreePort()
+    redirected[port] = relayPort
+    relays.push(await startFaultRelay({ address: ADDRESS, port: relayPort }, { address: ADDRESS, port }))
+  }
   const bootFile = path.join(folder, `entry-${index}.conf`)
   const listen = { front: { address: ADDRESS, port: frontPort }, ready: { address: ADDRESS, port: readyPort }, directory: { address: ADDRESS, port: directoryPort } }
   writeFileSync(bootFile, formatBootText({ entry: toBrand(`front-${index}`), zone: toBrand(`zone-${index}`), address: ADDRESS, listen, internalPorts: [peerPort, peerPort], store: { address: ADDRESS, port: store.port }, graceMs: GRACE_MS }))
@@ -105,8 +106,10 @@
       const env = { PATH: process.env.PATH, HOME: process.env.HOME, MEDLARCOVE_BOOT: bootFile, ...redirection.env }
       const started = spawn(process.execPath, [...redirection.args, '--max-old-space-size=256', 'target/start.cjs'], { cwd: buildFolder, env, stdio: ['ignore', 'pipe', 'pipe'] })
       child = started
+      running.add(started)
       for (const stream of [started.stdout, started.stderr]) stream.on('data', watchOutput)
       started.on('exit', (code, signal) => {
+        running.delete(started)
         if (!isExpectedEnd) events.add({ type: 'entry-ended', atMs: events.nowMs(), entry: index, detail: `exit code ${code}, signal ${signal}: ${output}` })
       })
       const endMs = performance.now() + READY_TIMEOUT_MS
@@ -129,7 +132,7 @@
   store.put('keyed.op', 'config', describeConfiguration(plan))
   const targets: SoakTarget[] = []
   for (const [service, each] of plan.services.entries()) {
-    for (let count = 0; count < each.targetCount; count++) targets.push(await startTarget({ index: targets.length, service, plan: each, store, events, random }))
+    for (let count = 0; count < each.targetCount; count++) targets.push(await startTarget({ index: targets.length, port: await findFreePort(), service, plan: each, store, events, random }))
   }
   const entries: SoakEntry[] = []
   for (let index = 0; index < plan.entryCount; index++) entries.push(await createEntry({ index, buildFolder, folder, store, targets, events }))
--- a/soak/targets.ts
+++ b/soak/targets.ts
@@ -4,7 +4,7 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import type { PlatformStore } from '../stand-ins/platform-store.ts'
 import type { EventLog } from './events.ts'
 import type { FaultKind, ServicePlan } from './plan.ts'
@@ -36,6 +36,7 @@
 /** Options of `startTarget`. */
 export interface TargetOptions {
   index: number
+  port: number
   service: number
   plan: ServicePlan
   store: PlatformStore
@@ -61,13 +62,12 @@
 }
 
 /** Starts a target. It drops a request whose connection closes, unless its number is odd. */
-export async function startTarget ({ index, service, plan, store, events, random }: TargetOptions): Promise<SoakTarget> {
+export async function startTarget ({ index, port, service, plan, store, events, random }: TargetOptions): Promise<SoakTarget> {
   const state: State = { run: 0, isUp: true, isLeaving: false, active: 0, sequence: 0, bornMs: Date.now(), rejectsUntilMs: 0, fault: undefined }
   const isPersistent = index % 2 === 1
   const sockets = new Set<Socket>()
   const timers = new Set<NodeJS.Timeout>()
   let server: Server = createServer()
-  let port = 0
 
   const getId = (): string => `i-${index}-${state.run}`
   const startTimer = (ms: number, action: () => void): void => {
@@ -103,7 +103,6 @@
       socket.on('error', () => undefined)
     })
     await new Promise<void>((resolve) => { server.listen(port, '127.0.0.1', resolve) })
-    port = (server.address() as AddressInfo).port
   }
   const startRun = (): void => {
     Object.assign(state, { run: state.run + 1, isUp: true, isLeaving: false, active: 0, sequence: 0, bornMs: Date.now(), rejectsUntilMs: 0 })
--- a/test/support/gateway-system.ts
+++ b/test/support/gateway-system.ts
@@ -1,10 +1,11 @@
-import { connect, createServer as createTcpServer } from 'node:net'
+import { connect } from 'node:net'
 import { createHostClock } from '../../src/clock.ts'
 import type { BootSettings } from '../../src/platform/boot-file.ts'
 import { startGateway } from '../../src/process/gateway/gateway.ts'
 import type { Gateway } from '../../src/process/gateway/gateway.ts'
 import type { Logger, LogFields } from '../../src/process/logger.ts'
 import { toBrand } from '../../src/types.ts'
+import { createPortFinder } from '../../stand-ins/free-ports.ts'
 import { startPlatformStore } from '../../stand-ins/platform-store.ts'
 import type { PlatformStore } from '../../stand-ins/platform-store.ts'
 import { describeConfiguration, describeTarget, ROUTE_HOST } from '../../stand-ins/platform-target.ts'
@@ -23,25 +24,8 @@
   }
 }
 
-/** Below the operating system's range for outgoing connections, which could take a port between `findFreePort` and its use. */
-const FIRST_PORT = 10_000
-const PORTS_PER_PROCESS = 100
-const PROCESSES = 200
-let nextPort = FIRST_PORT + (process.pid % PROCESSES) * PORTS_PER_PROCESS
-
 /** Returns a free port outside the range from which the operating system assigns ports. */
-export async function findFreePort (): Promise<number> {
-  for (;;) {
-    const port = nextPort++
-    const server = createTcpServer()
-    const isFree = await new Promise<boolean>((resolve) => {
-      server.once('error', () => resolve(false))
-      server.listen(port, '127.0.0.1', () => resolve(true))
-    })
-    await new Promise((resolve) => { server.close(resolve) })
-    if (isFree) return port
-  }
-}
+export const findFreePort = createPortFinder({ firstPort: 10_000, portsPerProcess: 100, processCount: 200 })
 
 /** A running gateway with its store and targets. */
 export interface GatewaySystem {
