Leave when the target has the request, not after a time

The test of a deadly request whose callers leave closed its connections 15 ms after sending, so that on a busy machine a request might not have reached a target by then. It now leaves as soon as a target has the request; what it checks is the same.

--- a/test/deadly-request.test.ts
+++ b/test/deadly-request.test.ts
@@ -1,9 +1,10 @@
+import { connect } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
 import { ROUTE_HOST, sendCompleteResponse, startPlatformTarget } from '../stand-ins/platform-target.ts'
 import type { PlatformTarget } from '../stand-ins/platform-target.ts'
 import { sendTo, startGatewayFleet } from './support/gateway-fleet.ts'
 import type { FleetEntry, GatewayFleet } from './support/gateway-fleet.ts'
-import { sendRaw } from './support/gateway-system.ts'
+import { waitFor } from './support/gateway-system.ts'
 
 const RUN_MS = 30
 
@@ -55,6 +56,17 @@
   })
 }
 
+/** Sends a deadly request, and closes the connection as soon as a target has it or a response has come. */
+async function sendAndLeave ({ settings }: FleetEntry, id: string, isReceived: () => boolean): Promise<void> {
+  let hasResponse = false
+  const socket = connect(settings.listen.front.port, '127.0.0.1')
+  socket.on('error', () => undefined)
+  socket.on('data', () => { hasResponse = true })
+  socket.write(`GET /safe/deadly HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nMedlarcove-Attempt-Id: ${id}\r\n\r\n`)
+  await waitFor(() => hasResponse || isReceived())
+  socket.destroy()
+}
+
 // Guards against a deadly request that is never put in quarantine, since its callers leave before it crashes the target (review/7).
 test('a request whose callers leave before it crashes its target ends at most four targets, over all entries', async () => {
   const targets = await startFragileTargets(12)
@@ -62,8 +74,7 @@
   await sendMany(entries, Array.from({ length: 60 }, (_, index) => `/safe/first-${index}`), 5)
   for (let index = 0; index < 12; index++) {
     const before = countCrashed(targets)
-    const { settings } = select(entries, index)
-    await sendRaw(settings.listen.front.port, `GET /safe/deadly HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nMedlarcove-Attempt-Id: left-${index}\r\n\r\n`, RUN_MS / 2)
+    await sendAndLeave(select(entries, index), `left-${index}`, () => targets.some(({ receivedAttempts }) => receivedAttempts.includes(`left-${index}`)))
     await new Promise((resolve) => setTimeout(resolve, 4 * RUN_MS))
     if (index > 4) expect(countCrashed(targets)).toBe(before)
   }
