--- a/review/lib-3/client.mjs
+++ b/review/lib-3/client.mjs
@@ -29,7 +29,7 @@
       const lineEnd = buffer.indexOf('\r\n', at)
       if (lineEnd < 0) return undefined
       const size = parseInt(buffer.subarray(at, lineEnd).toString(), 16)
-      if (buffer.length < lineEnd + 2 + size + 2) return undefined
+      if (!(buffer.length >= lineEnd + 2 + size + 2)) return undefined
       if (size === 0) return { status, headers, body: Buffer.concat(parts), rest: buffer.subarray(lineEnd + 4) }
       parts.push(buffer.subarray(lineEnd + 2, lineEnd + 2 + size))
       at = lineEnd + 2 + size + 2
--- a/review/lib-3/server.mjs
+++ b/review/lib-3/server.mjs
@@ -22,6 +22,10 @@
     incoming.on('data', (chunk) => chunks.push(chunk))
     incoming.on('error', () => undefined)
     incoming.on('end', () => {
+      if (attempt === undefined) {
+        outgoing.writeHead(400, { 'Medlarcove-Not-Executed': '1' }).end()
+        return
+      }
       if (meant !== undefined && meant !== id) {
         outgoing.writeHead(421, { 'Medlarcove-Attempt-Id': attempt, 'Medlarcove-Not-Executed': '1', 'Medlarcove-Instance-Id': id }).end()
         return
