--- a/review/lib-3/server.mjs
+++ b/review/lib-3/server.mjs
@@ -4,16 +4,20 @@
 const HEARTBEAT_MS = 1_500
 
 /** Starts an upstream on a free port. `work` answers a request that is run; by default with a signed success. */
-export async function startServer ({ id, service, zone, address, store, slots = 4, work, log }) {
+export async function startServer ({ id, service, zone, address, store, slots = 4, work, log, hasLoad = true }) {
   const born = Date.now()
   const state = { id, runs: [], load: 0, sequence: 0, current: 'ready', isRegistered: false }
   const sockets = new Set()
-  const loadHeader = () => `${Math.min(state.load, slots)},${Math.max(0, state.load - slots)},${slots},100`
-  state.headers = (incoming) => ({ 'Medlarcove-Attempt-Id': incoming.headers['medlarcove-attempt-id'], 'Medlarcove-Response-Signature': `${id}.${state.runs.length}`, 'Medlarcove-Upstream-Load': loadHeader() })
+  /** What all answers say: the load, if the service tells it, and that the upstream is leaving. */
+  const describeSelf = () => ({
+    ...(hasLoad ? { 'Medlarcove-Upstream-Load': `${Math.min(state.load, slots)},${Math.max(0, state.load - slots)},${slots},100` } : {}),
+    ...(state.current === 'leaving' ? { 'Server-Leaving': '1', Connection: 'close' } : {})
+  })
+  state.headers = (incoming) => ({ 'Medlarcove-Attempt-Id': incoming.headers['medlarcove-attempt-id'], 'Medlarcove-Response-Signature': `${id}.${state.runs.length}`, ...describeSelf() })
   const answer = work ?? ((incoming, outgoing, body) => outgoing.writeHead(200, state.headers(incoming)).end(`${service} ${incoming.headers['medlarcove-attempt-id']}`))
   const server = createServer((incoming, outgoing) => {
     if (incoming.url === '/health') {
-      outgoing.writeHead(state.current === 'ready' ? 200 : 503, { 'Medlarcove-Instance-Id': id, 'Medlarcove-Upstream-Load': loadHeader() }).end()
+      outgoing.writeHead(state.current === 'ready' ? 200 : 503, { 'Medlarcove-Instance-Id': id, ...describeSelf() }).end()
       return
     }
     const attempt = incoming.headers['medlarcove-attempt-id']
@@ -52,12 +56,18 @@
     state.sequence += 1
     store.put('keyed.servers', id, describe())
   }
-  const timer = setInterval(() => { if (state.isRegistered && !state.isHeld) state.report() }, HEARTBEAT_MS)
+  const timer = setInterval(() => { if (state.isRegistered) state.report() }, HEARTBEAT_MS)
   state.register = () => {
     state.isRegistered = true
     state.report()
   }
-  state.sockets = sockets
+  /** Leaves without reporting `draining`: the record is removed, and all answers say that it leaves. */
+  state.leave = () => {
+    state.isRegistered = false
+    state.current = 'leaving'
+    state.remove()
+  }
+  state.remove = () => store.put('keyed.servers', id)
   state.close = () => {
     clearInterval(timer)
     server.close()
