--- a/review/12/play.mjs
+++ b/review/12/play.mjs
@@ -29,7 +29,9 @@
 const BUSY_MS = { from: 140, until: 165 }
 const POLL_MS = 3
 /** A client sends a further lookup this long after each download, in ms. */
-const LOOKUPS_AFTER_MS = [100, 475]
+const LOOKUPS_AFTER_MS = [100, 140, 180, 220, 260, 300, 340, 380, 420, 460]
+/** Where a write of the link fails, Node.js drops what the link has not read: at most the receive buffer, 131,072 bytes. More is missing here. */
+const SURE_MISSING_BYTES = 200_000
 const LIMIT_MS = 5_000
 
 const CONFIGURATION = {
@@ -118,7 +120,7 @@
     for (let index = 0; index < 6; index++) await start('desk', index, answerLookup)
     for (let index = 0; index < 4; index++) await start('office', index, answerLedger)
     store.put('keyed.op', 'config', CONFIGURATION)
-    fleet = await createFleet({ count: 3, storeAddress: store.address, net: 63, bounds: { ...HABI_BOUNDS, 'limits.linkMbps': `${LINK_MBPS}.0` } })
+    fleet = await createFleet({ count: 3, storeAddress: store.address, net: Number(process.env.NET ?? 63), bounds: { ...HABI_BOUNDS, 'limits.linkMbps': `${LINK_MBPS}.0` } })
     const { entries } = fleet
     for (const entry of entries) await entry.start()
     for (const entry of entries) {
@@ -158,7 +160,7 @@
         const run = servers.flatMap(({ runs }) => runs).find(({ attempt }) => attempt === id)
         const tookMs = closedAtMs - sentAtMs
         if (!run || !isAroundTerm || tookMs > DEADLINE_MS - 100) continue
-        if (hasLinkFailed) {
+        if (hasLinkFailed && LEDGER_BYTES - receivedBytes < SURE_MISSING_BYTES) {
           record.add(`not counted, a write of the link failed: ${kind} ${id}`)
           continue
         }
@@ -186,4 +188,4 @@
   }
 }
 
-await runCase(path.join(import.meta.dirname, 'record.txt'), play)
+await runCase(process.env.RECORD ?? path.join(import.meta.dirname, 'record.txt'), play)
