--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -160,6 +160,7 @@
   })
   const killAll = () => { for (const child of children) child.kill('SIGKILL') }
   process.on('exit', killAll)
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => process.exit(2))
   return {
     entries,
     folder,
