Pass on what the store says anew, not what the reader didn't know

Cause: the entry that reads the store for all passed on only records that changed something for itself. It keeps its knowledge of before the restore, so the second writing changed nothing for it, and the others moved their position past a record that they never had.

Change: what is passed on is judged by what the store has held since its epoch began (store-view.ts): all records of the operator's topic, all removals, and all reports that say more than the record before. So draining reports, changed slots and a target that turns cold again reach all entries too. A record on which applying fails here is passed on as well.

--- a/src/process/discovery/record-applier.ts
+++ b/src/process/discovery/record-applier.ts
@@ -23,8 +23,11 @@
   isAfterRestore: boolean
 }
 
-/** Applies records. Returns those that changed something. */
-export type ApplyRecords = (records: readonly KeyedRecord[], context: PageContext) => KeyedRecord[]
+/**
+ * Applies records. Returns those that other entries may lack although they have applied all before. What changed nothing for this
+ * entry is not left out for that alone: it may know more than the others, from before a restore of the store.
+ */
+export type ApplyRecords = (records: readonly KeyedRecord[], context: PageContext) => readonly KeyedRecord[]
 
 /** Options of `createRecordApplier`. */
 export interface RecordApplierOptions {
@@ -59,16 +62,16 @@
   /** Epoch of the records that were applied last. */
   let appliedEpoch: StoreEpoch | undefined
 
-  const applyOne = (record: KeyedRecord, context: PageContext): KeyedRecord[] => {
+  const applyOne = (record: KeyedRecord, context: PageContext): readonly KeyedRecord[] => {
     try {
       return options.applyRecords([record], context)
     } catch (cause) {
       logger.error('Skipped a record that could not be applied.', { topic, key: record.key, offset: record.offset, err: cause })
-      return []
+      return [record]
     }
   }
   /** Applies records; one on which that fails takes no others with it. A full read is applied as a whole or fails. */
-  const applyRecords = (records: readonly KeyedRecord[], context: PageContext): KeyedRecord[] => {
+  const applyRecords = (records: readonly KeyedRecord[], context: PageContext): readonly KeyedRecord[] => {
     if (context.isFullRead) return options.applyRecords(records, context)
     try {
       return options.applyRecords(records, context)
@@ -96,11 +99,11 @@
   const applyNext = ({ page: { records, next, epoch }, ageMs }: ReadPage, from: TopicPosition, known: TopicPosition): void => {
     startEpoch(epoch)
     const context: PageContext = { isFullRead: false, isAfterOutage: isAfterOutage(), isAfterRestore: false }
-    const changed = applyRecords(records.filter(({ offset }) => offset >= known.next), context)
+    const lacked = applyRecords(records.filter(({ offset }) => offset >= known.next), context)
     position.moveTo({ epoch, next: Math.max(next, known.next) })
     if (next >= known.next && ageMs !== undefined) position.recordCurrent(ageMs)
     if (!sharing?.isReader()) return
-    const range = { topic, epoch, from: from.next, next, ageMs, isAfterOutage: context.isAfterOutage, records: changed }
+    const range = { topic, epoch, from: from.next, next, ageMs, isAfterOutage: context.isAfterOutage, records: lacked }
     for (const part of toSharedRanges(range)) sharing.publish(part)
   }
   return {
--- a/src/process/discovery/shared-range.ts
+++ b/src/process/discovery/shared-range.ts
@@ -16,8 +16,8 @@
   ageMs?: number
   /** Whether the reads of the sender failed shortly before; the store may have been unavailable. */
   isAfterOutage: boolean
-  /** The records that change something. A range that is too large to share has no records, and its `from` equals `next`. */
-  records: KeyedRecord[]
+  /** The records that the others may lack. A range that is too large to share has no records, and its `from` equals `next`. */
+  records: readonly KeyedRecord[]
 }
 
 /** Bytes of values in one shared range. */
--- /dev/null
+++ b/src/process/discovery/store-view.ts
@@ -0,0 +1,60 @@
+/**
+ * What the store has held of each target since its epoch began, and which of its records the other entries may lack.
+ *
+ * The entry that reads for all leaves out what targets write with each heartbeat. That is judged by the records before it in the
+ * store and not by what this entry knows: it may know more, from before a restore of the store or from other sources.
+ */
+import type { TargetId } from '../../types.ts'
+import type { TargetChange, TargetReport } from './target-registry.ts'
+
+/** The records of the targets in the store. */
+export interface StoreView {
+  /**
+   * Applies a full read. `isAfterRestore` says that it is the first one of an epoch: what the store held before counts no more.
+   */
+  replaceAll(reports: readonly TargetReport[], isAfterRestore: boolean): void
+  /** Applies a change that follows. Returns whether entries that have applied all changes before it may lack it. */
+  apply(change: TargetChange): boolean
+}
+
+/** The latest report of a target, and whether its record was removed since. */
+interface StoredTarget { report: TargetReport, isRemoved: boolean }
+
+/** Whether a report was written late: a later one of its target was in the store before. */
+function isLate (report: TargetReport, { report: latest, isRemoved }: StoredTarget): boolean {
+  if (report.bornMs !== latest.bornMs) return report.bornMs < latest.bornMs
+  return isRemoved ? report.sequence <= latest.sequence : report.sequence < latest.sequence
+}
+
+/** Whether a report says nothing but what follows from the one before. */
+function isHeartbeat (report: TargetReport, { report: latest, isRemoved }: StoredTarget): boolean {
+  return !isRemoved && report.bornMs === latest.bornMs &&
+    report.service === latest.service && report.zone === latest.zone &&
+    report.address === latest.address && report.port === latest.port &&
+    report.slots === latest.slots && report.isDraining === latest.isDraining &&
+    report.warmupLeftMs <= latest.warmupLeftMs
+}
+
+/** Creates the view of a store without records. */
+export function createStoreView (): StoreView {
+  const stored = new Map<TargetId, StoredTarget>()
+  const applyReport = (report: TargetReport): boolean => {
+    const latest = stored.get(report.id)
+    if (latest && isLate(report, latest)) return false
+    stored.set(report.id, { report, isRemoved: false })
+    return latest === undefined || !isHeartbeat(report, latest)
+  }
+  return {
+    replaceAll (reports, isAfterRestore) {
+      if (isAfterRestore) stored.clear()
+      for (const target of stored.values()) target.isRemoved = true
+      for (const report of reports) stored.set(report.id, { report, isRemoved: false })
+    },
+    apply (change) {
+      if (change.type === 'report') return applyReport(change.report)
+      const latest = stored.get(change.id)
+      if (latest) latest.isRemoved = true
+      return true
+    }
+  }
+}
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -17,6 +17,7 @@
 import type { WeightedRoundRobin } from '../../version/weighted-round-robin.ts'
 import { createEvacuatedZones } from '../discovery/evacuated-zones.ts'
 import type { PageContext } from '../discovery/record-applier.ts'
+import { createStoreView } from '../discovery/store-view.ts'
 import { createTargetRegistry } from '../discovery/target-registry.ts'
 import type { TargetChange, TargetReport } from '../discovery/target-registry.ts'
 import { createGatewayServices } from './gateway-services.ts'
@@ -43,11 +44,11 @@
   getColdPerSecond(target: TargetId): number | undefined
   /** Returns the services that have been used. */
   listServices(): GatewayService[]
-  /** Applies records of the operator topic; returns those that changed the configuration or the evacuated zones. */
-  applyConfigurationRecords(records: readonly KeyedRecord[], context: PageContext): KeyedRecord[]
+  /** Applies records of the operator topic; returns all of them, since they are few and other entries may lack any. */
+  applyConfigurationRecords(records: readonly KeyedRecord[], context: PageContext): readonly KeyedRecord[]
   /** Returns the number of evacuated zones. */
   countEvacuatedZones(): number
-  /** Applies records of the targets topic; returns those that changed something, without periodic reports of an unchanged target. */
+  /** Applies records of the targets topic; returns those that other entries may lack, without heartbeats of unchanged targets. */
   applyTargetRecords(records: readonly KeyedRecord[], context: PageContext): KeyedRecord[]
   /** Applies a peer's message that a run of a target is leaving; an older peer does not name the run. */
   markLeaving(target: TargetId, bornMs: number | undefined): void
@@ -87,6 +88,7 @@
 export function createGatewayState (options: GatewayStateOptions): GatewayState {
   const { clock, random, logger, limiter } = options
   const registry = createTargetRegistry()
+  const storeView = createStoreView()
   const evacuatedZones = createEvacuatedZones({ clock, logger })
   const states = createTargetStates({ clock, maxConnections: options.maxConnections, handleDisconnect: (state) => services.checkAbandoned(state) })
   let inEffect: ConfigurationInEffect | undefined
@@ -99,27 +101,23 @@
     getHealthPath: (service) => inEffect?.configuration.services.get(service)?.healthPath
   })
 
-  const applyConfiguration = (record: KeyedRecord): boolean => {
-    if (record.key !== CONFIGURATION_KEY || !record.value) return false
+  const applyConfiguration = (record: KeyedRecord): void => {
+    if (record.key !== CONFIGURATION_KEY || !record.value) return
     const decoded = decodeConfiguration(record.value)
     if (decoded.isErr()) {
       logger.warn('Skipped a configuration that could not be decoded.', { offset: record.offset, error: decoded.error.message })
-      return false
+      return
     }
     const current = inEffect?.configuration.version
     const { version, routes } = decoded.value
-    if (current !== undefined && version <= current) return false
+    if (current !== undefined && version <= current) return
     inEffect = createInEffect(decoded.value, random)
     logger.info('A configuration is in effect.', { version, before: current, routes: routes.length, offset: record.offset })
     options.handleConfiguration(decoded.value)
-    return true
   }
-  const applyEvacuation = ({ key, value }: KeyedRecord): boolean => {
+  const applyEvacuation = ({ key, value }: KeyedRecord): void => {
     const zone = getEvacuationZone(key)
-    if (zone === undefined) return false
-    evacuatedZones.apply(zone, value !== undefined)
-    // Counts as a change always: entries share only changes, and others may know less than this one, as after a restore.
-    return true
+    if (zone !== undefined) evacuatedZones.apply(zone, value !== undefined)
   }
   const listZones = (records: readonly KeyedRecord[]): ZoneId[] => records.flatMap(({ key, value }) => value ? getEvacuationZone(key) ?? [] : [])
   const decodeChange = (record: KeyedRecord): TargetChange | undefined => {
@@ -129,22 +127,33 @@
     logger.debug('Skipped a target record that could not be decoded.', { offset: record.offset, error: decoded.error.message })
     return undefined
   }
-  /** Applies how long the record of a target says that it stays cold; returns whether that is news. */
-  const applyColdReport = (report: TargetReport): boolean => report.warmupLeftMs > 0 && limiter.recordColdReport(report.id, report.warmupLeftMs)
-  const applyTargetRecord = (record: KeyedRecord, isAfterOutage: boolean): boolean => {
-    const change = decodeChange(record)
-    const outcome = change ? registry.apply(change, clock.monotonicMs(), isAfterOutage) : 'stale'
-    const hasTurnedCold = outcome !== 'stale' && change?.type === 'report' && applyColdReport(change.report)
-    if (outcome === 'updated' || outcome === 'stale') return hasTurnedCold
-    logger.info(`A target is ${outcome}.`, { target: record.key, offset: record.offset })
-    return true
+  /** Applies how long the record of a target says that it stays cold. */
+  const applyColdReport = ({ id, warmupLeftMs }: TargetReport): void => {
+    if (warmupLeftMs > 0) limiter.recordColdReport(id, warmupLeftMs)
   }
-  const applyAllTargets = (records: readonly KeyedRecord[], isAfterOutage: boolean): void => {
+  const applyTargetChange = (change: TargetChange, { key, offset }: KeyedRecord, isAfterOutage: boolean): void => {
+    const outcome = registry.apply(change, clock.monotonicMs(), isAfterOutage)
+    if (outcome === 'stale') return
+    if (change.type === 'report') applyColdReport(change.report)
+    if (outcome !== 'updated') logger.info(`A target is ${outcome}.`, { target: key, offset })
+  }
+  /** Applies single records. Returns those that other entries may lack. */
+  const applyTargetChanges = (records: readonly KeyedRecord[], isAfterOutage: boolean): KeyedRecord[] => {
+    const decoded = records.flatMap((record) => {
+      const change = decodeChange(record)
+      return change ? [{ record, change }] : []
+    })
+    for (const { record, change } of decoded) applyTargetChange(change, record, isAfterOutage)
+    // Only now, since after an error above the records are applied once more.
+    return decoded.filter(({ change }) => storeView.apply(change)).map(({ record }) => record)
+  }
+  const applyAllTargets = (records: readonly KeyedRecord[], { isAfterOutage, isAfterRestore }: PageContext): void => {
     const decoded = records.map((record) => ({ id: toBrand<TargetId>(record.key), change: decodeChange(record) }))
     const reports: TargetReport[] = decoded.flatMap(({ change }) => change?.type === 'report' ? [change.report] : [])
     // As with single records, one that cannot be decoded changes nothing.
     const unreadable = decoded.filter(({ change }) => change === undefined).map(({ id }) => id)
     registry.replaceAll(reports, unreadable, clock.monotonicMs(), isAfterOutage)
+    storeView.replaceAll(reports, isAfterRestore)
     for (const report of reports) if (registry.get(report.id)?.report === report) applyColdReport(report)
     logger.info('Read all targets.', { count: registry.countTargets() })
   }
@@ -158,17 +167,21 @@
     listServices: services.list,
     applyConfigurationRecords (records, { isFullRead, isAfterRestore }) {
       if (isFullRead) evacuatedZones.replaceAll(listZones(records), isAfterRestore)
-      return records.filter((record) => applyEvacuation(record) || applyConfiguration(record))
+      for (const record of records) {
+        applyEvacuation(record)
+        applyConfiguration(record)
+      }
+      return records
     },
     countEvacuatedZones: () => evacuatedZones.list().length,
-    applyTargetRecords (records, { isFullRead, isAfterOutage }) {
-      if (isFullRead) applyAllTargets(records, isAfterOutage)
-      const changed = isFullRead ? [...records] : records.filter((record) => applyTargetRecord(record, isAfterOutage))
+    applyTargetRecords (records, context) {
+      if (context.isFullRead) applyAllTargets(records, context)
+      const lacked = context.isFullRead ? [] : applyTargetChanges(records, context.isAfterOutage)
       hasReadTargets = true
       options.handleTargetsRead()
       states.removeUnregistered((registered) => registry.get(registered.report.id) === registered)
       limiter.removeUnregistered((target) => registry.get(target) !== undefined)
-      return changed
+      return lacked
     },
     markLeaving (target, bornMs) {
       if (registry.markLeaving(target, bornMs)) logger.info('Marked a target as leaving.', { target, because: 'reported by a peer' })
--- a/src/process/target-limits/target-limiter.ts
+++ b/src/process/target-limits/target-limiter.ts
@@ -40,8 +40,8 @@
   record(target: TargetId, limit: AdvertisedLimit, sentAtMs: number): void
   /** Records that a response, whose request was sent at `sentAtMs`, said that its target stays cold for `leftMs`; 0 when it is not. */
   recordCold(target: TargetId, leftMs: number, sentAtMs: number): void
-  /** Records that the record of a target, of unknown age, said that it stays cold for `leftMs`. Returns whether that is news. */
-  recordColdReport(target: TargetId, leftMs: number): boolean
+  /** Records that the record of a target, of unknown age, said that it stays cold for `leftMs`. */
+  recordColdReport(target: TargetId, leftMs: number): void
   /** Whether a target is cold and bears few requests for that. */
   isCold(target: TargetId): boolean
   /** Whether any target may be cold; in constant time. */
@@ -183,7 +183,7 @@
     },
     recordColdReport (target, leftMs) {
       const receivedAtMs = clock.monotonicMs()
-      return cold.apply(target, { endsAtMs: receivedAtMs + leftMs, sentAtMs: receivedAtMs - MAX_RECORD_AGE_MS, receivedAtMs })
+      cold.apply(target, { endsAtMs: receivedAtMs + leftMs, sentAtMs: receivedAtMs - MAX_RECORD_AGE_MS, receivedAtMs })
     },
     isCold: (target) => cold.isCold(target) && options.getColdPerSecond?.(target) !== undefined,
     hasCold: () => cold.hasCold(),
