Begin a shared range where its records begin

What callers would see: an entry that misses records (a removed target, a configuration) for good.

Cause: when another reader's range had arrived while the own read was on its way, the records of it were left out, but the range that was passed on still began where the read had begun. An entry that missed the other range took this one for all that it lacked.

Change: the range begins at the own position, so that such an entry sees the gap and reads by itself. A page that ends before the own position is not passed on.

--- a/src/process/discovery/record-applier.ts
+++ b/src/process/discovery/record-applier.ts
@@ -95,15 +95,16 @@
     if (ageMs !== undefined) position.recordCurrent(ageMs)
     if (isRestored && sharing?.isReader()) sharing.publish({ topic, epoch, from: next, next, ageMs, isAfterOutage: true, records: [] })
   }
-  /** Applies the records after `known` of a page that was read from `from`, and shares all of them if this entry is the reader. */
-  const applyNext = ({ page: { records, next, epoch }, ageMs }: ReadPage, from: TopicPosition, known: TopicPosition): void => {
+  /** Applies the records after `known` of a page, and shares them if this entry is the reader. */
+  const applyNext = ({ page: { records, next, epoch }, ageMs }: ReadPage, known: TopicPosition): void => {
     startEpoch(epoch)
     const context: PageContext = { isFullRead: false, isAfterOutage: isAfterOutage(), isAfterRestore: false }
     const lacked = applyRecords(records.filter(({ offset }) => offset >= known.next), context)
     position.moveTo({ epoch, next: Math.max(next, known.next) })
     if (next >= known.next && ageMs !== undefined) position.recordCurrent(ageMs)
-    if (!sharing?.isReader()) return
-    const range = { topic, epoch, from: from.next, next, ageMs, isAfterOutage: context.isAfterOutage, records: lacked }
+    if (!sharing?.isReader() || next < known.next) return
+    // Records before `known` came from another reader. An entry that missed them must not take this range for all that it lacks.
+    const range = { topic, epoch, from: known.next, next, ageMs, isAfterOutage: context.isAfterOutage, records: lacked }
     for (const part of toSharedRanges(range)) sharing.publish(part)
   }
   return {
@@ -123,7 +124,7 @@
       }
       const known = position.get()
       if (!known || !canContinue(from, page.epoch) || !canContinue(known, page.epoch)) return false
-      applyNext(read, from, known)
+      applyNext(read, known)
       return true
     },
     /** Applies a range that another entry has read. Returns false if records before it are missing here. */
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -139,6 +139,23 @@
   expect([...followers[2]!.known]).toEqual([['a', 'missed'], ['b', 'received']])
 })
 
+// Guards against a range that covers records which it doesn't hold, as its sender had them from another reader while its read was on its way.
+test('an entry that missed the range of one reader gets its records, although another reader passes on only what follows', async () => {
+  const { clock, followers, write, log } = createSharedReaders(3)
+  write('before', 'x')
+  await clock.advance(2_000)
+  const [reader] = followers as [Follower]
+  reader.readMs = 300
+  const from = log.length
+  write('a', 'missed')
+  const range = { topic: 't', epoch: EPOCH, from, next: log.length, ageMs: 0, isAfterOutage: false, records: log.slice(from) }
+  write('b', 'received')
+  await clock.advance(PAUSE_MS)
+  reader.follower.applyShared(range)
+  await clock.advance(DRAIN_MS)
+  expect(followers.map(({ known }) => [known.get('a'), known.get('b')])).toEqual(followers.map(() => ['missed', 'received']))
+})
+
 test('records that are too large to share are read by each entry without delay', async () => {
   const { clock, followers, write } = createSharedReaders(3)
   await clock.advance(2_000)
