Close connections of callers without dropping what is on its way

Cause: the HTTP server closes a socket once the operating system has the last byte. A request that the caller sends before it has read `Connection: close` then reaches a closed socket; the system resets the connection and drops what it has not delivered.

The stop waits for these connections within its grace period.

--- a/src/connection/ordered-connection.ts
+++ b/src/connection/ordered-connection.ts
@@ -72,12 +72,6 @@
   pause()
 }
 
-/** Sends the response to what could not be read, if there is one, and closes the connection. */
-export function sendFinalResponse ({ socket, finalResponse }: OrderedConnection): void {
-  if (finalResponse === undefined || socket.destroyed) return
-  socket.end(finalResponse, () => socket.destroy())
-}
-
 /** Whether the response to the last request that was read can still tell the caller that nothing behind it is read. */
 export function canTellLast ({ pending, hasStartedLast }: OrderedConnection): boolean {
   return hasStartedLast || pending.at(-1)?.outgoing.headersSent === false
--- a/src/connection/pipelined-requests.ts
+++ b/src/connection/pipelined-requests.ts
@@ -11,7 +11,8 @@
 import type { ByteBudget } from '../process/byte-budget.ts'
 import { createCallerConnection } from '../request/caller-connection.ts'
 import type { CallerConnection } from '../request/caller-connection.ts'
-import { canTellLast, createOrderedConnection, isAnswering, resumeWaiting, sendFinalResponse, stopReading, waitForPlace } from './ordered-connection.ts'
+import { canTellLast, createOrderedConnection, isAnswering, resumeWaiting, stopReading, waitForPlace } from './ordered-connection.ts'
+import type { LingeringCloses } from './lingering-close.ts'
 import type { OrderedConnection, PendingRequest } from './ordered-connection.ts'
 
 /** How a request ended without a response: its caller left, or the connection was closed by a response ahead. */
@@ -75,6 +76,8 @@
   clock: Clock
   /** What the memory of responses that wait is taken from. */
   budget: ByteBudget
+  /** Closes the connections whose last response has been sent. */
+  closes: Pick<LingeringCloses, 'close'>
 }
 
 /** Requests of one connection that are worked on at the same time. */
@@ -89,7 +92,7 @@
 const MAX_UNTAKEN_MS = 5_000
 
 /** Creates the order of requests; no connection is known. */
-export function createPipelinedRequests ({ clock, budget }: PipelinedRequestsOptions): PipelinedRequests {
+export function createPipelinedRequests ({ clock, budget, closes }: PipelinedRequestsOptions): PipelinedRequests {
   const connections = new WeakMap<Duplex, OrderedConnection>()
   const counts: PipeliningCounts = { pipelined: 0, unread: 0, heldBytes: 0 }
   let isClosing = false
@@ -121,6 +124,10 @@
     connection.unreadCount += 1
     if (connection.unreadCount === MAX_DROPPED_REQUESTS) stopReading(connection.socket)
   }
+  /** Sends the response to what could not be read, if there is one, and closes the connection. */
+  const sendFinalResponse = ({ socket, finalResponse }: OrderedConnection): void => {
+    if (finalResponse !== undefined) closes.close(socket, finalResponse)
+  }
   const advance = (connection: OrderedConnection, request: PendingRequest): void => {
     const index = connection.pending.indexOf(request)
     if (index < 0) return
--- a/src/process/caller-server.ts
+++ b/src/process/caller-server.ts
@@ -7,6 +7,9 @@
 import { getRequestListener } from '@hono/node-server'
 import { Hono } from 'hono'
 import type { Result } from 'neverthrow'
+import type { Clock } from '../clock.ts'
+import { createLingeringCloses, MAX_LINGER_MS } from '../connection/lingering-close.ts'
+import type { LingeringCloses } from '../connection/lingering-close.ts'
 import { startListening } from '../connection/start-listening.ts'
 import { createError, getErrorResponse } from '../errors.ts'
 import type { AppError } from '../errors.ts'
@@ -23,10 +26,12 @@
 /** Paths below this prefix are handled by the entry itself. */
 const OWN_PREFIX = '/.medlarcove/'
 const HEADER_OVERFLOW_STATUS = 431
+const LINGER_CHECK_MS = 50
 
 /** Options of the server for callers. */
 export interface CallerServerOptions {
   settings: Settings
+  clock: Clock
   contracts: ContractState
   mesh: PeerMesh
   requests: RequestService
@@ -39,7 +44,7 @@
   start(): Promise<Result<void, AppError>>
   /** Sends `connection: close` on every response from now on, so that callers close their connections. */
   closeAfterResponses(): void
-  /** Stops listening and closes idle connections; resolves when all connections are closed. */
+  /** Lets callers take their last responses, stops listening and closes idle connections; resolves when all connections are closed. */
   close(): Promise<void>
   /** Returns the number of open connections. */
   countConnections(): Promise<number>
@@ -70,7 +75,7 @@
 }
 
 /** Responds to a request that cannot be parsed, then closes the connection. */
-function rejectMalformed (cause: NodeJS.ErrnoException, socket: Duplex): void {
+function rejectMalformed (cause: NodeJS.ErrnoException, socket: Duplex, closes: LingeringCloses): void {
   if (!socket.writable || cause.code === 'ECONNRESET') {
     socket.destroy()
     return
@@ -81,12 +86,19 @@
   const status = cause.code === 'HPE_HEADER_OVERFLOW' ? HEADER_OVERFLOW_STATUS : getErrorResponse(kind).status
   const lines = Object.entries({ ...headers, connection: 'close', 'content-length': String(body.byteLength) })
   const head = lines.map(([name, value]) => `${name}: ${value}\r\n`).join('')
-  socket.end(Buffer.concat([Buffer.from(`HTTP/1.1 ${status} Refused\r\n${head}\r\n`), body]))
+  closes.close(socket, Buffer.concat([Buffer.from(`HTTP/1.1 ${status} Refused\r\n${head}\r\n`), body]))
+}
+
+/** Resolves when no connection waits for its caller to close it, but after `MAX_LINGER_MS` at the latest. */
+async function waitForCloses (closes: LingeringCloses, clock: Clock): Promise<void> {
+  const latestEndAtMs = clock.monotonicMs() + MAX_LINGER_MS
+  while (closes.count() > 0 && clock.monotonicMs() < latestEndAtMs) await clock.wait(LINGER_CHECK_MS)
 }
 
 /** Creates the server for callers. */
 export function createCallerServer (options: CallerServerOptions): CallerServer {
-  const { settings, requests, log } = options
+  const { settings, clock, requests, log } = options
+  const closes = createLingeringCloses({ clock })
   const ownListener = getRequestListener(createOwnPaths(options).fetch)
   let isClosing = false
 
@@ -103,12 +115,18 @@
     noDelay: true
   }, (incoming, outgoing) => { handle(incoming, outgoing).catch(() => outgoing.destroy()) })
   server.maxConnections = settings.callers.largestConnections
-  server.on('clientError', rejectMalformed)
+  server.on('connection', closes.watch)
+  server.on('timeout', (socket) => closes.close(socket))
+  server.on('clientError', (cause, socket) => rejectMalformed(cause, socket, closes))
 
   return {
     start: () => startListening(server, { address: settings.entry.address, port: settings.entry.callerPort, handleFault: (message) => log.warn(message) }),
     closeAfterResponses () { isClosing = true },
-    close: () => new Promise((resolve) => { server.close(() => resolve()) }),
+    async close () {
+      // The HTTP server would take these connections for idle ones.
+      await waitForCloses(closes, clock)
+      await new Promise<void>((resolve) => { server.close(() => resolve()) })
+    },
     countConnections: () => new Promise((resolve) => { server.getConnections((_, count) => resolve(count)) })
   }
 }
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -100,7 +100,7 @@
   const requests = createRequestService({
     self, idPrefix: `${self}-${incarnation}`, clock, contracts, services, limiter, claims, mesh, metrics, findOwner, maxPauseMs: settings.callers.pauseTimeoutMs, log: logger.forPart('request')
   })
-  const callers = createCallerServer({ settings, contracts, mesh, requests, log: logger.forPart('callers') })
+  const callers = createCallerServer({ settings, clock, contracts, mesh, requests, log: logger.forPart('callers') })
   return { settings, clock, self, incarnation, logger, metrics, log, hostList, audit, contracts, mesh, limiter, claims, services, requests, callers }
 }
 
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -2,6 +2,7 @@
  * The parts of a gateway and how they are connected: the store, the other entries, the target selection and the listeners.
  */
 import { randomBytes } from 'node:crypto'
+import { createLingeringCloses } from '../../connection/lingering-close.ts'
 import { createStoreClient } from '../../platform/store-client.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import { toBrand } from '../../types.ts'
@@ -57,9 +58,10 @@
 }
 
 function createServers (parts: GatewayParts, options: GatewayOptions): GatewayServers {
-  const { settings, log, requests, state, metrics } = parts
+  const { settings, log, requests, state, metrics, closes } = parts
   return createGatewayServers({
     settings,
+    closes,
     isReady: () => isReady(parts),
     listAddresses: (callerZone) => listAddresses(parts, callerZone),
     addressLifetimeMs: Math.min(ADDRESS_LIFETIME_MS, settings.maxAddressLifetimeMs),
@@ -115,6 +117,7 @@
   const base = { settings, clock, random, logger, log: logger.forPart('gateway'), incarnation, startedAtMs: clock.monotonicMs(), isStopping: false, isBusy: false, cutOff: 'none' as const, hasMembershipChanged: true }
   const parts = { ...base } as GatewayParts
   parts.shutdown = createShutdown(clock)
+  parts.closes = createLingeringCloses({ clock })
   parts.bodyBudget = createByteBudget(settings.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE)
   parts.store = createStore(parts)
   parts.limiter = createLimiter(parts)
@@ -139,6 +142,7 @@
     metrics: parts.metrics,
     shutdown: parts.shutdown,
     bodyBudget: parts.bodyBudget,
+    closes: parts.closes,
     isCutOff: () => parts.cutOff !== 'none'
   })
   parts.servers = createServers(parts, options)
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -7,6 +7,7 @@
 import { createError, getErrorResponse } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
 import { getAttemptId, getDeadlineMs } from '../../platform/wire-names.ts'
+import type { LingeringCloses } from '../../connection/lingering-close.ts'
 import { createPipelinedRequests } from '../../connection/pipelined-requests.ts'
 import type { PipeliningCounts, RequestPlace } from '../../connection/pipelined-requests.ts'
 import { buildUnreadableResponse } from '../../connection/unreadable-request.ts'
@@ -65,6 +66,8 @@
   shutdown: Shutdown
   /** What the memory of request bodies, and of responses that wait for their turn, is taken from. */
   bodyBudget: ByteBudget
+  /** Closes the connections of callers. */
+  closes: Pick<LingeringCloses, 'close'>
 }
 
 /** Subtracted from the caller's deadline, for the transfer of the response to the caller, in ms. */
@@ -105,7 +108,7 @@
   const { state, clock, logger, metrics, shutdown } = options
   const log = createRequestLog({ logger, clock })
   const workMeter = createWorkMeter()
-  const pipelining = createPipelinedRequests({ clock, budget: options.bodyBudget })
+  const pipelining = createPipelinedRequests({ clock, budget: options.bodyBudget, closes: options.closes })
   const callerWaits = createCallerWaits()
   let handledCount = 0
   const unsent = createUnsentResponses()
--- a/src/process/gateway/gateway-servers.ts
+++ b/src/process/gateway/gateway-servers.ts
@@ -6,6 +6,7 @@
 import type { Duplex } from 'node:stream'
 import { ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import type { LingeringCloses } from '../../connection/lingering-close.ts'
 import { startListening } from '../../connection/start-listening.ts'
 import { describeCause } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
@@ -20,6 +21,8 @@
   handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): void
   /** Called when the bytes of a caller cannot be read as a request, or when its connection has failed. */
   handleClientError(error: Error, socket: Duplex): void
+  /** Closes the connections of callers after their last response, and those that are idle for too long. */
+  closes: Pick<LingeringCloses, 'watch' | 'close'>
   isReady(): boolean
   /** Lists the addresses that callers may use, as `address:port`. */
   listAddresses(callerZone: ZoneId | undefined): readonly string[]
@@ -94,6 +97,8 @@
 export function createGatewayServers (options: GatewayServersOptions): GatewayServers {
   const { settings, handleFault } = options
   const front = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true }, options.handleRequest)
+  front.on('connection', options.closes.watch)
+  front.on('timeout', (socket) => options.closes.close(socket))
   front.on('clientError', options.handleClientError)
   front.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + IDLE_MARGIN_MS
   const handleOwn: RequestListener = (incoming, outgoing) => handleOwnRequest(options, incoming, outgoing)
--- a/src/process/gateway/gateway-types.ts
+++ b/src/process/gateway/gateway-types.ts
@@ -2,6 +2,7 @@
  * Types that the modules of a gateway share.
  */
 import type { Clock } from '../../clock.ts'
+import type { LingeringCloses } from '../../connection/lingering-close.ts'
 import type { BootSettings } from '../../platform/boot-file.ts'
 import type { StoreClient } from '../../platform/store-client.ts'
 import type { Incarnation } from '../../types.ts'
@@ -63,4 +64,6 @@
   shutdown: Shutdown
   /** What the memory of request bodies is taken from. */
   bodyBudget: ByteBudget
+  /** Connections of callers that close. */
+  closes: LingeringCloses
 }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -36,16 +36,17 @@
 const KILL_MARGIN_MS = 500
 const STOP_POLL_MS = 50
 
-/** Waits until callers use other entries and no request is in progress, but no longer than the grace period allows. */
+/** Waits until callers use other entries and have all responses, but no longer than the grace period allows. */
 async function waitForCallers (parts: GatewayParts): Promise<void> {
-  const { clock, settings, requests } = parts
+  const { clock, settings, requests, closes } = parts
   const startedAtMs = clock.monotonicMs()
   const latestEndAtMs = startedAtMs + settings.graceMs - KILL_MARGIN_MS
   parts.shutdown.start(latestEndAtMs)
   const callersGoneAtMs = startedAtMs + ADDRESS_LIFETIME_MS * CACHE_TIME_FACTOR + MAINTENANCE_INTERVAL_MS
   for (;;) {
     const nowMs = clock.monotonicMs()
-    if (nowMs >= latestEndAtMs || (nowMs >= callersGoneAtMs && requests.countInProgress() === 0)) return
+    const isIdle = requests.countInProgress() === 0 && closes.count() === 0
+    if (nowMs >= latestEndAtMs || (nowMs >= callersGoneAtMs && isIdle)) return
     await clock.wait(STOP_POLL_MS)
   }
 }
--- a/test/pipelined-order.test.ts
+++ b/test/pipelined-order.test.ts
@@ -9,6 +9,8 @@
 import type { RequestPlace } from '../src/connection/pipelined-requests.ts'
 import { createByteBudget } from '../src/process/byte-budget.ts'
 
+/** Closes a simulated connection as soon as its last bytes are sent. */
+const CLOSES = { close: (socket: Duplex, lastBytes?: string | Uint8Array) => { if (!socket.destroyed) socket.end(lastBytes, () => socket.destroy()) } }
 const MAX_STARTED = 16
 const MAX_UNTAKEN_MS = 5_000
 const SEED = 46
@@ -24,7 +26,7 @@
 /** A connection whose requests go through the steps of a gateway, with targets that work until they are told. */
 function createSimulatedConnection () {
   const clock = createTestClock()
-  const requests = createPipelinedRequests({ clock, budget: createByteBudget(1_000_000) })
+  const requests = createPipelinedRequests({ clock, budget: createByteBudget(1_000_000), closes: CLOSES })
   const socket = Object.assign(new EventEmitter(), {
     destroyed: false,
     finalResponses: 0,
@@ -149,7 +151,7 @@
 
 test('responses that wait take memory from the common budget, and no more than a bound on one connection', () => {
   const budget = createByteBudget(600_000)
-  const requests = createPipelinedRequests({ clock: createTestClock(), budget })
+  const requests = createPipelinedRequests({ clock: createTestClock(), budget, closes: CLOSES })
   const addTo = (socket: EventEmitter): RequestPlace | undefined => {
     const outgoing = Object.assign(new EventEmitter(), { headersSent: false, shouldKeepAlive: true, writableEnded: false })
     return requests.add({ socket, complete: true } as unknown as IncomingMessage, outgoing as unknown as ServerResponse)
