Deliver complete responses ahead of a truncated one

What callers saw: a complete response was lost when its target truncated the one behind it and the caller sent a further request meanwhile.

Cause: a truncated response destroyed the connection, and the next bytes of the caller reset it.

Change: such a connection is closed for sending first, as after a last response; the requests behind are dropped at once as before.

Evidence: the new test of lingering-close got no response before, and gets the complete one now.

--- a/src/connection/pipelined-requests.ts
+++ b/src/connection/pipelined-requests.ts
@@ -40,7 +40,7 @@
   startResponse(): void
   /** Closes the connection after the responses to the requests that have been read. */
   closeAfterResponses(): void
-  /** Closes the connection in the middle of the response. */
+  /** Closes the connection in the middle of the response; the caller still gets what was sent before. */
   closeEarly(): void
   /** Watches that the caller takes the response that is now complete, while others wait behind it. */
   watchTaken(): void
@@ -97,19 +97,30 @@
   const counts: PipeliningCounts = { pipelined: 0, unread: 0, heldBytes: 0 }
   let isClosing = false
 
-  const closeEarly = (connection: OrderedConnection): void => {
-    connection.isClosedEarly = true
-    connection.socket.destroy()
-  }
   const dropPending = (connection: OrderedConnection, dropped: readonly PendingRequest[]): void => {
     for (const { caller } of dropped) caller.markDisconnected()
     resumeWaiting(connection)
   }
+  /** Drops the requests behind the first one, whose response cannot be completed. */
+  const dropFollowers = (connection: OrderedConnection): void => {
+    connection.isClosedEarly = true
+    const dropped = connection.pending.splice(1)
+    counts.unread += dropped.length
+    dropPending(connection, dropped)
+  }
+  /** Closes a connection in the middle of a response; the caller gets what was sent before. */
+  const closeEarly = (connection: OrderedConnection): void => {
+    dropFollowers(connection)
+    closes.close(connection.socket)
+  }
+  /** Closes a connection whose caller takes nothing. */
+  const destroyUntaken = (connection: OrderedConnection): void => {
+    dropFollowers(connection)
+    connection.socket.destroy()
+  }
   const handleClose = (connection: OrderedConnection): void => {
     connection.cancelUntaken()
-    const dropped = connection.pending.splice(0)
-    if (connection.isClosedEarly) counts.unread += Math.max(0, dropped.length - 1)
-    dropPending(connection, dropped)
+    dropPending(connection, connection.pending.splice(0))
   }
   const getConnection = (socket: Duplex): OrderedConnection => {
     const known = connections.get(socket)
@@ -141,7 +152,7 @@
     connection.cancelUntaken()
     const [first] = connection.pending
     if (connection.pending.length < 2 || !first?.outgoing.writableEnded) return
-    connection.cancelUntaken = clock.startTimer(MAX_UNTAKEN_MS, () => closeEarly(connection))
+    connection.cancelUntaken = clock.startTimer(MAX_UNTAKEN_MS, () => destroyUntaken(connection))
   }
   const isLast = ({ pending }: OrderedConnection, request: PendingRequest): boolean => pending.at(-1) === request
 
@@ -190,7 +201,7 @@
       // Without chunks, a response may end with its connection.
       if (incoming.httpVersion === '1.0') outgoing.shouldKeepAlive = false
       const closesBehindLast = pending.at(-1)?.outgoing.shouldKeepAlive === false
-      const isUnread = connection.hasStartedLast || closesBehindLast || (pending.length > 0 && (isClosing || connection.isSealed) && canTellLast(connection))
+      const isUnread = connection.isClosedEarly || connection.hasStartedLast || closesBehindLast || (pending.length > 0 && (isClosing || connection.isSealed) && canTellLast(connection))
       if (isUnread) return dropUnread(connection)
       const request: PendingRequest = { incoming, outgoing, caller: createCallerConnection() }
       pending.push(request)
--- a/src/request/gateway/relay-response.ts
+++ b/src/request/gateway/relay-response.ts
@@ -1,6 +1,6 @@
 /**
- * Relays a target's response to the caller. When the response is truncated, the caller's connection is destroyed, so
- * that the caller never takes a partial body for a complete one.
+ * Relays a target's response to the caller. When the response is truncated, the caller's connection is closed before its end,
+ * so that the caller never takes a partial body for a complete one.
  */
 import type { ServerResponse } from 'node:http'
 import { createError, describeCause } from '../../errors.ts'
--- a/test/lingering-close.test.ts
+++ b/test/lingering-close.test.ts
@@ -17,6 +17,10 @@
 /** Bytes that are on their way when the entry closes have reached it after this time on the loopback interface, in ms. */
 const ARRIVAL_MS = 100
 
+/** Sizes of the responses of the target by path, in bytes; one truncated response has a length, the other has none. */
+const BODY_BYTES = new Map([['/safe/large', LARGE_BYTES], ['/safe/ahead', 300_000], ['/safe/truncated', 200_000], ['/safe/endless', 200_000]])
+const TRUNCATED_PATHS = new Set(['/safe/truncated', '/safe/endless'])
+
 const open: { close(): unknown }[] = []
 
 afterEach(async () => { for (const each of open.splice(0).reverse()) await each.close() })
@@ -25,16 +29,18 @@
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
 
-/** Starts an entry whose target sends a large body on /safe/large. */
+/** Starts an entry with one target. */
 async function startSystem (): Promise<GatewaySystem> {
   const target = await startPlatformTarget('i-1', (self, incoming, outgoing) => {
-    const body = incoming.url === '/safe/large' ? Buffer.alloc(LARGE_BYTES, 'x') : Buffer.from('small')
+    const body = Buffer.alloc(BODY_BYTES.get(incoming.url ?? '') ?? 0, 'x')
     outgoing.writeHead(200, {
-      'content-length': body.byteLength,
+      ...(incoming.url === '/safe/endless' ? {} : { 'content-length': body.byteLength }),
       'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'],
       'medlarcove-response-signature': self.id,
       'medlarcove-upstream-load': self.load
-    }).end(body)
+    })
+    if (TRUNCATED_PATHS.has(incoming.url ?? '')) outgoing.write(body.subarray(1), () => outgoing.destroy())
+    else outgoing.end(body)
   })
   const system = await startGatewaySystem([target])
   open.push(system)
@@ -97,6 +103,21 @@
   expect((await caller.waitForClose()).map(({ status }) => status)).toEqual([413])
 })
 
+// Guards against a complete response that is thrown away with the truncated one behind it, while its caller sends further requests.
+test('a truncated response cuts nothing of the complete one ahead of it', async () => {
+  const system = await startSystem()
+  const caller = await connectCaller(system)
+  caller.socket.pause()
+  caller.send(formatRequest('safe', 'ahead'))
+  await waitFor(() => system.log.some(({ fields }) => fields.id === 'ahead' && fields.end === 'whole'))
+  caller.send(formatRequest('safe', 'truncated'))
+  await waitFor(() => system.log.some(({ fields }) => fields.id === 'truncated' && fields.end === 'broken'))
+  caller.send(formatRequest('safe', 'crossing'))
+  await wait(ARRIVAL_MS)
+  caller.socket.resume()
+  expect((await caller.waitForClose()).map(({ status, body }) => [status, body.length])).toEqual([[200, BODY_BYTES.get('/safe/ahead')]])
+})
+
 interface Pair { near: Socket, far: Socket }
 
 /** Starts a plain server; each `connectPair` returns both ends of a new connection. */
