Hold the end of a connection back until no reset can follow

What callers saw: a part of a response as a complete one (MIXED), when a target answered a long upload at once with a 200 without a length and closed its socket while the upload was being written.

Cause: a target that closes with everything read that had arrived is seen to end the connection in order. Its system resets it only when the next bytes of the upload arrive; by then the entry had passed on the end, and the HTTP client had closed the connection.

The end of a connection has its own module now (connection-end.ts).

Evidence: six new tests of exchange failed before; two for ends in order passed before and after.

--- a/src/connection/target-pool.ts
+++ b/src/connection/target-pool.ts
@@ -6,6 +6,8 @@
 import type { Clock } from '../clock.ts'
 import { createBoundedReads, MAX_HEAD_BYTES } from './bounded-reads.ts'
 import type { BoundedReads } from './bounded-reads.ts'
+import { watchConnectionEnd } from './connection-end.ts'
+import type { ConnectionEnd } from './connection-end.ts'
 
 const CONNECT_TIMEOUT_MS = 1_000
 const IDLE_TIMEOUT_MS = 30_000
@@ -27,6 +29,8 @@
   wasReset(): boolean
   /** Calls `action` when the target has ended the connection, right before the HTTP client handles that. */
   watchEnd(action: () => void): void
+  /** Holds the end of the connection back, when it comes, until it is certain that it is no reset. */
+  holdEndBack(): void
   /** Records that a part of the response's body has come. */
   recordBody(isChunked: boolean): void
   /** Calls `action` once when nothing of the request waits in this process any more: it was sent, or the connection is closed. */
@@ -62,32 +66,20 @@
   handleDisconnect?(): void
 }
 
-interface PooledClient { client: Client, socket: Socket | undefined, lastResponseAtMs: number, isEnded: boolean, isDropped: boolean, wasReset: boolean, handleEnd: () => void, reads: BoundedReads | undefined }
+/** A client of the HTTP library with its one connection. */
+interface PooledClient {
+  client: Client
+  lastResponseAtMs: number
+  isEnded: boolean
+  isDropped: boolean
+  /** Called when the target has ended the connection. */
+  handleEnd: () => void
+  /** Set once the connection is open. */
+  opened: { socket: Socket, reads: BoundedReads, end: ConnectionEnd } | undefined
+}
 
 const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true })
 
-/** Error code that replaces `ECONNRESET`; the HTTP client doesn't treat it specially. */
-const RESET_REPLACEMENT_CODE = 'EPIPE'
-
-/**
- * Makes sure that a reset is never taken for the end of a response. The HTTP client (undici) ends a response without a
- * length at a reset, and fails an assertion when that response is paused; so the code of the error is replaced. Node.js
- * reports a reset that arrives with the last bytes as an `end` event; a write then fails only after a reset.
- */
-function watchSocket (socket: Socket, pooled: PooledClient): void {
-  pooled.socket = socket
-  pooled.reads = createBoundedReads(socket)
-  socket.on('error', (error: NodeJS.ErrnoException) => {
-    if (error.code === 'ECONNRESET') error.code = RESET_REPLACEMENT_CODE
-  })
-  socket.on('end', () => {
-    pooled.handleEnd()
-    socket.write('', (error) => {
-      if ((error as NodeJS.ErrnoException | null | undefined)?.syscall) pooled.wasReset = true
-    })
-  })
-}
-
 /** Calls `action` when the bytes that wait in a socket have been sent, or when it is closed. */
 function watchFlushed (socket: Socket | undefined, action: () => void): void {
   if (!socket || socket.destroyed || socket.writableLength === 0) action()
@@ -119,7 +111,8 @@
   const openClient = (): PooledClient => {
     const client = new Client(`http://${target.address}:${target.port}`, {
       connect: (connectOptions, done) => connectSocket(connectOptions, (...connected) => {
-        if (connected[1]) watchSocket(connected[1], pooled)
+        const [, socket] = connected
+        if (socket) pooled.opened = { socket, reads: createBoundedReads(socket), end: watchConnectionEnd(socket, { clock, handleEnd: () => pooled.handleEnd() }) }
         done(...connected)
       }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -129,7 +122,7 @@
       bodyTimeout: 0,
       pipelining: 1
     })
-    const pooled: PooledClient = { client, socket: undefined, lastResponseAtMs: -Infinity, isEnded: false, isDropped: false, wasReset: false, handleEnd: () => undefined, reads: undefined }
+    const pooled: PooledClient = { client, lastResponseAtMs: -Infinity, isEnded: false, isDropped: false, handleEnd: () => undefined, opened: undefined }
     client.on('disconnect', () => {
       pooled.isEnded = true
       if (removeIdle(pooled)) options.handleDisconnect?.()
@@ -168,14 +161,14 @@
   /** Makes a connection idle once the target has taken the rest of the request; another request would wait behind that. */
   const addIdleWhenFlushed = (pooled: PooledClient): void => {
     const cancelTimer = clock.startTimer(MAX_FLUSH_MS, () => destroyClient(pooled))
-    watchFlushed(pooled.socket, () => {
+    watchFlushed(pooled.opened?.socket, () => {
       cancelTimer()
       addIdle(pooled)
     })
   }
   const toConnection = (pooled: PooledClient, isNew: boolean): TargetConnection => {
     let isAcquired = true
-    pooled.reads?.startResponse()
+    pooled.opened?.reads.startResponse()
     const finish = (): boolean => {
       const wasAcquired = isAcquired
       isAcquired = false
@@ -184,15 +177,16 @@
     return {
       client: pooled.client,
       isNew,
-      wasReset: () => pooled.wasReset,
+      wasReset: () => pooled.opened?.end.wasReset() === true,
       watchEnd (action) { pooled.handleEnd = action },
-      watchFlushed: (action) => watchFlushed(pooled.socket, action),
-      recordBody: (isChunked) => pooled.reads?.recordBody(isChunked),
+      holdEndBack: () => pooled.opened?.end.holdBack(),
+      watchFlushed: (action) => watchFlushed(pooled.opened?.socket, action),
+      recordBody: (isChunked) => pooled.opened?.reads.recordBody(isChunked),
       release () {
         if (!finish()) return
         if (!isNew) consecutiveSilent = 0
         pooled.lastResponseAtMs = clock.monotonicMs()
-        if (pooled.socket?.writableLength) addIdleWhenFlushed(pooled)
+        if (pooled.opened?.socket.writableLength) addIdleWhenFlushed(pooled)
         else addIdle(pooled)
       },
       destroy (isSilent) {
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -182,6 +182,8 @@
       }
       cancelTimer()
       isChunked = headers['transfer-encoding'] !== undefined
+      // The response ends with its connection; a target that closes it before it has taken the request resets it only afterwards.
+      if (request.body && !isChunked && headers['content-length'] === undefined) connection.holdEndBack()
       if (!hasConnectionEnded) controller?.pause()
       isHeadSettled = true
       lastDataAtMs = clock.monotonicMs()
--- a/test/exchange.test.ts
+++ b/test/exchange.test.ts
@@ -12,7 +12,7 @@
 
 afterEach(() => { for (const server of servers.splice(0)) server.close() })
 
-async function startExchangeWith (respond: (socket: Socket) => void) {
+async function startExchangeWith (respond: (socket: Socket) => void, body?: Uint8Array) {
   const server = createServer((socket) => {
     socket.on('error', () => undefined)
     socket.once('data', () => respond(socket))
@@ -21,7 +21,7 @@
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const { port } = server.address() as AddressInfo
   const pool = createTargetPool({ target: { address: '127.0.0.1', port }, maxConnections: 1, clock })
-  const request = { id: toBrand<RequestId>('r'), method: 'GET', path: '/', headers: {}, body: undefined, firstByteTimeoutMs: 1_000, canSend: () => true }
+  const request = { id: toBrand<RequestId>('r'), method: body ? 'POST' : 'GET', path: '/', headers: {}, body, firstByteTimeoutMs: 1_000, canSend: () => true }
   return startExchange(pool.acquireConnection({ requiresLiveness: false })!, request, clock)
 }
 
@@ -87,3 +87,44 @@
   })
   expect([...parts, end]).toEqual(['all of it', 'complete'])
 })
+
+/** More than the operating system takes for a target that does not read, in bytes. */
+const UPLOAD_BYTES = 40_000_000
+
+/** Starts an upload whose target responds at once, without a length, and reads nothing more until `goOn`. */
+function startEarlyUpload (bytes: number, goOn: (socket: Socket) => void) {
+  return startExchangeWith((socket) => {
+    socket.pause()
+    goOn(socket)
+  }, Buffer.alloc(bytes, 'x'))
+}
+
+// Guards against a part of a response that a caller gets as complete: its target closed its socket in the middle of an upload. Seen
+// from here the connection ends in order, and is reset only when the next bytes of the upload arrive there.
+for (const bytes of [300_000, UPLOAD_BYTES]) {
+  for (const delayMs of [0, 5, 30]) {
+    test(`a response without a length whose connection ends and is reset ${delayMs} ms later, in an upload of ${bytes} bytes, is reported as truncated`, async () => {
+      const exchange = await startEarlyUpload(bytes, (socket) => {
+        socket.end(`${HEADS['without a length']}half`)
+        setTimeout(() => socket.resetAndDestroy(), delayMs)
+      })
+      expect((await exchange.head).isOk()).toBe(true)
+      expect(await readEnd(exchange)).toBe('answer-truncated')
+    })
+  }
+}
+
+test('a response without a length that ends in order while the upload goes on is complete', async () => {
+  const exchange = await startEarlyUpload(UPLOAD_BYTES, (socket) => { socket.end(`${HEADS['without a length']}all of it`) })
+  expect((await exchange.head).isOk()).toBe(true)
+  expect(await readEnd(exchange)).toBe('complete: all of it')
+})
+
+test('a response without a length that comes after the whole upload and ends in order is complete', async () => {
+  const exchange = await startExchangeWith((socket) => {
+    socket.resume()
+    setTimeout(() => socket.end(`${HEADS['without a length']}all of it`), 30)
+  }, Buffer.alloc(300_000, 'x'))
+  expect((await exchange.head).isOk()).toBe(true)
+  expect(await readEnd(exchange)).toBe('complete: all of it')
+})
