Reset the connection of a truncated response that would end with it

Found by tests on the related paths of the early 200.

Cause: such a response has neither a length nor chunks, and ends with its connection. The entry closed the connection in order.

Change: the connection is reset, in both products, and before a stop ends the process.

Evidence: two tests of lingering-close and one of complete-responses saw a connection that ended in order before; they see a reset now.

--- a/src/connection/lingering-close.ts
+++ b/src/connection/lingering-close.ts
@@ -5,7 +5,7 @@
  * may send further requests, or the rest of a body, before it learns of the close. So only the sending half is closed first; what
  * still comes is read and discarded until the caller has closed its half, which it does once it has read everything.
  */
-import type { Socket } from 'node:net'
+import { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Clock } from '../clock.ts'
 import type { Cancel } from '../types.ts'
@@ -16,6 +16,8 @@
   watch(socket: Socket): void
   /** Sends `lastBytes`, if there are any, and closes the connection once the caller has closed its half or the time for that is over. */
   close(socket: Duplex, lastBytes?: string | Uint8Array): void
+  /** Resets the connection, for a response that would end with it and is not complete. */
+  reset(socket: Duplex): void
   /** Returns the number of connections that wait for their callers to close. */
   count(): number
 }
@@ -66,6 +68,10 @@
       }
     },
     close,
+    reset (socket) {
+      if (socket instanceof Socket) socket.resetAndDestroy()
+      else socket.destroy()
+    },
     count: () => lingering.size
   }
 }
--- a/src/connection/pipelined-requests.ts
+++ b/src/connection/pipelined-requests.ts
@@ -40,8 +40,11 @@
   startResponse(): void
   /** Closes the connection after the responses to the requests that have been read. */
   closeAfterResponses(): void
-  /** Closes the connection in the middle of the response; the caller still gets what was sent before. */
-  closeEarly(): void
+  /**
+   * Closes the connection in the middle of the response; the caller still gets what was sent before. A response that ends with its
+   * connection (`isEndedByClose`) would look complete then, so that the connection is reset.
+   */
+  closeEarly(isEndedByClose: boolean): void
   /** Watches that the caller takes the response that is now complete, while others wait behind it. */
   watchTaken(): void
   /** Takes memory for a response that waits; `releaseHeld` gives it back. */
@@ -77,7 +80,7 @@
   /** What the memory of responses that wait is taken from. */
   budget: ByteBudget
   /** Closes the connections whose last response has been sent. */
-  closes: Pick<LingeringCloses, 'close'>
+  closes: Pick<LingeringCloses, 'close' | 'reset'>
 }
 
 /** Requests of one connection that are worked on at the same time. */
@@ -108,10 +111,10 @@
     counts.unread += dropped.length
     dropPending(connection, dropped)
   }
-  /** Closes a connection in the middle of a response; the caller gets what was sent before. */
-  const closeEarly = (connection: OrderedConnection): void => {
+  const closeEarly = (connection: OrderedConnection, isEndedByClose: boolean): void => {
     dropFollowers(connection)
-    closes.close(connection.socket)
+    if (isEndedByClose) closes.reset(connection.socket)
+    else closes.close(connection.socket)
   }
   /** Closes a connection whose caller takes nothing. */
   const destroyUntaken = (connection: OrderedConnection): void => {
@@ -175,7 +178,7 @@
         connection.hasStartedLast = true
       },
       closeAfterResponses () { connection.isSealed = true },
-      closeEarly: () => closeEarly(connection),
+      closeEarly: (isEndedByClose) => closeEarly(connection, isEndedByClose),
       watchTaken: () => watchTaken(connection),
       tryHold (bytes) {
         if (connection.heldBytes + bytes > MAX_HELD_BYTES || !budget.tryAcquire(bytes)) return false
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -67,7 +67,7 @@
   /** What the memory of request bodies, and of responses that wait for their turn, is taken from. */
   bodyBudget: ByteBudget
   /** Closes the connections of callers. */
-  closes: Pick<LingeringCloses, 'close'>
+  closes: Pick<LingeringCloses, 'close' | 'reset'>
 }
 
 /** Subtracted from the caller's deadline, for the transfer of the response to the caller, in ms. */
--- a/src/request/forward-response.ts
+++ b/src/request/forward-response.ts
@@ -26,6 +26,13 @@
   }
 }
 
+/** Closes the connection of a truncated response; one that would end with its connection, as by HTTP/1.0, is reset. */
+function destroyIncomplete (head: ResponseHead, outgoing: ServerResponse): void {
+  const isEndedByClose = head.headers['content-length'] === undefined && !outgoing.chunkedEncoding
+  if (isEndedByClose) outgoing.socket?.resetAndDestroy()
+  outgoing.destroy()
+}
+
 /** Relays a response whose head has arrived. Resolves when it is complete or has failed. */
 export function forwardResponse (call: Call, begun: StartedResponse, outgoing: ServerResponse): Promise<RelayOutcome> {
   const { clock } = call
@@ -40,7 +47,7 @@
       stallTimer.stop()
       cancelTimeout()
       if (end !== 'whole') attempt.cancel()
-      if (end === 'broken') outgoing.destroy()
+      if (end === 'broken') destroyIncomplete(begun.head, outgoing)
       resolve(end)
     }
     const stallTimer = createStallTimer(clock, call.maxPauseMs, () => finish('broken'))
--- a/src/request/gateway/relay-response.ts
+++ b/src/request/gateway/relay-response.ts
@@ -40,13 +40,15 @@
     let hasSentHead = false
     let cancelWatch: Cancel = () => undefined
     let stopWatchingShutdown: Cancel = () => undefined
+    /** Whether the response that is being sent ends with its connection, as by HTTP/1.0. */
+    const isEndedByClose = (): boolean => hasSentHead && !hasLength && !outgoing.chunkedEncoding
     const finish = (end: RelayOutcome): void => {
       if (isFinished) return
       isFinished = true
       cancelWatch()
       stopWatchingShutdown()
       if (end.kind !== 'whole') attempt.cancel()
-      if (end.kind === 'broken') call.place.closeEarly()
+      if (end.kind === 'broken') call.place.closeEarly(isEndedByClose())
       resolve(end)
     }
     const fail = (error: AppError): void => finish({ kind: hasSentHead ? 'broken' : 'unsent', error })
@@ -95,7 +97,7 @@
     if (isFinished) return
     watchTime()
     stopWatchingShutdown = call.shutdown.watchResponseBy(() => {
-      if (!hasSentHead) fail(createError('entry-stopped', 'This entry shut down after the head and before the body of the response.'))
+      if (!hasSentHead || isEndedByClose()) fail(createError('entry-stopped', 'This entry shut down before the response was complete.'))
     })
   })
 }
--- a/test/complete-responses.test.ts
+++ b/test/complete-responses.test.ts
@@ -1,5 +1,7 @@
 import { createHash, randomBytes } from 'node:crypto'
+import { once } from 'node:events'
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
+import { connect } from 'node:net'
 import { request } from 'undici'
 import { afterEach, expect, test } from 'vitest'
 import { startDataPath } from './support/data-path.ts'
@@ -61,6 +63,18 @@
   await expect(response.body.text()).rejects.toThrow()
 })
 
+// Guards against a truncated response that its caller takes for complete: by HTTP/1.0 it ends with its connection.
+test('a truncated response without a length resets the connection of a caller that speaks HTTP/1.0', async () => {
+  const path = await setup([(_, outgoing) => {
+    outgoing.writeHead(200)
+    outgoing.write('part', () => outgoing.destroy())
+  }])
+  const socket = connect(Number(new URL(path.url).port), '127.0.0.1')
+  socket.write('GET /slots/1 HTTP/1.0\r\n\r\n')
+  socket.resume()
+  await expect(once(socket, 'close')).rejects.toMatchObject({ code: 'ECONNRESET' })
+})
+
 test('a truncated download with a strong entity tag is resumed at another target and is complete', async () => {
   const file = randomBytes(500_000)
   const path = await setup([serveFile(file, '"v1"', 123_456), serveFile(file, '"v1"', 123_456), serveFile(file, '"v1"')])
--- a/test/lingering-close.test.ts
+++ b/test/lingering-close.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, expect, test } from 'vitest'
 import { createTestClock } from '../src/clock.ts'
 import { createLingeringCloses, MAX_LINGER_MS, MAX_LINGERING } from '../src/connection/lingering-close.ts'
+import type { BootSettings } from '../src/platform/boot-file.ts'
 import { describeConfiguration, ROUTE_HOST, startPlatformTarget } from '../stand-ins/platform-target.ts'
 import { startGatewaySystem, waitFor } from './support/gateway-system.ts'
 import type { GatewaySystem } from './support/gateway-system.ts'
@@ -17,9 +18,11 @@
 /** Bytes that are on their way when the entry closes have reached it after this time on the loopback interface, in ms. */
 const ARRIVAL_MS = 100
 
-/** Sizes of the responses of the target by path, in bytes; one truncated response has a length, the other has none. */
-const BODY_BYTES = new Map([['/safe/large', LARGE_BYTES], ['/safe/ahead', 300_000], ['/safe/truncated', 200_000], ['/safe/endless', 200_000]])
+/** Sizes of the responses of the target by path, in bytes. */
+const BODY_BYTES = new Map([['/safe/large', LARGE_BYTES], ['/safe/ahead', 300_000], ['/safe/truncated', 200_000], ['/safe/endless', 200_000], ['/safe/unfinished', 200_000]])
 const TRUNCATED_PATHS = new Set(['/safe/truncated', '/safe/endless'])
+/** Their responses have no length. */
+const UNMEASURED_PATHS = new Set(['/safe/endless', '/safe/unfinished'])
 
 const open: { close(): unknown }[] = []
 
@@ -30,19 +33,20 @@
 }
 
 /** Starts an entry with one target. */
-async function startSystem (): Promise<GatewaySystem> {
+async function startSystem (changes: Partial<BootSettings> = {}): Promise<GatewaySystem> {
   const target = await startPlatformTarget('i-1', (self, incoming, outgoing) => {
     const body = Buffer.alloc(BODY_BYTES.get(incoming.url ?? '') ?? 0, 'x')
     outgoing.writeHead(200, {
-      ...(incoming.url === '/safe/endless' ? {} : { 'content-length': body.byteLength }),
+      ...(UNMEASURED_PATHS.has(incoming.url ?? '') ? {} : { 'content-length': body.byteLength }),
       'medlarcove-attempt-id': incoming.headers['medlarcove-attempt-id'],
       'medlarcove-response-signature': self.id,
       'medlarcove-upstream-load': self.load
     })
-    if (TRUNCATED_PATHS.has(incoming.url ?? '')) outgoing.write(body.subarray(1), () => outgoing.destroy())
+    if (TRUNCATED_PATHS.has(incoming.url ?? '')) outgoing.write(body.subarray(1), () => setTimeout(() => outgoing.destroy(), ARRIVAL_MS))
+    else if (incoming.url === '/safe/unfinished') outgoing.write(body)
     else outgoing.end(body)
   })
-  const system = await startGatewaySystem([target])
+  const system = await startGatewaySystem([target], changes)
   open.push(system)
   system.store.put('keyed.op', 'config', describeConfiguration(2, { timeout: '10s' }))
   await waitFor(() => system.log.some(({ message, fields }) => message === 'A configuration is in effect.' && fields.version === 2))
@@ -118,6 +122,32 @@
   expect((await caller.waitForClose()).map(({ status, body }) => [status, body.length])).toEqual([[200, BODY_BYTES.get('/safe/ahead')]])
 })
 
+/** Sends a request by HTTP/1.0; returns the beginning of the response, and how its connection ends: with an error code, or `in order`. */
+function readHttp10End (system: GatewaySystem, id: string): Promise<{ begin: string, end: string | undefined }> {
+  const socket = connect(system.settings.listen.front.port, '127.0.0.1')
+  open.push({ close: () => socket.destroy() })
+  let begin = ''
+  socket.on('data', (chunk: Buffer) => { begin ||= chunk.subarray(0, 12).toString() })
+  socket.write(formatRequest('safe', id, { deadlineMs: 3_000 }).replace('HTTP/1.1', 'HTTP/1.0'))
+  return new Promise((resolve) => {
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => resolve({ begin, end: code }))
+    socket.on('close', () => resolve({ begin, end: 'in order' }))
+  })
+}
+
+// Guards against a truncated response that its caller takes for complete: by HTTP/1.0 it ends with its connection.
+test('a truncated response that would end with its connection resets it', async () => {
+  expect(await readHttp10End(await startSystem(), 'endless')).toEqual({ begin: 'HTTP/1.1 200', end: 'ECONNRESET' })
+})
+
+test('a response that would end with its connection, and is not complete at the end of a stop, resets it', async () => {
+  const system = await startSystem({ graceMs: 1_500 })
+  const ended = readHttp10End(system, 'unfinished')
+  await waitFor(() => system.targets.some(({ receivedAttempts }) => receivedAttempts.includes('unfinished')))
+  await system.gateway.stop('test')
+  expect(await ended).toEqual({ begin: 'HTTP/1.1 200', end: 'ECONNRESET' })
+})
+
 interface Pair { near: Socket, far: Socket }
 
 /** Starts a plain server; each `connectPair` returns both ends of a new connection. */
--- a/test/pipelined-order.test.ts
+++ b/test/pipelined-order.test.ts
@@ -10,7 +10,7 @@
 import { createByteBudget } from '../src/process/byte-budget.ts'
 
 /** Closes a simulated connection as soon as its last bytes are sent. */
-const CLOSES = { close: (socket: Duplex, lastBytes?: string | Uint8Array) => { if (!socket.destroyed) socket.end(lastBytes, () => socket.destroy()) } }
+const CLOSES = { close: (socket: Duplex, lastBytes?: string | Uint8Array) => { if (!socket.destroyed) socket.end(lastBytes, () => socket.destroy()) }, reset: (socket: Duplex) => { socket.destroy() } }
 const MAX_STARTED = 16
 const MAX_UNTAKEN_MS = 5_000
 const SEED = 46
