Read downloads whole before passing them on when requests behind them run

Cause: only responses of up to 64 KB were read whole before they were passed on with others behind them.

Its memory is taken from the budget of bodies until the caller has taken it. At the deadline the rest is relayed as it comes.

--- a/src/connection/ordered-connection.ts
+++ b/src/connection/ordered-connection.ts
@@ -11,6 +11,8 @@
   incoming: IncomingMessage
   outgoing: ServerResponse
   caller: ControlledCallerConnection
+  /** Whether it was passed on before the requests ahead had their responses. */
+  isPassedOn: boolean
 }
 
 /** A connection of a caller. */
--- a/src/connection/pipelined-requests.ts
+++ b/src/connection/pipelined-requests.ts
@@ -28,6 +28,8 @@
   isFirst(): boolean
   /** Whether requests wait behind this one. */
   hasFollowers(): boolean
+  /** Whether targets work on requests behind this one. */
+  hasPassedOnFollowers(): boolean
   /** Resolves when the request may be worked on, or is dropped: only a limited number are at the same time. */
   waitStart(): Promise<void>
   /** Resolves when the request may be sent to a target, or is dropped. */
@@ -50,6 +52,9 @@
   /** Takes memory for a response that waits; `releaseHeld` gives it back. */
   tryHold(bytes: number): boolean
   releaseHeld(bytes: number): void
+  /** Takes memory for the response whose turn it is; `releaseCurrent` gives it back. */
+  tryHoldCurrent(bytes: number): boolean
+  releaseCurrent(bytes: number): void
   getDropCause(): DropCause
 }
 
@@ -168,7 +173,11 @@
       isFirst,
       hasFollowers: () => !isLast(connection, request),
       waitStart: () => waitForPlace(connection, request, () => pending.indexOf(request) < MAX_STARTED_REQUESTS),
-      waitPassOn: (isIdempotent) => waitForPlace(connection, request, () => isFirst() || (isIdempotent && !isAnswering(connection))),
+      hasPassedOnFollowers: () => isFirst() && pending.some((each) => each !== request && each.isPassedOn),
+      async waitPassOn (isIdempotent) {
+        await waitForPlace(connection, request, () => isFirst() || (isIdempotent && !isAnswering(connection)))
+        request.isPassedOn = true
+      },
       waitTurn: () => waitForPlace(connection, request, isFirst),
       startRelay () { connection.isRelaying = true },
       startResponse () {
@@ -191,6 +200,15 @@
         counts.heldBytes -= bytes
         budget.release(bytes)
       },
+      tryHoldCurrent (bytes) {
+        if (!budget.tryAcquire(bytes)) return false
+        counts.heldBytes += bytes
+        return true
+      },
+      releaseCurrent (bytes) {
+        counts.heldBytes -= bytes
+        budget.release(bytes)
+      },
       getDropCause: () => connection.isClosedEarly || !connection.socket.destroyed ? 'unread' : 'caller-gone'
     }
   }
@@ -206,7 +224,7 @@
       const closesBehindLast = pending.at(-1)?.outgoing.shouldKeepAlive === false
       const isUnread = connection.isClosedEarly || connection.hasStartedLast || closesBehindLast || (pending.length > 0 && (isClosing || connection.isSealed) && canTellLast(connection))
       if (isUnread) return dropUnread(connection)
-      const request: PendingRequest = { incoming, outgoing, caller: createCallerConnection() }
+      const request: PendingRequest = { incoming, outgoing, caller: createCallerConnection(), isPassedOn: false }
       pending.push(request)
       outgoing.once('finish', () => advance(connection, request))
       if (pending.length > 1) watchTaken(connection)
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -186,6 +186,8 @@
       return
     }
     const held = await keepResponse(call, response.value)
+    if (outgoing.closed) held.release()
+    else outgoing.once('close', held.release)
     const end = await relayResponse(call, held.response, outgoing, held.heldMs)
     await recordRelay(call, response.value, end, outgoing)
     response.value.attempt.recordTransfer(isTargetFault(end))
--- a/test/pipelined-requests.test.ts
+++ b/test/pipelined-requests.test.ts
@@ -107,6 +107,60 @@
   expect(responses[1]).toEqual({ status: 200, isLast: false, body: 'b' })
 })
 
+// Guards against requests that targets work on and that are lost with a download ahead of them (review/14).
+test.each([
+  { form: 'a length', head: { 'content-length': '540000' }, sentBytes: 500_000 },
+  { form: 'chunks', head: {}, sentBytes: 500_000 }
+])('a truncated download with $form and others behind it becomes an error, and those behind are answered on the same connection', async ({ head, sentBytes }) => {
+  const { system, waitForRequest, respond } = await setup()
+  const caller = await connectCaller(system)
+  caller.send(formatRequest('safe', 'first'), formatRequest('safe', 'download'), formatRequest('safe', 'behind'))
+  for (const id of ['first', 'download', 'behind']) await waitForRequest(id)
+  respond('download', (outgoing, headers) => {
+    outgoing.writeHead(200, { ...headers, ...head }).write(Buffer.alloc(sentBytes), () => outgoing.destroy())
+  })
+  respond('first')
+  respond('behind')
+  expect((await caller.waitForResponses(3)).map(({ status, body }) => [status, status === 200 ? body : ''])).toEqual([[200, 'first'], [502, ''], [200, 'behind']])
+  await waitFor(async () => await readMetric(system, 'medlarcove_held_response_bytes') === 0)
+})
+
+// Load: a download whose caller reads slowly, with another request behind it.
+test('a complete download with others behind it counts as memory until its caller has taken it', async () => {
+  const bytes = 500_000
+  const { system, waitForRequest, respond } = await setup()
+  const caller = await connectCaller(system)
+  caller.socket.pause()
+  caller.send(formatRequest('safe', 'download'), formatRequest('safe', 'behind'))
+  for (const id of ['download', 'behind']) await waitForRequest(id)
+  respond('download', (outgoing, headers) => { outgoing.writeHead(200, { ...headers, 'content-length': String(bytes) }).end('x'.repeat(bytes)) })
+  respond('behind')
+  await waitFor(async () => await readMetric(system, 'medlarcove_held_response_bytes') >= bytes)
+  caller.socket.resume()
+  expect((await caller.waitForResponses(2)).map(({ status, body }) => [status, body.length])).toEqual([[200, bytes], [200, 'behind'.length]])
+  await waitFor(async () => await readMetric(system, 'medlarcove_held_response_bytes') === 0)
+})
+
+test('a download with others behind it that is not complete at its deadline is relayed as it comes', async () => {
+  const { system, waitForRequest, respond } = await setup()
+  const caller = await connectCaller(system)
+  caller.send(formatRequest('safe', 'download', { deadlineMs: 400 }), formatRequest('safe', 'behind'))
+  for (const id of ['download', 'behind']) await waitForRequest(id)
+  let finish: () => void = () => undefined
+  respond('behind')
+  respond('download', (outgoing, headers) => {
+    outgoing.writeHead(200, { ...headers, 'content-length': '200000' }).write('x'.repeat(150_000))
+    const timer = setInterval(() => outgoing.write('x'), 20)
+    finish = () => {
+      clearInterval(timer)
+      outgoing.destroy()
+    }
+  })
+  await waitFor(() => caller.socket.bytesRead > 100_000)
+  finish()
+  expect(await caller.waitForClose()).toEqual([])
+})
+
 test('a truncated response that is too large to be held closes the connection, and what is behind it is not run, and logged as unread', async () => {
   const { system, waitForRequest, respond, listReceived, listAborted } = await setup()
   const caller = await connectCaller(system)
