End an entry's waiting connections with the entry

Connections that wait for their callers to close are counted by their closes; the entry now ends them itself, and doesn't depend on whether the HTTP server still lists them. A new test of lingering-close shows it.

--- a/src/connection/lingering-close.ts
+++ b/src/connection/lingering-close.ts
@@ -20,6 +20,8 @@
   reset(socket: Duplex): void
   /** Returns the number of connections that wait for their callers to close. */
   count(): number
+  /** Closes the connections that wait at once. */
+  closeAll(): void
 }
 
 /** A caller that has not closed its half after this time loses the connection, in ms. */
@@ -72,6 +74,9 @@
       if (socket instanceof Socket) socket.resetAndDestroy()
       else socket.destroy()
     },
-    count: () => lingering.size
+    count: () => lingering.size,
+    closeAll () {
+      for (const socket of lingering.keys()) socket.destroy()
+    }
   }
 }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -74,6 +74,7 @@
 /** Closes everything that the gateway holds open. */
 async function closeParts (parts: GatewayParts): Promise<void> {
   parts.servers.close()
+  parts.closes.closeAll()
   parts.shutdown.close()
   parts.metrics.close()
   parts.followers.close()
--- a/test/lingering-close.test.ts
+++ b/test/lingering-close.test.ts
@@ -194,6 +194,21 @@
   expect(closes.count()).toBe(0)
 })
 
+test('the end of an entry closes the connections that still wait for their callers', async () => {
+  const system = await startSystem()
+  const socket = connect({ port: system.settings.listen.front.port, host: '127.0.0.1', allowHalfOpen: true })
+  open.push({ close: () => socket.destroy() })
+  socket.resume().write(formatRequest('safe', 'ahead', { headers: 'Connection: close\r\n' }))
+  await once(socket, 'end')
+  await system.gateway.close()
+  const failed = once(socket, 'error') as Promise<[NodeJS.ErrnoException]>
+  while (socket.writable && !socket.destroyed) {
+    socket.write('too late')
+    await wait(ARRIVAL_MS / 10)
+  }
+  expect((await failed)[0].code).toMatch(/ECONNRESET|EPIPE/)
+})
+
 // Load: more callers than the bound never close; each holds a descriptor.
 test('of too many callers that do not close, those lose the connection that have had most time', async () => {
   const closes = createLingeringCloses({ clock: createTestClock() })
