--- a/src/connection/ordered-connection.ts
+++ b/src/connection/ordered-connection.ts
@@ -5,6 +5,7 @@
 import type { Duplex } from 'node:stream'
 import type { ControlledCallerConnection } from '../request/caller-connection.ts'
 import type { Cancel } from '../types.ts'
+import type { ConnectionMemory } from './held-memory.ts'
 
 /** One request that has been read and has no complete response. */
 export interface PendingRequest {
@@ -16,7 +17,7 @@
 }
 
 /** A connection of a caller. */
-export interface OrderedConnection {
+export interface OrderedConnection extends ConnectionMemory {
   socket: Duplex
   /** In the order of their arrival. */
   pending: PendingRequest[]
@@ -30,8 +31,6 @@
   isClosedEarly: boolean
   /** The response to bytes that could not be read, sent after all others; undefined without one. */
   finalResponse: string | undefined
-  /** Memory reserved for its held responses, in bytes. */
-  heldBytes: number
   /** Requests dropped as unread so far. */
   unreadCount: number
   /** Resume the requests that wait for their place to change. */
@@ -50,7 +49,7 @@
     isRelaying: false,
     isClosedEarly: false,
     finalResponse: undefined,
-    heldBytes: 0,
+    waitingBytes: 0,
     unreadCount: 0,
     waiting: [],
     cancelUntaken: () => undefined
--- a/src/connection/pipelined-requests.ts
+++ b/src/connection/pipelined-requests.ts
@@ -12,6 +12,7 @@
 import { createCallerConnection } from '../request/caller-connection.ts'
 import type { CallerConnection } from '../request/caller-connection.ts'
 import { canTellLast, createOrderedConnection, isAnswering, resumeWaiting, stopReading, waitForPlace } from './ordered-connection.ts'
+import { createHeldMemory } from './held-memory.ts'
 import type { LingeringCloses } from './lingering-close.ts'
 import type { OrderedConnection, PendingRequest } from './ordered-connection.ts'
 
@@ -94,15 +95,14 @@
 const MAX_READ_REQUESTS = 64
 /** Requests of one connection that are dropped as unread before nothing more is read from it. */
 const MAX_DROPPED_REQUESTS = 64
-/** Memory for the waiting responses of one connection, in bytes. */
-const MAX_HELD_BYTES = 524_288
 /** A caller that does not take a complete response for this long, while others wait behind it, is cut off, in ms. */
 const MAX_UNTAKEN_MS = 5_000
 
 /** Creates the order of requests; no connection is known. */
 export function createPipelinedRequests ({ clock, budget, closes }: PipelinedRequestsOptions): PipelinedRequests {
   const connections = new WeakMap<Duplex, OrderedConnection>()
-  const counts: PipeliningCounts = { pipelined: 0, unread: 0, heldBytes: 0 }
+  const counts = { pipelined: 0, unread: 0 }
+  const memory = createHeldMemory(budget)
   let isClosing = false
 
   const dropPending = (connection: OrderedConnection, dropped: readonly PendingRequest[]): void => {
@@ -189,26 +189,10 @@
       closeAfterResponses () { connection.isSealed = true },
       closeEarly: (isEndedByClose) => closeEarly(connection, isEndedByClose),
       watchTaken: () => watchTaken(connection),
-      tryHold (bytes) {
-        if (connection.heldBytes + bytes > MAX_HELD_BYTES || !budget.tryAcquire(bytes)) return false
-        connection.heldBytes += bytes
-        counts.heldBytes += bytes
-        return true
-      },
-      releaseHeld (bytes) {
-        connection.heldBytes -= bytes
-        counts.heldBytes -= bytes
-        budget.release(bytes)
-      },
-      tryHoldCurrent (bytes) {
-        if (!budget.tryAcquire(bytes)) return false
-        counts.heldBytes += bytes
-        return true
-      },
-      releaseCurrent (bytes) {
-        counts.heldBytes -= bytes
-        budget.release(bytes)
-      },
+      tryHold: (bytes) => memory.tryTake(connection, bytes),
+      releaseHeld: (bytes) => memory.release(connection, bytes),
+      tryHoldCurrent: memory.tryTakeCurrent,
+      releaseCurrent: memory.releaseCurrent,
       getDropCause: () => connection.isClosedEarly || !connection.socket.destroyed ? 'unread' : 'caller-gone'
     }
   }
@@ -245,6 +229,6 @@
       if (pending.length === 0) sendFinalResponse(connection)
     },
     closeAfterResponses () { isClosing = true },
-    report: () => ({ ...counts })
+    report: () => ({ ...counts, heldBytes: memory.getBytes() })
   }
 }
--- a/src/process/gateway/gateway-requests.ts
+++ b/src/process/gateway/gateway-requests.ts
@@ -1,12 +1,12 @@
 /**
  * Handles the requests of callers at a gateway: finds the route, runs the attempts and relays the response.
  */
-import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 import type { Clock } from '../../clock.ts'
 import { createError, getErrorResponse } from '../../errors.ts'
 import type { AppError } from '../../errors.ts'
-import { getAttemptId, getDeadlineMs } from '../../platform/wire-names.ts'
+import { getAttemptId } from '../../platform/wire-names.ts'
 import type { LingeringCloses } from '../../connection/lingering-close.ts'
 import { createPipelinedRequests } from '../../connection/pipelined-requests.ts'
 import type { PipeliningCounts, RequestPlace } from '../../connection/pipelined-requests.ts'
@@ -14,31 +14,28 @@
 import { createBodyHolders } from '../../request/body-holders.ts'
 import { sendError } from '../../request/error-response.ts'
 import type { GatewayCall } from '../../request/gateway/gateway-call.ts'
-import { filterCustomerHeaders, filterRequestHeaders } from '../../request/gateway/gateway-headers.ts'
 import { findRequestCustomer } from '../../request/gateway/request-customer.ts'
-import { createRequestAdmission } from '../../request/gateway/request-admission.ts'
 import { keepResponse } from '../../request/gateway/held-response.ts'
 import { relayResponse } from '../../request/gateway/relay-response.ts'
 import type { RelayOutcome } from '../../request/gateway/relay-response.ts'
 import { runAttempts } from '../../request/gateway/run-attempts.ts'
 import type { StartedResponse } from '../../request/gateway/run-attempts.ts'
 import { readBody } from '../../request/read-body.ts'
-import { createFingerprintReader } from '../../request/request-fingerprint.ts'
 import { createUnsentResponses } from '../../request/unsent-responses.ts'
 import { createCallerWaits } from '../../request/selection/caller-waits.ts'
 import type { RequestId } from '../../types.ts'
 import { isIdempotent } from '../../version/configuration.ts'
-import type { Route } from '../../version/configuration.ts'
-import type { CustomerTerms } from '../../version/customer-keys.ts'
 import type { PartLogger } from '../logger.ts'
 import type { QuotaLimiter } from '../quotas/quota-limiter.ts'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.ts'
 import type { ByteBudget } from '../byte-budget.ts'
 import { createWorkMeter } from '../selection/work-meter.ts'
 import type { GatewayMetrics } from './gateway-metrics.ts'
-import type { GatewayState, ConfigurationInEffect } from './gateway-state.ts'
+import type { GatewayState } from './gateway-state.ts'
 import { createRequestLog } from './request-log.ts'
 import type { Shutdown } from './shutdown.ts'
+import { addBody, createUnreadCall } from './unread-call.ts'
+import type { UnreadCall } from './unread-call.ts'
 
 /** Handles requests. */
 export interface GatewayRequests {
@@ -70,29 +67,8 @@
   closes: Pick<LingeringCloses, 'close' | 'reset'>
 }
 
-/** Subtracted from the caller's deadline, for the transfer of the response to the caller, in ms. */
-const RESPONSE_MARGIN_MS = 5
 const MAX_BODY_PAUSE_MS = 5_000
 
-/** A request that the configuration in effect allows. */
-interface RoutedRequest {
-  id: RequestId
-  route: Route
-  customer: CustomerTerms | undefined
-  inEffect: ConfigurationInEffect
-  place: RequestPlace
-}
-
-/** A request whose body has not been read yet. */
-type UnreadCall = Omit<GatewayCall, 'body' | 'bodyHolders' | 'getFingerprint' | 'admission'>
-
-function addBody (call: UnreadCall, { host = '', authorization = '' }: IncomingHttpHeaders, { body, bodyHolders }: Pick<GatewayCall, 'body' | 'bodyHolders'>, quarantine: RequestQuarantine): GatewayCall {
-  const { method, path, customer } = call
-  // All keys of a customer ask for the same work.
-  const getFingerprint = createFingerprintReader({ method, host, path, authorization: customer?.name ?? authorization, body })
-  return { ...call, body, bodyHolders, getFingerprint, admission: createRequestAdmission({ ...call, quarantine, getFingerprint }) }
-}
-
 /** Whether a relay failed because of the target: it truncated its response, or sent nothing that could be passed on. */
 function isTargetFault (end: RelayOutcome): boolean {
   switch (end.kind) {
@@ -140,34 +116,6 @@
     place.startResponse()
     sendError(outgoing, error)
   }
-  const createCall = (incoming: IncomingMessage, { id, route, customer, inEffect, place }: RoutedRequest): UnreadCall => {
-    const { arrivedAtMs } = place
-    const statedMs = getDeadlineMs(incoming.headers)
-    const deadlineMs = statedMs ?? route.timeoutMs
-    const leftMs = Math.min(route.timeoutMs, Math.max(1, deadlineMs - RESPONSE_MARGIN_MS))
-    const service = state.getService(inEffect.selectService(route))
-    const { version } = inEffect.configuration
-    return {
-      id,
-      route,
-      version,
-      service,
-      customer,
-      priority: customer?.priority ?? route.priority,
-      method: incoming.method ?? 'GET',
-      path: incoming.url ?? '/',
-      headers: inEffect.findCustomer ? filterCustomerHeaders(incoming.headers, customer?.name) : filterRequestHeaders(incoming.headers),
-      startedAtMs: arrivedAtMs,
-      waitedBeforeMs: inEffect.findCustomer && statedMs !== undefined ? callerWaits.recordDeadline(route.name, statedMs, arrivedAtMs) : 0,
-      deadlineAtMs: arrivedAtMs + leftMs,
-      caller: place.caller,
-      place,
-      shutdown,
-      workMeter,
-      clock,
-      record: { id, route: route.name, service: service.name, customer: customer?.name, version, leftMs, attempts: [], tookMs: 0 }
-    }
-  }
   const recordRelay = async (call: GatewayCall, { head }: StartedResponse, end: RelayOutcome, outgoing: ServerResponse): Promise<void> => {
     if (end.kind === 'unsent') {
       await reject(call, outgoing, end.error)
@@ -263,7 +211,7 @@
       await rejectUnrouted(place, outgoing, customer.error, id)
       return
     }
-    const call = createCall(incoming, { id, route, customer: customer.value, inEffect, place })
+    const call = createUnreadCall(incoming, { id, route, customer: customer.value, inEffect, place }, { state, clock, shutdown, workMeter, callerWaits })
     await handleWithinQuota(call, incoming, outgoing, inEffect.configuration.limits.maxBodyBytes)
     recordEnd(call)
   }
--- a/src/process/gateway/gateway-state.ts
+++ b/src/process/gateway/gateway-state.ts
@@ -5,9 +5,7 @@
 import { getEvacuationZone } from '../../platform/evacuation-key.ts'
 import { CONFIGURATION_KEY } from '../../platform/store-client.ts'
 import type { KeyedRecord } from '../../platform/store-frames.ts'
-import { decodeTargetReport } from '../../platform/target-record.ts'
 import type { GatewayService } from '../../request/gateway/gateway-call.ts'
-import { toBrand } from '../../types.ts'
 import type { ServiceId, TargetId, ZoneId } from '../../types.ts'
 import { createRouteFinder } from '../../version/configuration.ts'
 import type { Configuration, FindRoute, Route, WeightedService } from '../../version/configuration.ts'
@@ -17,9 +15,8 @@
 import type { WeightedRoundRobin } from '../../version/weighted-round-robin.ts'
 import { createEvacuatedZones } from '../discovery/evacuated-zones.ts'
 import type { PageContext } from '../discovery/record-applier.ts'
-import { createStoreView } from '../discovery/store-view.ts'
+import { createTargetRecords } from '../discovery/target-records.ts'
 import { createTargetRegistry } from '../discovery/target-registry.ts'
-import type { TargetChange, TargetReport } from '../discovery/target-registry.ts'
 import { createGatewayServices } from './gateway-services.ts'
 import type { GatewayServices, ServiceOptions } from './gateway-services.ts'
 import { createTargetStates } from '../selection/target-states.ts'
@@ -88,7 +85,7 @@
 export function createGatewayState (options: GatewayStateOptions): GatewayState {
   const { clock, random, logger, limiter } = options
   const registry = createTargetRegistry()
-  const storeView = createStoreView()
+  const targetRecords = createTargetRecords({ registry, clock, logger, limiter })
   const evacuatedZones = createEvacuatedZones({ clock, logger })
   const states = createTargetStates({ clock, maxConnections: options.maxConnections, handleDisconnect: (state) => services.checkAbandoned(state) })
   let inEffect: ConfigurationInEffect | undefined
@@ -120,43 +117,6 @@
     if (zone !== undefined) evacuatedZones.apply(zone, value !== undefined)
   }
   const listZones = (records: readonly KeyedRecord[]): ZoneId[] => records.flatMap(({ key, value }) => value ? getEvacuationZone(key) ?? [] : [])
-  const decodeChange = (record: KeyedRecord): TargetChange | undefined => {
-    if (!record.value) return { type: 'removal', id: toBrand<TargetId>(record.key) }
-    const decoded = decodeTargetReport(record.key, record.value)
-    if (decoded.isOk()) return { type: 'report', report: decoded.value }
-    logger.debug('Skipped a target record that could not be decoded.', { offset: record.offset, error: decoded.error.message })
-    return undefined
-  }
-  /** Applies how long the record of a target says that it stays cold. */
-  const applyColdReport = ({ id, warmupLeftMs }: TargetReport): void => {
-    if (warmupLeftMs > 0) limiter.recordColdReport(id, warmupLeftMs)
-  }
-  const applyTargetChange = (change: TargetChange, { key, offset }: KeyedRecord, isAfterOutage: boolean): void => {
-    const outcome = registry.apply(change, clock.monotonicMs(), isAfterOutage)
-    if (outcome === 'stale') return
-    if (change.type === 'report') applyColdReport(change.report)
-    if (outcome !== 'updated') logger.info(`A target is ${outcome}.`, { target: key, offset })
-  }
-  /** Applies single records. Returns those that other entries may lack. */
-  const applyTargetChanges = (records: readonly KeyedRecord[], isAfterOutage: boolean): KeyedRecord[] => {
-    const decoded = records.flatMap((record) => {
-      const change = decodeChange(record)
-      return change ? [{ record, change }] : []
-    })
-    for (const { record, change } of decoded) applyTargetChange(change, record, isAfterOutage)
-    // Only now, since after an error above the records are applied once more.
-    return decoded.filter(({ change }) => storeView.apply(change)).map(({ record }) => record)
-  }
-  const applyAllTargets = (records: readonly KeyedRecord[], { isAfterOutage, isAfterRestore }: PageContext): void => {
-    const decoded = records.map((record) => ({ id: toBrand<TargetId>(record.key), change: decodeChange(record) }))
-    const reports: TargetReport[] = decoded.flatMap(({ change }) => change?.type === 'report' ? [change.report] : [])
-    // As with single records, one that cannot be decoded changes nothing.
-    const unreadable = decoded.filter(({ change }) => change === undefined).map(({ id }) => id)
-    registry.replaceAll(reports, unreadable, clock.monotonicMs(), isAfterOutage)
-    storeView.replaceAll(reports, isAfterRestore)
-    for (const report of reports) if (registry.get(report.id)?.report === report) applyColdReport(report)
-    logger.info('Read all targets.', { count: registry.countTargets() })
-  }
   return {
     getInEffect: () => inEffect,
     getService: services.get,
@@ -175,8 +135,7 @@
     },
     countEvacuatedZones: () => evacuatedZones.list().length,
     applyTargetRecords (records, context) {
-      if (context.isFullRead) applyAllTargets(records, context)
-      const lacked = context.isFullRead ? [] : applyTargetChanges(records, context.isAfterOutage)
+      const lacked = targetRecords.apply(records, context)
       hasReadTargets = true
       options.handleTargetsRead()
       states.removeUnregistered((registered) => registry.get(registered.report.id) === registered)
