Name the terms by which a held body is read

A callback that got another callback told what becomes of a body at its deadline; a word does now. No change of behaviour: the tests of pipelined-requests and gateway-stop pass.

--- a/src/request/gateway/held-response.ts
+++ b/src/request/gateway/held-response.ts
@@ -38,45 +38,45 @@
   return announcedBytes <= maxBytes ? announcedBytes : undefined
 }
 
-/** Calls `stop` when the caller leaves, or at the end of the process. */
-function watchEnd ({ caller, shutdown }: GatewayCall, stop: (error: AppError) => void): Cancel {
-  const stopWatchingCaller = caller.watchDisconnect(() => stop(createError('target-broken', 'The caller closed its connection before the response.')))
-  const stopWatchingShutdown = shutdown.watchResponseBy(() => stop(createError('entry-stopped', 'This entry shut down before the response was complete.')))
+/** Calls `fail` when the caller leaves, or at the end of the process. */
+function watchEnd ({ caller, shutdown }: GatewayCall, fail: (error: AppError) => void): Cancel {
+  const stopWatchingCaller = caller.watchDisconnect(() => fail(createError('target-broken', 'The caller closed its connection before the response.')))
+  const stopWatchingShutdown = shutdown.watchResponseBy(() => fail(createError('entry-stopped', 'This entry shut down before the response was complete.')))
   return () => {
     stopWatchingCaller()
     stopWatchingShutdown()
   }
 }
 
-/** Reads a body while the time for its response lasts; calls `handleDeadline` when it is over. */
-async function readHeld (call: GatewayCall, { attempt }: StartedResponse, body: HeldBody, maxBytes: number, handleDeadline: (stop: (error: AppError) => void) => void): Promise<void> {
+/** What is read of a body, and what becomes of one that is not complete at the deadline of its request: it fails, or is passed on as it comes. */
+interface ReadTerms { maxBytes: number, atDeadline: 'fail' | 'pass-on' }
+
+/** Reads a body until it has ended, or the terms, the caller or the end of the process stop the reading. */
+async function readHeld (call: GatewayCall, { attempt }: StartedResponse, body: HeldBody, { maxBytes, atDeadline }: ReadTerms): Promise<void> {
   const { clock, deadlineAtMs } = call
-  const stop = (error: AppError): void => {
+  const fail = (error: AppError): void => {
     attempt.cancel()
     body.fail(error)
   }
-  const cancelDeadline = clock.startTimer(Math.max(0, deadlineAtMs - clock.monotonicMs()), () => handleDeadline(stop))
-  const stopWatching = watchEnd(call, stop)
+  const handleDeadline = (): void => {
+    if (atDeadline === 'pass-on') body.stopReading()
+    else fail(createError('route-timeout', 'The response did not end before the deadline, while others wait behind it on the connection.'))
+  }
+  const cancelDeadline = clock.startTimer(Math.max(0, deadlineAtMs - clock.monotonicMs()), handleDeadline)
+  const stopWatching = watchEnd(call, fail)
   await body.read(maxBytes)
   cancelDeadline()
   stopWatching()
 }
 
-/** Reads a body of limited size. One that is not complete at the deadline has failed. */
-function readWaiting (call: GatewayCall, response: StartedResponse, body: HeldBody): Promise<void> {
-  return readHeld(call, response, body, MAX_WAITING_BODY_BYTES, (stop) => {
-    stop(createError('route-timeout', 'The response did not end before the deadline, while others wait behind it on the connection.'))
-  })
-}
-
 /**
  * Reads the rest of a response whose turn it is, while targets work on requests behind it: these would be lost with the connection.
- * What is not complete at the deadline is relayed as it comes, as is one that is too large or has no memory. Returns the memory taken.
+ * One that is too large, or has no memory, is not read. Returns the memory taken, in bytes.
  */
 async function readCurrent (call: GatewayCall, response: StartedResponse, body: HeldBody): Promise<number> {
   const reservedBytes = computeReservedBytes(response, MAX_CURRENT_BODY_BYTES)
   if (reservedBytes === undefined || !call.place.tryHoldCurrent(reservedBytes)) return 0
-  await readHeld(call, response, body, MAX_CURRENT_BODY_BYTES, () => body.stopReading())
+  await readHeld(call, response, body, { maxBytes: MAX_CURRENT_BODY_BYTES, atDeadline: 'pass-on' })
   return reservedBytes
 }
 
@@ -89,7 +89,7 @@
     return
   }
   try {
-    await readWaiting(call, response, body)
+    await readHeld(call, response, body, { maxBytes: MAX_WAITING_BODY_BYTES, atDeadline: 'fail' })
     const spareBytes = Math.max(0, reservedBytes - body.getHeldBytes())
     place.releaseHeld(spareBytes)
     reservedBytes -= spareBytes
