Show the connections that wait for their callers to close

medlarcove_closing_connections counts them, and `Stopped.` logs those that are left, so that a stop that waits for callers can be told from one that waits for requests. A test of lingering-close reads the figure.

--- a/src/process/gateway/gateway-metrics.ts
+++ b/src/process/gateway/gateway-metrics.ts
@@ -45,6 +45,8 @@
   /** Memory that request bodies take, in bytes. */
   bodyBytes: number
   pipelining: PipeliningCounts
+  /** Connections that are closed for sending and wait for their callers. */
+  closingConnections: number
 }
 
 /** Metrics of one gateway. */
@@ -94,7 +96,8 @@
     bodyBytes: new Gauge({ name: 'medlarcove_body_memory_bytes', help: 'Memory that the bodies of requests take, with the responses held for their turn.', registers }),
     pipelined: new Gauge({ name: 'medlarcove_pipelined_requests_total', help: 'Requests that arrived before the response to the one ahead on their connection was complete.', registers }),
     unread: new Gauge({ name: 'medlarcove_unread_requests_total', help: 'Requests dropped without a response, behind a response that closed their connection.', registers }),
-    heldBytes: new Gauge({ name: 'medlarcove_held_response_bytes', help: 'Memory reserved for responses that wait for those ahead on their connections.', registers })
+    heldBytes: new Gauge({ name: 'medlarcove_held_response_bytes', help: 'Memory reserved for responses that wait for those ahead on their connections, or are read whole before others.', registers }),
+    closingConnections: new Gauge({ name: 'medlarcove_closing_connections', help: 'Connections that are closed for sending and wait for their callers to close them.', registers })
   }
 }
 
@@ -163,6 +166,7 @@
   metrics.pipelined.set(values.pipelining.pipelined)
   metrics.unread.set(values.pipelining.unread)
   metrics.heldBytes.set(values.pipelining.heldBytes)
+  metrics.closingConnections.set(values.closingConnections)
 }
 
 /** Creates the metrics. */
--- a/src/process/gateway/gateway-parts.ts
+++ b/src/process/gateway/gateway-parts.ts
@@ -88,7 +88,8 @@
       droppedLogLines: options.countDroppedLines?.() ?? 0,
       inProgress: requests.countInProgress(),
       bodyBytes: parts.bodyBudget.getTaken(),
-      pipelining: requests.reportPipelining()
+      pipelining: requests.reportPipelining(),
+      closingConnections: closes.count()
     })
   })
 }
--- a/src/process/gateway/gateway.ts
+++ b/src/process/gateway/gateway.ts
@@ -52,13 +52,13 @@
 }
 
 async function stopParts (parts: GatewayParts, reason: string): Promise<void> {
-  const { clock, log, requests } = parts
+  const { clock, log, requests, closes } = parts
   const startedAtMs = clock.monotonicMs()
   log.info('Stopping.', { reason, inProgress: requests.countInProgress() })
   publishStatus(parts)
   requests.closeAfterResponses()
   await waitForCallers(parts)
-  log.info('Stopped.', { reason, inProgress: requests.countInProgress(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) })
+  log.info('Stopped.', { reason, inProgress: requests.countInProgress(), closingConnections: closes.count(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) })
 }
 
 /** Checks whether this entry can reach the targets; callers are sent to other entries while it cannot. */
--- a/test/deferred-metrics.test.ts
+++ b/test/deferred-metrics.test.ts
@@ -24,7 +24,8 @@
   droppedLogLines: 0,
   inProgress: 0,
   bodyBytes: 0,
-  pipelining: { pipelined: 0, unread: 0, heldBytes: 0 }
+  pipelining: { pipelined: 0, unread: 0, heldBytes: 0 },
+  closingConnections: 0
 }
 
 function createRecord (tookMs: number): RequestRecord {
--- a/test/lingering-close.test.ts
+++ b/test/lingering-close.test.ts
@@ -200,6 +200,7 @@
   open.push({ close: () => socket.destroy() })
   socket.resume().write(formatRequest('safe', 'ahead', { headers: 'Connection: close\r\n' }))
   await once(socket, 'end')
+  expect(await (await fetch(system.metricsUrl)).text()).toContain('medlarcove_closing_connections 1\n')
   await system.gateway.close()
   const failed = once(socket, 'error') as Promise<[NodeJS.ErrnoException]>
   while (socket.writable && !socket.destroyed) {
