Count removals when shared records are split into messages

What callers would see: nothing but a delay, since entries that miss a range read by themselves.

Cause: ranges were split by the sizes of values, and removals have none; 3,000 of them made a message that can't be encoded.

Change: a removal counts for 64 bytes, so that many are sent in parts, and too many are read by each entry itself.

Evidence: the new test of shared-reading failed before with 3,000 removals; the 26 tests of shared-reading pass.

--- a/src/process/discovery/shared-range.ts
+++ b/src/process/discovery/shared-range.ts
@@ -20,18 +20,24 @@
   records: readonly KeyedRecord[]
 }
 
-/** Bytes of values in one shared range. */
+/** Bytes of records in one shared range. */
 const MAX_SHARED_BYTES = 8_192
 /** A larger record, or more bytes at once, is read by each entry itself, so that the link of the reader stays free. */
 const MAX_SHARED_RECORD_BYTES = 24_576
 const MAX_SHARED_TOTAL_BYTES = 65_536
+/** What a removal, which has a key and no value, counts for, in bytes. */
+const REMOVAL_BYTES = 64
+
+function computeSizeBytes ({ value }: KeyedRecord): number {
+  return value?.byteLength ?? REMOVAL_BYTES
+}
 
 /** Splits the records of a range into parts of at most `MAX_SHARED_BYTES`; a larger record is a part of its own. */
 function splitRecords (records: readonly KeyedRecord[]): KeyedRecord[][] {
   const parts: KeyedRecord[][] = []
   let partBytes = Infinity
   for (const record of records) {
-    const sizeBytes = record.value?.byteLength ?? 0
+    const sizeBytes = computeSizeBytes(record)
     if (partBytes + sizeBytes > MAX_SHARED_BYTES) {
       parts.push([])
       partBytes = 0
@@ -47,7 +53,7 @@
  * that entries which have not read that far read by themselves.
  */
 export function toSharedRanges (range: SharedRecordRange): SharedRecordRange[] {
-  const sizes = range.records.map(({ value }) => value?.byteLength ?? 0)
+  const sizes = range.records.map(computeSizeBytes)
   const totalBytes = sizes.reduce((sum, size) => sum + size, 0)
   if (totalBytes > MAX_SHARED_TOTAL_BYTES || Math.max(0, ...sizes) > MAX_SHARED_RECORD_BYTES) return [{ ...range, from: range.next, records: [] }]
   const parts = splitRecords(range.records)
--- a/test/shared-reading.test.ts
+++ b/test/shared-reading.test.ts
@@ -1,4 +1,6 @@
 import { expect, test } from 'vitest'
+import { createTestClock } from '../src/clock.ts'
+import { createDatagramCodec } from '../src/connection/datagram-codec.ts'
 import { addMessageAge, addProgressAge } from '../src/process/gateway/gateway-messages.ts'
 import { createSharedReads, selectReader } from '../src/process/gateway/shared-reads.ts'
 import { toSharedRanges } from '../src/process/discovery/shared-range.ts'
@@ -87,6 +89,17 @@
   expect(parts.map(({ ageMs }) => ageMs)).toEqual([undefined, undefined, undefined, 5])
 })
 
+// Guards against the removals of a zone that are too many for one message: nobody would get them.
+test('many removals at once are shared in messages that can be sent, or not at all', () => {
+  const codec = createDatagramCodec({ peerKey: 'key', clock: createTestClock() })
+  for (const count of [10, 900, 3_000]) {
+    const records = Array.from({ length: count }, (_, offset) => ({ offset, key: `i-target-${offset}`, value: undefined }))
+    const parts = toSharedRanges({ topic: 't', epoch: EPOCH, from: 0, next: count, ageMs: 5, isAfterOutage: false, records })
+    expect(parts.every((range) => codec.encode({ type: 'topic-range', range }).isOk()), `${count}`).toBe(true)
+    expect(parts.at(-1)!.next).toBe(count)
+  }
+})
+
 // Guards against a reader that was cut off alone and makes the others keep a target that has left, as after an outage.
 test('failed reads of the reader count as an outage only for an entry that has not heard of the store meanwhile', async () => {
   const range = { topic: 't', epoch: EPOCH, from: 0, next: 1, ageMs: 0, isAfterOutage: true, records: [{ offset: 0, key: 'a', value: Buffer.from('gone') }] }
