Soak: write again what a restored store has lost

Trace: the evacuation was written right before the store went away and came back from an older copy; no entry had read it, and it was written nowhere again.

The check was wrong in that: it asked of the entries what the store no longer said. What was lost counts from the second writing, unless it had to be in effect before the store was away; all else is judged as before.

--- a/soak/customer-checkers.ts
+++ b/soak/customer-checkers.ts
@@ -21,11 +21,23 @@
   }
 }
 
+/**
+ * Returns when what the operator wrote at `atMs` was written for good. What a restored store has lost counts from its second
+ * writing, unless it had to be in effect, `applyMs` after the first one, before the store was away.
+ */
+function getWrittenAtMs ({ events }: Evidence, atMs: number, applyMs: number): number {
+  const again = events.filter((event) => event.type === 'written-again').find(({ copiedAtMs, awayAtMs }) => atMs > copiedAtMs && atMs <= awayAtMs && awayAtMs < atMs + applyMs)
+  return again?.atMs ?? atMs
+}
+
 /** A key that has been taken away serves nothing once that must be in effect. */
 export function checkRevoked (evidence: Evidence): CheckResult {
   const revoked = evidence.events.filter((event) => event.type === 'revoked')
-  const late = revoked.flatMap(({ customer, atMs }) => [...evidence.requests.values()].filter((request) =>
-    request.customer === customer && request.atMs > atMs + CONFIGURATION_APPLY_MS && !isExcused(evidence, request.entry, atMs, request.atMs)))
+  const late = revoked.flatMap(({ customer, atMs }) => {
+    const writtenAtMs = getWrittenAtMs(evidence, atMs, CONFIGURATION_APPLY_MS)
+    return [...evidence.requests.values()].filter((request) =>
+      request.customer === customer && request.atMs > writtenAtMs + CONFIGURATION_APPLY_MS && !isExcused(evidence, request.entry, writtenAtMs, request.atMs))
+  })
   return { name: 'revoked', premiseCount: late.length, broken: late.filter(({ runs }) => runs.length > 0).map(describe) }
 }
 
@@ -69,9 +81,12 @@
 /** Nothing reaches a zone while it is evacuated. */
 export function checkEvacuated (evidence: Evidence): CheckResult {
   const evacuations = evidence.events.filter((event) => event.type === 'evacuated')
-  const late = evacuations.flatMap(({ zone, atMs, untilMs }) => evidence.events.filter((event) => event.type === 'run').filter((run) => {
-    const entry = evidence.requests.get(run.id)?.entry
-    return run.zone === zone && run.atMs > atMs + BOUNDS.evacuateMs && run.atMs < untilMs && entry !== undefined && !isExcused(evidence, entry, atMs, run.atMs, false)
-  }))
+  const late = evacuations.flatMap(({ zone, atMs, untilMs }) => {
+    const writtenAtMs = getWrittenAtMs(evidence, atMs, BOUNDS.evacuateMs)
+    return evidence.events.filter((event) => event.type === 'run').filter((run) => {
+      const entry = evidence.requests.get(run.id)?.entry
+      return run.zone === zone && run.atMs > writtenAtMs + BOUNDS.evacuateMs && run.atMs < untilMs && entry !== undefined && !isExcused(evidence, entry, writtenAtMs, run.atMs, false)
+    })
+  })
   return { name: 'evacuated', premiseCount: evacuations.length, broken: late.map(({ id, target, zone }) => `${id} ran at ${target} in ${zone}`) }
 }
--- a/soak/events.ts
+++ b/soak/events.ts
@@ -43,6 +43,8 @@
   | { type: 'evacuated', atMs: number, zone: string, untilMs: number }
   /** The operator has taken away the key that the callers of a customer send. */
   | { type: 'revoked', atMs: number, customer: string }
+  /** The operator has written everything again, since the store lost what it had acknowledged between `copiedAtMs` and `awayAtMs`. */
+  | { type: 'written-again', atMs: number, copiedAtMs: number, awayAtMs: number }
   /** The quota of a customer. */
   | { type: 'quota', atMs: number, customer: string, ratePerSecond: number, burst: number }
   /** An entry has written a key to its log. */
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -98,6 +98,17 @@
   expect(listBroken(events)).toEqual([rule])
 })
 
+// Guards against a finding that blames the entries for what a restored store has lost and the operator has not written again yet.
+test('what a restored store has lost counts from its second writing, but only if it was not in effect before', () => {
+  const evacuated: SoakEvent = { type: 'evacuated', atMs: 3_000, zone: 'zone-a', untilMs: 12_000 }
+  const createRestoreAt = (awayAtMs: number): SoakEvent => ({ type: 'written-again', atMs: 7_500, copiedAtMs: 1_000, awayAtMs })
+  const createRunAt = (atMs: number): SoakEvent[] => createSeen({ atMs }, { zone: 'zone-a' })
+  expect(listBroken([evacuated, createRestoreAt(4_900), ...createRunAt(9_400)])).toEqual([])
+  expect(listBroken([evacuated, createRestoreAt(4_900), ...createRunAt(9_600)])).toEqual(['evacuated'])
+  expect(listBroken([evacuated, createRestoreAt(5_100), ...createRunAt(5_200)])).toEqual(['evacuated'])
+  expect(listBroken([{ ...evacuated, atMs: 900 }, createRestoreAt(1_500), ...createRunAt(3_000)])).toEqual(['evacuated'])
+})
+
 test('what was done to an entry or a target excuses what follows from it', () => {
   const disturbed: SoakEvent = { type: 'disturbed', atMs: 0, untilMs: 5_000, entry: 0, what: 'entry-pause' }
   expect(listBroken([disturbed, ...createMany(8, (id) => createRequest({ id }, { kind: 'given-up' }, 2_000))])).toEqual([])
