--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -9,6 +9,7 @@
 export interface Operator {
   /** Asks the entries to send nothing to a zone. Resolves when the store has acknowledged it. */
   evacuate(zone: string): Promise<void>
+  /** Ends one evacuation of a zone; the zone is used again when no other is in force. */
   endEvacuation(zone: string): Promise<void>
   /** Replaces the key of a customer by one that its callers do not have. Resolves when the store has acknowledged it. */
   revokeKey(customer: number): Promise<void>
@@ -21,21 +22,26 @@
 /** Creates the operator of a run whose first configuration has been written. */
 export function createOperator (plan: SoakPlan, store: PlatformStore): Operator {
   const revoked = new Set<number>()
-  const evacuated = new Set<string>()
+  /** How many of the evacuations in force are of each zone. */
+  const evacuated = new Map<string, number>()
   let version = 1
   let storeBack: Promise<void> = Promise.resolve()
   const writeConfiguration = (): void => store.put('keyed.op', 'config', describeConfiguration(plan, version, revoked))
   const writeEvacuation = (zone: string): void => store.put('keyed.op', `evacuate/${zone}`, {})
+  const addEvacuations = (zone: string, count: number): number => {
+    const sum = (evacuated.get(zone) ?? 0) + count
+    evacuated.set(zone, sum)
+    return sum
+  }
   return {
     async evacuate (zone) {
       await storeBack
-      evacuated.add(zone)
+      addEvacuations(zone, 1)
       writeEvacuation(zone)
     },
     async endEvacuation (zone) {
       await storeBack
-      evacuated.delete(zone)
-      store.put('keyed.op', `evacuate/${zone}`)
+      if (addEvacuations(zone, -1) === 0) store.put('keyed.op', `evacuate/${zone}`)
     },
     async revokeKey (customer) {
       await storeBack
@@ -46,7 +52,7 @@
     handleStoreAway (back) { storeBack = back },
     writeAgain () {
       writeConfiguration()
-      for (const zone of evacuated) writeEvacuation(zone)
+      for (const [zone, count] of evacuated) if (count > 0) writeEvacuation(zone)
     }
   }
 }
