Test the early 200 from the caller's side, over a slow link

A target behind a link of 800 KB/s answers an upload of 600 KB at once, without a length, and resets the connection, or closes its socket after 5, 30 or 100 ms: the caller's response is truncated. One that closes its half in order gives a complete response.

--- a/test/early-responses.test.ts
+++ b/test/early-responses.test.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events'
-import { createServer } from 'node:net'
+import { connect, createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
 import { createTestClock } from '../src/clock.ts'
@@ -106,3 +106,78 @@
   expect(pool.countConnections()).toEqual({ open: 0, idle: 0 })
   server.close()
 })
+
+/** The link between the entry and its target passes this much of an upload every `PART_GAP_MS`, in bytes: 800 KB a second. */
+const PART_BYTES = 8_000
+const PART_GAP_MS = 10
+const SLOW_UPLOAD_BYTES = 600_000
+const EARLY_BODY_BYTES = 3_000
+
+/** Passes the bytes of a caller's connection on to a port at a limited rate, and what comes back at once; a reset is passed on too. */
+function startSlowLink (port: number) {
+  return createServer({ allowHalfOpen: true }, (near) => {
+    const far = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
+    near.on('error', () => undefined)
+    far.on('error', () => near.resetAndDestroy())
+    far.on('data', (chunk) => near.write(chunk))
+    far.on('end', () => near.end())
+    const timer = setInterval(() => {
+      const part: unknown = near.read(Math.min(PART_BYTES, near.readableLength))
+      if (part instanceof Uint8Array) far.write(part)
+    }, PART_GAP_MS)
+    near.on('readable', () => undefined)
+    near.on('close', () => {
+      clearInterval(timer)
+      far.destroy()
+    })
+  })
+}
+
+/** Starts an entry with a target behind a slow link, which answers an upload at once, without a length, and then ends the connection. */
+async function setupSlowUpload (endConnection: (socket: Socket) => void) {
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on('error', () => undefined)
+    socket.once('data', (data) => {
+      const text = data.toString('latin1')
+      if (text.startsWith('GET /health')) {
+        socket.end('HTTP/1.1 200 OK\r\nMedlarcove-Instance-Id: i-1\r\nMedlarcove-Upstream-Load: 0,0,4,100\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
+        return
+      }
+      const id = /medlarcove-attempt-id: (\S+)/i.exec(text)?.[1]
+      socket.write(`HTTP/1.1 200 OK\r\nMedlarcove-Attempt-Id: ${id}\r\nMedlarcove-Response-Signature: i-1\r\nConnection: close\r\n\r\n${'y'.repeat(EARLY_BODY_BYTES)}`)
+      endConnection(socket)
+    })
+  })
+  await once(server.listen(0, '127.0.0.1'), 'listening')
+  const link = startSlowLink((server.address() as AddressInfo).port)
+  await once(link.listen(0, '127.0.0.1'), 'listening')
+  const target = await startPlatformTarget('i-1')
+  target.server.close()
+  const system = await startGatewaySystem([Object.assign(target, { port: (link.address() as AddressInfo).port })])
+  systems.push({ ...system, async close () { await system.close(); server.close(); link.close() } })
+  const configuration = describeConfiguration(2, { timeout: '5s' })
+  system.store.put('keyed.op', 'config', configuration)
+  await waitFor(() => system.log.some(({ message, fields }) => message === 'A configuration is in effect.' && fields.version === 2))
+  const head = `POST /upload/a HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\nMedlarcove-Attempt-Id: early\r\nMedlarcove-Deadline-Ms: 4000\r\nContent-Length: ${SLOW_UPLOAD_BYTES}\r\n\r\n`
+  return { upload: () => sendRaw(system.settings.listen.front.port, head + 'x'.repeat(SLOW_UPLOAD_BYTES), 4_000) }
+}
+
+// Guards against a part of a response that the caller gets as complete: a target that closes its socket is seen to end in order at first.
+test.each([
+  { form: 'reset at once', endConnection: (socket: Socket) => { setTimeout(() => socket.resetAndDestroy(), 20) } },
+  { form: 'closed after 5 ms', endConnection: (socket: Socket) => { setTimeout(() => socket.destroy(), 5) } },
+  { form: 'closed after 30 ms', endConnection: (socket: Socket) => { setTimeout(() => socket.destroy(), 30) } },
+  { form: 'closed after 100 ms', endConnection: (socket: Socket) => { setTimeout(() => socket.destroy(), 100) } }
+])('an early response without a length whose connection is $form, in the middle of a slow upload, is truncated for the caller', async ({ endConnection }) => {
+  const { upload } = await setupSlowUpload(endConnection)
+  const { text, isClosed } = await upload()
+  expect(isClosed).toBe(true)
+  expect(text).not.toMatch(/\r\n0\r\n\r\n$/)
+})
+
+test('an early response without a length that ends in order, in the middle of a slow upload, is complete for the caller', async () => {
+  const { upload } = await setupSlowUpload((socket) => { socket.end().resume() })
+  const { text } = await upload()
+  expect(text.startsWith('HTTP/1.1 200')).toBe(true)
+  expect(text).toMatch(/\r\n0\r\n\r\n$/)
+})
