Let the test of the bound on waiting connections need few descriptors

The bound is an option with the default of before, so that the test opens 23 connections in place of 1,027, which need more descriptors than many machines allow a process. It checks the same: which connections are closed, and how many stay.

--- a/src/connection/lingering-close.ts
+++ b/src/connection/lingering-close.ts
@@ -26,8 +26,7 @@
 
 /** A caller that has not closed its half after this time loses the connection, in ms. */
 export const MAX_LINGER_MS = 5_000
-/** Connections that wait for their callers; beyond that the one that has waited longest is closed, so that others have descriptors. */
-export const MAX_LINGERING = 1_024
+const DEFAULT_MAX_LINGERING = 1_024
 
 /** Reads and discards what comes, in place of the HTTP parser, and in place of a pause. */
 function drainInput (socket: Duplex): void {
@@ -38,8 +37,15 @@
   socket.resume()
 }
 
+/** Options of `createLingeringCloses`. */
+export interface LingeringClosesOptions {
+  clock: Clock
+  /** Connections that wait for their callers; beyond that the one that has waited longest is closed, so that others have descriptors. Default 1,024. */
+  maxLingering?: number
+}
+
 /** Creates the closes of a server; no connection waits. */
-export function createLingeringCloses ({ clock }: { clock: Clock }): LingeringCloses {
+export function createLingeringCloses ({ clock, maxLingering = DEFAULT_MAX_LINGERING }: LingeringClosesOptions): LingeringCloses {
   /** In the order in which their closes began. */
   const lingering = new Map<Duplex, Cancel>()
   const finish = (socket: Duplex): void => {
@@ -54,7 +60,7 @@
   }
   const close = (socket: Duplex, lastBytes?: string | Uint8Array): void => {
     if (socket.destroyed || lingering.has(socket)) return
-    if (lingering.size >= MAX_LINGERING) destroyLongest()
+    if (lingering.size >= maxLingering) destroyLongest()
     lingering.set(socket, clock.startTimer(MAX_LINGER_MS, () => socket.destroy()))
     socket.once('close', () => finish(socket))
     drainInput(socket)
--- a/test/lingering-close.test.ts
+++ b/test/lingering-close.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
 import { createTestClock } from '../src/clock.ts'
-import { createLingeringCloses, MAX_LINGER_MS, MAX_LINGERING } from '../src/connection/lingering-close.ts'
+import { createLingeringCloses, MAX_LINGER_MS } from '../src/connection/lingering-close.ts'
 import type { BootSettings } from '../src/platform/boot-file.ts'
 import { describeConfiguration, ROUTE_HOST, startPlatformTarget } from '../stand-ins/platform-target.ts'
 import { startGatewaySystem, waitFor } from './support/gateway-system.ts'
@@ -212,15 +212,16 @@
 
 // Load: more callers than the bound never close; each holds a descriptor.
 test('of too many callers that do not close, those lose the connection that have had most time', async () => {
-  const closes = createLingeringCloses({ clock: createTestClock() })
+  const maxLingering = 20
+  const closes = createLingeringCloses({ clock: createTestClock(), maxLingering })
   const connectPair = await startPairs()
   const extra = 3
   const nears: Socket[] = []
-  for (let index = 0; index < MAX_LINGERING + extra; index++) {
+  for (let index = 0; index < maxLingering + extra; index++) {
     const { near } = await connectPair()
     nears.push(near)
     closes.close(near)
   }
-  expect(closes.count()).toBe(MAX_LINGERING)
+  expect(closes.count()).toBe(maxLingering)
   expect(nears.map(({ destroyed }) => destroyed).lastIndexOf(true)).toBe(extra - 1)
 })
