Early 200: look at waiting events first, and a link that passes a reset on

When this process was late, the wait for a reset could end before the events that had come meanwhile; these come first now.

It resets now when the end has been sent, and passes the next part on at once.

--- a/src/connection/connection-end.ts
+++ b/src/connection/connection-end.ts
@@ -44,12 +44,15 @@
   const finishEnd = (): void => {
     if (!socket.destroyed) emit('end')
   }
+  const checkEnd = (): void => {
+    if (socket.destroyed) return
+    // Bytes that still wait here would have failed at a reset, and would keep the check waiting.
+    if (socket.writableLength > 0) finishEnd()
+    else checkReset(finishEnd)
+  }
   const finishLater = (): void => {
-    clock.startTimer(RESET_WAIT_MS, () => {
-      // Bytes that still wait here would have failed at a reset, and would keep the check waiting.
-      if (socket.writableLength > 0) finishEnd()
-      else if (!socket.destroyed) checkReset(finishEnd)
-    })
+    // If this process was late, the events that waited meanwhile come first.
+    clock.startTimer(RESET_WAIT_MS, () => { setImmediate(checkEnd) })
   }
   socket.on('error', (error: NodeJS.ErrnoException) => {
     if (error.code === 'ECONNRESET') error.code = RESET_REPLACEMENT_CODE
--- a/test/early-responses.test.ts
+++ b/test/early-responses.test.ts
@@ -118,13 +118,23 @@
   return createServer({ allowHalfOpen: true }, (near) => {
     const far = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
     near.on('error', () => undefined)
-    far.on('error', () => near.resetAndDestroy())
+    const resetNear = (): void => { near.resetAndDestroy() }
+    // Node.js can't reset a connection while it is ending it.
+    far.on('error', () => {
+      if (near.writableEnded && !near.writableFinished) near.once('finish', resetNear)
+      else resetNear()
+    })
     far.on('data', (chunk) => near.write(chunk))
-    far.on('end', () => near.end())
-    const timer = setInterval(() => {
+    const forwardPart = (): void => {
       const part: unknown = near.read(Math.min(PART_BYTES, near.readableLength))
       if (part instanceof Uint8Array) far.write(part)
-    }, PART_GAP_MS)
+    }
+    far.on('end', () => {
+      near.end()
+      // The next part was on its way when the target ended the connection.
+      forwardPart()
+    })
+    const timer = setInterval(forwardPart, PART_GAP_MS)
     near.on('readable', () => undefined)
     near.on('close', () => {
       clearInterval(timer)
